--- a/src/core/qr_agent.c
+++ b/src/core/qr_agent.c
@@ -120,6 +120,7 @@
     DEF(HOSTS_READ, qr_agent_hosts)                                            \
     DEF(OPENED, qr_agent_opened)                                               \
     DEF(FRAME, qr_agent_frame)                                                 \
+    DEF(PROGRESS, qr_agent_chunk_progress)                                     \
     DEF(SENT, qr_agent_chunk_sent)                                             \
     DEF(CLOSED, qr_agent_closed)                                               \
     DEF(MANIFEST_READ, qr_agent_manifest_read)                                 \
--- a/src/core/qr_agent.h
+++ b/src/core/qr_agent.h
@@ -105,6 +105,7 @@
     GPtrArray *entries; /* QRAgentEntry * */
     GPtrArray *bulks;   /* QRBulk * */
     GPtrArray *takers;  /* QRTaker * */
+    unsigned give_turn; /* the taker that comes first next time */
     QRTable runs;       /* QRRun * */
     GHashTable *seen;   /* call id -> QRSeen *, owned */
     GQueue *seen_order; /* QRSeen *, borrowed, by arrival */
@@ -174,6 +175,7 @@
 void qr_agent_chunk_want(QRAgent *s, QRHandle conn, const Qr__ChunkWant *m,
                          QREffects *out);
 void qr_agent_chunk_give(QRAgent *s, const QREvent *ev, QREffects *out);
+void qr_agent_chunk_progress(QRAgent *s, const QREvent *ev, QREffects *out);
 void qr_agent_chunk_sent(QRAgent *s, const QREvent *ev, QREffects *out);
 bool qr_agent_bulk_opened(QRAgent *s, const QREvent *ev, QREffects *out);
 void qr_agent_bulk_closed(QRAgent *s, const QREvent *ev, QREffects *out);
--- a/src/core/qr_agent_weights.c
+++ b/src/core/qr_agent_weights.c
@@ -5,7 +5,9 @@
 
 #include <string.h>
 
-#define GIVE_WINDOW 2 /* chunks on the way to one taker */
+/* Chunks on the way to all takers: few, so that each arrives soon and can be
+ * handed on, rather than all at once and late. */
+#define GIVE_WINDOW 3
 #define TAKERS_MAX 4096
 #define WANTS_MAX QR_CHUNKS_MAX
 /* Index in a ChunkGive that only says "still at work for you". */
@@ -224,6 +226,16 @@
     agent_took_chunk(s, ev, m->index, data, place, out);
 }
 
+void qr_agent_chunk_progress(QRAgent *s, const QREvent *ev, QREffects *out)
+{
+    const QRBulk *b = agent_bulk_of_conn(s, ev->ref);
+
+    (void)out;
+    if (b && s->fetch)
+        qr_fetch_progress(s->fetch, qr_fetch_place(s->fetch, b->host),
+                          s->now_ms);
+}
+
 void qr_agent_chunk_want(QRAgent *s, QRHandle conn, const Qr__ChunkWant *m,
                          QREffects *out)
 {
@@ -294,24 +306,42 @@
     e->notify = notify;
 }
 
-static void agent_give(QRAgent *s, QRTaker *t, QREffects *out)
+/* Chunks on the way, but for those to takers that take nothing any more. */
+static unsigned agent_gives_in_flight(const QRAgent *s)
 {
-    uint64_t word_ms = (uint64_t)s->set->stall_ms / WAIT_WORDS_PER_STALL;
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < s->takers->len; i++) {
+        const QRTaker *t = s->takers->pdata[i];
+
+        if (s->now_ms - t->given_ms < (uint64_t)s->set->stall_ms)
+            n += t->in_flight;
+    }
+    return n;
+}
 
-    for (unsigned i = 0; i < t->wants->len && t->in_flight < GIVE_WINDOW;) {
+/* Gives 't' one chunk that it wants and we have. */
+static void agent_give_one(QRAgent *s, QRTaker *t, QREffects *out)
+{
+    for (unsigned i = 0; i < t->wants->len; i++) {
         QRWant w = g_array_index(t->wants, QRWant, i);
         GBytes *data = agent_find_chunk(s, &w);
 
-        if (!data) {
-            i++;
+        if (!data)
             continue;
-        }
         agent_send_chunk(t, w.manifest, w.index, data, true, out);
         g_array_remove_index(t->wants, i);
         t->in_flight++;
         t->given_ms = s->now_ms;
         s->count[QR_AGENT_COUNT_chunks_out]++;
+        return;
     }
+}
+
+static void agent_say_wait(QRAgent *s, QRTaker *t, QREffects *out)
+{
+    uint64_t word_ms = (uint64_t)s->set->stall_ms / WAIT_WORDS_PER_STALL;
+
     /* a taker that waits for us hears that we are at work, as long as we
      * are; else it turns elsewhere */
     if (t->wants->len > 0 && s->now_ms - t->given_ms >= word_ms && s->fetch &&
@@ -321,6 +351,21 @@
     }
 }
 
+/* Takers come in turn, so that none waits for another's whole list. */
+static void agent_give(QRAgent *s, QREffects *out)
+{
+    unsigned n = s->takers->len;
+
+    for (unsigned i = 0; i < n; i++) {
+        QRTaker *t = s->takers->pdata[(s->give_turn + i) % n];
+
+        if (t->in_flight == 0 && agent_gives_in_flight(s) < GIVE_WINDOW)
+            agent_give_one(s, t, out);
+        agent_say_wait(s, t, out);
+    }
+    s->give_turn++;
+}
+
 /* New asks of one step, gathered by place. */
 typedef struct AgentAsks {
     QRAgent *s;
@@ -378,12 +423,15 @@
         void *key, *list;
 
         qr_fetch_step(s->fetch, s->now_ms, agent_ask, &asks);
+        if (s->fetch->stalls > 0)
+            qr_effect_log(out, QR_LEVEL_WARN, "weights",
+                          "Gave up %u stalled sources.",
+                          (unsigned)s->fetch->stalls);
         s->count[QR_AGENT_COUNT_stalls] += s->fetch->stalls;
         s->fetch->stalls = 0;
         g_hash_table_iter_init(&it, by_place);
         while (g_hash_table_iter_next(&it, &key, &list))
             agent_send_asks(s, GPOINTER_TO_INT(key) - 1, list, out);
     }
-    for (unsigned i = 0; i < s->takers->len; i++)
-        agent_give(s, s->takers->pdata[i], out);
+    agent_give(s, out);
 }
--- a/src/core/qr_event.h
+++ b/src/core/qr_event.h
@@ -21,6 +21,7 @@
     DEF(OPENED)        /* ref: connection; text: dialled address or NULL */    \
     DEF(FRAME)         /* ref: connection; frame */                            \
     DEF(SENT)          /* ref: connection; a frame with 'notify' is out */     \
+    DEF(PROGRESS)      /* ref: connection; part of a chunk came */             \
     DEF(CLOSED)        /* ref: connection or none; text: dialled address */    \
     DEF(CALL)          /* ref: request; call */                                \
     DEF(CALLER_GONE)   /* ref: request */                                      \
--- a/src/core/qr_fetch.c
+++ b/src/core/qr_fetch.c
@@ -10,6 +10,8 @@
 /* Hosts of each tree that draw from the origin, by objective. */
 #define ROOTS_FOR_TIME 2
 #define ROOTS_FOR_BYTES 1
+/* After so many failed reads in a row those who wait for us wait no more. */
+#define ORIGIN_FAILURES_MAX 2
 
 static int fetch_read_chunks(QRFetch *f, GError **err)
 {
@@ -147,6 +149,7 @@
     if (index >= f->n || f->chunks[index].source != QR_TREE_ORIGIN)
         return;
     fetch_unask(f, index);
+    f->origin_failures++;
     /* a breath, so that a refusing origin is not hammered */
     f->origin.passed_until_ms = now_ms + f->stall_ms / 4;
 }
@@ -221,6 +224,8 @@
         return -1;
     }
     fetch_source(f, source)->progress_ms = now_ms;
+    if (source == QR_TREE_ORIGIN)
+        f->origin_failures = 0;
     fetch_unask(f, index);
     if (c->data)
         return 0;
@@ -247,8 +252,8 @@
 {
     if (qr_fetch_complete(f) || now_ms - f->asked_ms <= f->stall_ms)
         return true;
-    if (f->origin.asked > 0 && now_ms - f->origin.progress_ms <= f->stall_ms)
-        return true;
+    if (f->origin.asked > 0 && f->origin_failures < ORIGIN_FAILURES_MAX)
+        return true; /* it may be slow: asking it more often makes it slower */
     for (unsigned p = 0; p < f->tree.ring->len; p++) {
         const QRSource *s = &f->sources[p];
 
--- a/src/core/qr_fetch.h
+++ b/src/core/qr_fetch.h
@@ -37,6 +37,7 @@
     QRSource *sources; /* by place */
     QRSource origin;
     unsigned origin_window;
+    unsigned origin_failures; /* in a row */
     uint64_t stall_ms;
     uint64_t corrupt, stalls;
     uint64_t asked_ms; /* last time anything was asked of anybody */
--- a/src/core/qr_plan.c
+++ b/src/core/qr_plan.c
@@ -70,7 +70,6 @@
     g_autoptr(GPtrArray) order = plan_order(c, in);
     unsigned done = 0;
 
-    g_ptr_array_set_size(in->waves, 0);
     while (done < order->len) {
         GPtrArray *wave = g_ptr_array_new_with_free_func(g_free);
         unsigned n = first_version ? order->len : done == 0 ? 1 : size;
@@ -166,7 +165,9 @@
         qr_findings_add(f, place,
                         "no host can be spared for a switch; lower the "
                         "teams' capacity, add hosts, or set allow_short");
-    plan_waves(c, in, MAX(spare, 1), first_version);
+    g_ptr_array_set_size(in->waves, 0);
+    if (weights)
+        plan_waves(c, in, MAX(spare, 1), first_version);
     o = json_object_new_object();
     qr_json_str(o, "intent", in->name);
     qr_json_str(o, "service", in->service);
--- a/src/core/qr_rollout.c
+++ b/src/core/qr_rollout.c
@@ -28,7 +28,9 @@
 
 static bool view_serves(const QRIntent *in, const QRHostView *v)
 {
-    return !v->away && !v->unknown && strcmp(v->manifest, in->manifest) == 0;
+    if (v->away || v->unknown)
+        return false;
+    return !qr_intent_is_engine(in) || strcmp(v->manifest, in->manifest) == 0;
 }
 
 static const QRHostView *rollout_view(const QRIntent *in,
--- a/src/face/qr_weights_http.c
+++ b/src/face/qr_weights_http.c
@@ -63,7 +63,7 @@
 
     /* a stall ends the read; neon counts in whole seconds */
     return weights_get(set->origin, path, QR_CHUNK_BYTES_MAX,
-                       (unsigned)set->stall_ms, link, err);
+                       (unsigned)set->origin_timeout_ms, link, err);
 }
 
 const QRStoreFace qr_store_http = {store_manifest};
--- a/src/io/qr_log.c
+++ b/src/io/qr_log.c
@@ -4,6 +4,7 @@
 #include "qr_log.h"
 
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 #include <stdio.h>
 #include <time.h>
 
@@ -48,8 +49,9 @@
     log4c_layout_type_set(&log_layout);
     layout = log4c_layout_get(CATEGORY);
     log4c_layout_set_type(layout, &log_layout);
-    to = log4c_appender_get("stderr");
-    log4c_appender_set_type(to, log4c_appender_type_get("stream"));
+    to = log4c_appender_get(CATEGORY);
+    log4c_appender_set_type(to, log4c_appender_type_get("stream2"));
+    log4c_stream2_set_fp(to, stderr);
     log4c_appender_set_layout(to, layout);
     log_category = log4c_category_get(CATEGORY);
     log4c_category_set_appender(log_category, to);
--- a/src/io/qr_net.c
+++ b/src/io/qr_net.c
@@ -23,6 +23,11 @@
 #define DIAL_MS 3000
 #define PACED_WAIT_MS 2 /* a full link is looked at again */
 #define IDLE_WAIT_MS 500
+#define PROGRESS_MS 50 /* parts of a frame are told of so often at most */
+/* Kernel buffers of bulk connections hold a hundredth of a second of the
+ * link: what lies in them has been sent for us and not come for the other. */
+#define BULK_BUFFER_PER_S 100
+#define BULK_BUFFER_MIN 32768
 
 typedef struct NetOut {
     GBytes *bytes;
@@ -37,6 +42,7 @@
     bool open;     /* false while a dial is under way */
     char *address; /* that was dialled, or NULL */
     GByteArray *in;
+    uint64_t progress_ms; /* when it was last told of */
     uint64_t since_ms; /* of the dial, or of the first byte of a torn frame */
     GQueue out;        /* NetOut * */
     size_t out_bytes;
@@ -134,6 +140,16 @@
     return c;
 }
 
+static void net_bulk_buffers(const QRNet *n, int fd)
+{
+    int size = (int)MAX(n->out->rate / BULK_BUFFER_PER_S, BULK_BUFFER_MIN);
+
+    if (n->out->rate == 0)
+        return;
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
 static int net_sockaddr(const char *address, struct sockaddr_in *sa,
                         GError **err)
 {
@@ -169,6 +185,8 @@
         net_dial_failed(n, address);
         return;
     }
+    if (lane == QR_LANE_BULK)
+        net_bulk_buffers(n, fd);
     if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 &&
         errno != EINPROGRESS) {
         close(fd);
@@ -264,6 +282,19 @@
     qr_events_post(n->queue, ev);
 }
 
+/* Part of a frame is here: it must be whole in time, and is progress. */
+static void net_note_part(QRNet *n, NetConn *c)
+{
+    uint64_t now = qr_now_ms();
+
+    if (c->since_ms == 0)
+        c->since_ms = now;
+    if (c->lane != QR_LANE_BULK || now - c->progress_ms < PROGRESS_MS)
+        return;
+    c->progress_ms = now;
+    net_post(n, QR_EVENT_PROGRESS, c);
+}
+
 /* Posts every whole frame; returns -1 if the bytes are none. */
 static int net_take_frames(QRNet *n, NetConn *c)
 {
@@ -280,8 +311,8 @@
         g_byte_array_remove_range(c->in, 0, (guint)at);
         c->since_ms = 0;
     }
-    if (c->in->len > 0 && c->since_ms == 0)
-        c->since_ms = qr_now_ms();
+    if (c->in->len > 0)
+        net_note_part(n, c);
     if (ret < 0)
         n->count[QR_NET_COUNT_net_bad_frames]++;
     return ret < 0 ? -1 : 0;
@@ -443,6 +474,8 @@
     n->listener =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(n->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (n->accept_lane == QR_LANE_BULK)
+        net_bulk_buffers(n, n->listener);
     if (bind(n->listener, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
         listen(n->listener, SOMAXCONN) != 0) {
         g_set_error(err, QR_ERROR, QR_ERROR_IO, "cannot listen on %s: %s",
