Stateful fuzzers for the three folds of state, and mutants to test them

What is here: a driver that puts one reducer behind pipes, built with the address and undefined-behaviour sanitizers; hypothesis machines for the configuration, the entry and the agent, each with an oracle of a few dictionaries; mutants.py, which switches one mechanism off in a scratch copy and runs the test that is to notice.

Conclusion: the machines are too shallow as they stand, the agent's most of all: it seldom gets as far as a version. Next: start them from a state that works.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,18 @@
 # quayring: see README.md for the targets.
 
 VERSION := $(shell cat VERSION)
-CC ?= gcc
 PKGS := glib-2.0 json-c neon libmicrohttpd libprotobuf-c liburcu-bp libcrypto
 B ?= build
+S := build-san
+T := build-tsan
 PREFIX ?= /usr/local
+PYTHON ?= /usr/bin/python3
 WARN := -Wall -Wextra -Werror -Wshadow -Wpointer-arith -Wstrict-prototypes \
         -Wmissing-prototypes -Wundef
 CFLAGS ?= -O2 -g
 SAN ?=
+SAN_FLAGS := -fsanitize=address,undefined -fno-sanitize-recover=all
+# recursive: nothing is asked of pkg-config before 'deps' has installed it
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -DQR_VERSION='"$(VERSION)"' -Isrc \
              $(WARN) $(CFLAGS) $(SAN) \
              $(shell pkg-config --cflags $(PKGS))
@@ -20,23 +24,83 @@
 OWN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] tests/*.[ch]))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 CMD_OBJ := $(CMD_SRC:%.c=$(B)/%.o)
+TEST_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c))
 
 all: $(B)/quayring
 
 $(B)/quayring: $(CMD_OBJ) $(LIB_OBJ)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
-$(B)/src/wire/quayring.pb-c.o: src/wire/quayring.pb-c.c
-	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -MMD -c -o $@ $<
+$(B)/drive: $(B)/tests/drive.o $(LIB_OBJ)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(B)/cost: $(B)/tests/cost.o $(LIB_OBJ)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit*.c)) $(LIB_OBJ)
+	$(CC) $(SAN) -o $@ $^ $(LIBS) $(shell pkg-config --libs check)
 
 $(B)/%.o: %.c VERSION
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) -MMD -c -o $@ $<
 
--include $(LIB_OBJ:.o=.d) $(CMD_OBJ:.o=.d)
+-include $(LIB_OBJ:.o=.d) $(CMD_OBJ:.o=.d) $(TEST_OBJ:.o=.d)
+
+# Installs what is missing, by Debian package name.
+deps:
+	@tests/install-deps
+
+san:
+	$(MAKE) B=$(S) SAN="$(SAN_FLAGS)" CFLAGS="-O1 -g" \
+	    $(S)/quayring $(S)/drive $(S)/unit
+
+# Unit tests, fuzzers with fixed seeds, and tests on real processes.
+test: deps
+	$(MAKE) all san
+	tests/run-tests
+
+# Fuzzers with fresh seeds, longer; a failure prints how to repeat it.
+fuzz: deps
+	$(MAKE) all san
+	QUAYRING_FUZZ=long $(PYTHON) -m pytest -q -p no:cacheprovider \
+	    tests/test_fuzz_*.py
+
+demo: deps
+	$(MAKE) all
+	$(PYTHON) tests/demo.py $(PLACES)
+
+measure: deps
+	$(MAKE) all $(B)/cost
+	$(PYTHON) tests/measure.py $(WHAT)
+
+# The thread sanitizer over a run of the whole path.
+tsan: deps
+	$(MAKE) B=$(T) SAN="-fsanitize=thread" CFLAGS="-O1 -g" $(T)/quayring
+	QUAYRING=$(T)/quayring $(PYTHON) -m pytest -q -p no:cacheprovider \
+	    tests/test_path.py
+
+lint: deps
+	clang-format --dry-run -Werror $(OWN)
+	clang-tidy --quiet $(filter %.c,$(OWN)) -- -std=gnu11 -D_GNU_SOURCE \
+	    -DQR_VERSION='""' -Isrc $(shell pkg-config --cflags $(PKGS) check)
+	pyflakes3 tests/*.py
+
+format:
+	clang-format -i $(OWN)
+
+# Needed only when src/wire/quayring.proto changes.
+generate:
+	cd src/wire && protoc-c --c_out=. quayring.proto
+	protoc --python_out=tests/gen -Isrc/wire src/wire/quayring.proto
+
+install: all
+	install -D -m 755 $(B)/quayring $(DESTDIR)$(PREFIX)/bin/quayring
+	install -D -m 644 docs/quayring.1 \
+	    $(DESTDIR)$(PREFIX)/share/man/man1/quayring.1
+	install -D -m 644 -t $(DESTDIR)$(PREFIX)/share/doc/quayring/etc etc/*
 
 clean:
-	rm -rf build build-*
+	rm -rf build build-san build-tsan
 
-.PHONY: all clean
+.PHONY: all deps san test fuzz demo measure tsan lint format generate install \
+        clean
--- a/src/base/qr_base.c
+++ b/src/base/qr_base.c
@@ -205,6 +205,14 @@
     return 0;
 }
 
+bool qr_address_ok(const char *text)
+{
+    g_autofree char *ip = NULL;
+    int port;
+
+    return qr_parse_address(text, &ip, &port, NULL) == 0;
+}
+
 bool qr_name_ok(const char *s)
 {
     size_t n = s ? strlen(s) : 0;
--- a/src/base/qr_base.h
+++ b/src/base/qr_base.h
@@ -91,6 +91,8 @@
 /* Splits "ip:port"; returns -1 and sets 'err' when it is neither. */
 int qr_parse_address(const char *text, char **ip, int *port, GError **err);
 
+bool qr_address_ok(const char *text);
+
 /* Allowed in names of hosts, teams, services, calls: printable, no quote. */
 #define QR_NAME_MAX 128
 bool qr_name_ok(const char *s);
--- a/src/base/qr_json.c
+++ b/src/base/qr_json.c
@@ -161,7 +161,7 @@
     char place[32];
     size_t at;
 
-    if (len > G_MAXINT32 || memchr(text, '\0', len)) {
+    if (len == 0 || len > G_MAXINT32 || memchr(text, '\0', len)) {
         qr_findings_add(f, "line 1", "not a text of JSON");
         json_tokener_free(tok);
         return NULL;
@@ -189,13 +189,10 @@
 
 static bool json_text_ok(QRFieldType type, const char *text)
 {
-    g_autofree char *ip = NULL;
-    int port;
-
     if (type == QR_FIELD_NAME || type == QR_FIELD_NAMES)
         return qr_name_ok(text);
     if (type == QR_FIELD_ADDRESS || type == QR_FIELD_ADDRESSES)
-        return qr_parse_address(text, &ip, &port, NULL) == 0;
+        return qr_address_ok(text);
     return true;
 }
 
--- a/src/core/qr_entry.c
+++ b/src/core/qr_entry.c
@@ -18,6 +18,8 @@
     s->peers = g_ptr_array_new_with_free_func(qr_peer_free);
     s->queues = g_ptr_array_new_with_free_func(qr_queue_free);
     s->shares = g_ptr_array_new_with_free_func(qr_share_free);
+    s->listed_leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->retiring = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     qr_table_init(&s->calls);
     qr_table_init(&s->confirms);
@@ -36,6 +38,7 @@
     g_ptr_array_unref(s->peers);
     g_ptr_array_unref(s->queues);
     g_ptr_array_unref(s->shares);
+    g_hash_table_unref(s->listed_leaving);
     g_hash_table_unref(s->retiring);
     qr_config_free(s->config);
     g_free(s);
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -111,6 +111,7 @@
     GPtrArray *shares;    /* QRShare * */
     QRTable calls;        /* QRCall * */
     QRTable confirms;     /* QRConfirm * */
+    GHashTable *listed_leaving; /* hosts, by the last list */
     GHashTable *retiring; /* incarnation -> when it was last asked for */
     uint64_t now_ms, wall_s, started_ms;
     uint64_t stop_at_ms;  /* 0 while it runs */
--- a/src/core/qr_entry_peers.c
+++ b/src/core/qr_entry_peers.c
@@ -260,6 +260,7 @@
     b->revision = 0;
     b->state_sent_ms = 0;
     b->leaving = false;
+    b->listed_leaving = g_hash_table_contains(s->listed_leaving, b->host);
     b->full_until_ms = 0;
     qr_effect_log(out, QR_LEVEL_INFO, "entry", "Agent %s is here.", b->host);
 }
@@ -270,8 +271,7 @@
     const Qr__Hello *m = frame->hello;
     QRPeer *e;
 
-    if (!qr_name_ok(m->host) ||
-        qr_parse_address(m->address, &(char *){NULL}, &(int){0}, NULL)) {
+    if (!qr_name_ok(m->host) || !qr_address_ok(m->address)) {
         s->count[QR_ENTRY_COUNT_bad_frames]++;
         qr_effect(out, QR_EFFECT_CLOSE, conn);
         return;
@@ -467,6 +467,8 @@
     QRPeer *e;
 
     if (strcmp(h->role, "entry") != 0) {
+        if (h->leaving)
+            g_hash_table_add(s->listed_leaving, g_strdup(h->host));
         b = qr_entry_backend(s, h->host);
         if (b)
             b->listed_leaving = h->leaving;
@@ -489,6 +491,7 @@
     if (!ev->ok)
         return; /* the last list stays */
     s->hosts_known = true;
+    g_hash_table_remove_all(s->listed_leaving);
     for (unsigned i = 0; i < s->peers->len; i++)
         ((QRPeer *)s->peers->pdata[i])->listed = false;
     for (unsigned i = 0; i < ev->hosts->len; i++)
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,162 @@
+"""Shows that the proofs can fail: switches one mechanism off at a time, in
+a scratch copy, and runs the test that is to notice.
+
+    mutants.py [NAME...]
+
+Prints a line for each; exits 0 only if every test went red.
+"""
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
+
+# name, point of the brief, file, what stands there, what stands instead, test
+MUTANTS = [
+    ("unverified-chunks-are-kept", 1, "core/qr_fetch.c",
+     "if (strcmp(c->hash, digest) != 0) {", "if (false) {", "fuzz_agent"),
+    ("switches-while-calls-run", 1, "core/qr_agent_switch.c",
+     "if (s->runs.count > 0) {", "if (false) {", "fuzz_agent"),
+    ("switches-before-verify", 1, "core/qr_agent_switch.c",
+     "if (f->loaded == f->n)\n        switch_order(s, QR_EFFECT_VERIFY, out)"
+     "->data = g_bytes_ref(f->text);",
+     "if (f->loaded == f->n)\n        s->stage = QR_STAGE_READY;",
+     "fuzz_agent"),
+    ("takes-calls-while-it-switches", 1, "core/qr_agent_calls.c",
+     "(s->stage == QR_STAGE_DRAINING || s->stage == QR_STAGE_SWITCHING))",
+     "false)", "fuzz_agent"),
+    ("mixed-answer-passes-for-whole", 1, "core/qr_agent_calls.c",
+     "g_strcmp0(ev->text, r->manifest) != 0) {", "false) {", "fuzz_agent"),
+    ("orders-without-a-lease", 1, "core/qr_agent_switch.c",
+     "if (s->set->checks_fence)\n        return true;", "return true;",
+     "fuzz_agent"),
+    ("old-registration-in-the-fence", 1, "core/qr_agent_switch.c",
+     "m->registered, s->target_revision);",
+     "(uint64_t)0, s->target_revision % 2);", "fuzz_agent"),
+    ("any-attempt-is-the-open-one", 2, "core/qr_entry_calls.c",
+     "if (c && c->backend == b && c->attempt == attempt)", "if (c)",
+     "fuzz_entry"),
+    ("cut-answer-passes-for-whole", 2, "core/qr_entry_calls.c",
+     "if (!m->whole || m->length != c->received) {", "if (false) {",
+     "fuzz_entry"),
+    ("piece-out-of-place-is-taken", 2, "core/qr_entry_calls.c",
+     "if (m->at != c->received) {", "if (false) {", "fuzz_entry"),
+    ("cut-by-the-backend-is-whole", 2, "core/qr_agent_calls.c",
+     "whole = ev->ok;", "whole = true;", "fuzz_agent"),
+    ("not-run-though-in-doubt", 3, "core/qr_entry_calls.c",
+     "if (c->in_doubt)\n        return false;", "", "fuzz_entry"),
+    ("not-run-though-sent-before", 3, "core/qr_entry_calls.c",
+     "return c->r->attempt == 1 || (c->r->repeatable && c->r->attempt == 0);",
+     "return true;", "fuzz_entry"),
+    ("doubt-is-forgotten", 3, "core/qr_entry_calls.c",
+     "c->in_doubt = c->doubt_before;", "c->in_doubt = false;", "fuzz_entry"),
+    ("retries-what-may-not-be", 4, "core/qr_entry_calls.c",
+     "bool may = (c->r->repeatable || !c->in_doubt) && !c->streaming;",
+     "bool may = !c->streaming;", "fuzz_entry"),
+    ("no-ticket-needed", 4, "core/qr_entry_calls.c",
+     "if (reason != QR_REASON_NONE)\n            return reason;\n    }\n"
+     "    reason = qr_admit_look",
+     "}\n    reason = qr_admit_look", "fuzz_entry"),
+    ("any-home-will-do", 4, "core/qr_agent_calls.c",
+     "if (!m->repeatable && !agent_is_home(s, m->home))", "if (false)",
+     "fuzz_agent"),
+    ("nothing-is-remembered", 4, "core/qr_agent_calls.c",
+     "if (!m->repeatable)\n        e = g_hash_table_lookup(s->seen, "
+     "m->call_id);", "", "fuzz_agent"),
+    ("forgets-before-the-ticket-ends", 4, "core/qr_agent_calls.c",
+     "e->expires_s < s->wall_s)", "true)", "fuzz_agent"),
+    ("leaving-by-its-word-is-ignored", 5, "core/qr_entry.c",
+     "!b->leaving && !b->listed_leaving &&", "!b->listed_leaving &&",
+     "fuzz_entry"),
+    ("leaving-by-the-list-is-ignored", 5, "core/qr_entry.c",
+     "!b->leaving && !b->listed_leaving &&", "!b->leaving &&", "fuzz_entry"),
+    ("the-list-is-forgotten-at-hello", 5, "core/qr_entry_peers.c",
+     "b->listed_leaving = g_hash_table_contains(s->listed_leaving, b->host);",
+     "b->listed_leaving = false;", "fuzz_entry"),
+    ("unheard-agents-get-work", 5, "core/qr_entry.c",
+     "s->now_ms - b->heard_ms < (uint64_t)s->set->lease_ms;", "true;",
+     "fuzz_entry"),
+    ("a-leaving-agent-takes-calls", 5, "core/qr_agent_calls.c",
+     "if (qr_agent_leaving(s))\n        return QR_REASON_LEAVING;", "",
+     "fuzz_agent"),
+    ("entry-stops-at-once", 6, "core/qr_entry.c",
+     "else if (s->calls.count > 0 ||", "else if (false &&", "fuzz_entry"),
+    ("entry-stops-before-addresses-end", 6, "core/qr_entry.c",
+     "since < (uint64_t)s->set->address_valid_ms * 5 / 4 ||", "false ||",
+     "fuzz_entry"),
+    ("agent-stops-at-once", 6, "core/qr_agent.c",
+     "(s->runs.count > 0 ||", "(false &&", "fuzz_agent"),
+    ("older-state-is-taken", 7, "core/qr_entry_peers.c",
+     "if (c->revision <= s->config->revision) {", "if (false) {",
+     "fuzz_entry"),
+    ("last-writer-wins", 7, "core/qr_config.c",
+     "if (at > ch->base)", "if (false)", "fuzz_config"),
+    ("a-retry-applies-twice", 7, "core/qr_config.c",
+     "if (qr_config_applied(c, ch.id))\n        goto done;", "",
+     "fuzz_config"),
+    ("a-host-in-two-intents", 7, "core/qr_config.c",
+     "if (sets)\n            change_check_hosts(c, ch, in, a);", "",
+     "fuzz_config"),
+    ("jumps-over-a-hole", 7, "core/qr_config.c",
+     "if (c->revision + 1 < first && c->revision + 1 != offset)",
+     "if (false)", "fuzz_config"),
+    ("snapshot-forgets-removals", 7, "core/qr_config.c",
+     "state_read_list(c, x.removed, \"removed\", state_read_removed, f);", "",
+     "fuzz_config"),
+]
+
+
+def run_mutant(mutant):
+    name, point, path, old, new, test = mutant
+    with tempfile.TemporaryDirectory(prefix="quayring-mutant-") as scratch:
+        top = os.path.join(scratch, "t")
+        shutil.copytree(ROOT, top, symlinks=True, copy_function=shutil.copy2,
+                        ignore=shutil.ignore_patterns(
+                            ".git", "build", "build-tsan", "quayring"))
+        target = os.path.join(top, "src", path)
+        with open(target, encoding="utf-8") as f:
+            text = f.read()
+        if text.count(old) < 1:
+            return name, point, test, "STALE: what it changes is not there"
+        with open(target, "w", encoding="utf-8") as f:
+            f.write(text.replace(old, new, 1))
+        built = subprocess.run(
+            ["make", "-s", "B=build-san", "SAN=-fsanitize=address,undefined "
+             "-fno-sanitize-recover=all", "CFLAGS=-O1 -g -Wno-error",
+             "build-san/drive"], cwd=top, capture_output=True, text=True,
+            check=False)
+        if built.returncode != 0:
+            return name, point, test, "BROKEN: " + built.stderr[-200:]
+        env = dict(os.environ, QUAYRING_MUTANT="1")
+        env.pop("QUAYRING_DRIVE", None)
+        ran = subprocess.run(
+            ["/usr/bin/python3", "-m", "pytest", "-q", "-x", "-p",
+             "no:cacheprovider", f"tests/test_{test}.py"], cwd=top, env=env,
+            capture_output=True, text=True, check=False)
+        if ran.returncode == 0:
+            return name, point, test, "GREEN: nobody noticed"
+        why = [line[4:] for line in ran.stdout.splitlines()
+               if line.startswith("E  ") and "Error" in line]
+        return name, point, test, "red: " + (why[-1].strip() if why
+                                             else "the reducer died")
+
+
+def main():
+    names = sys.argv[1:]
+    todo = [m for m in MUTANTS if not names or m[0] in names]
+    bad = 0
+    with ThreadPoolExecutor(4) as pool:
+        for name, point, test, verdict in pool.map(run_mutant, todo):
+            bad += not verdict.startswith("red")
+            print(f"{point}  {name:<34} {test:<12} {verdict[:100]}",
+                  flush=True)
+    print(f"{len(todo) - bad} of {len(todo)} mechanisms were missed when "
+          "switched off")
+    raise SystemExit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    main()
