--- a/src/core/qr_agent.h
+++ b/src/core/qr_agent.h
@@ -45,6 +45,7 @@
     char *address;
     QRHandle conn;
     bool dialling, listed;
+    bool in_step; /* it follows the log */
     uint64_t opened_ms, replied_ms;
     char *grant_intent;
     uint64_t grant_revision;
--- a/src/core/qr_agent_peers.c
+++ b/src/core/qr_agent_peers.c
@@ -146,6 +146,7 @@
     if (!e)
         return;
     e->replied_ms = s->now_ms;
+    e->in_step = m->in_step;
     e->grant_revision = 0;
     if (m->n_grants > 0) {
         qr_agent_set_text(&e->grant_intent, m->grants[0]->intent);
@@ -259,8 +260,20 @@
         qr_effect(out, QR_EFFECT_CLOSE, e->conn);
 }
 
+static bool agent_entry_in_step(const QRAgent *s)
+{
+    for (unsigned i = 0; i < s->entries->len; i++) {
+        const QRAgentEntry *e = s->entries->pdata[i];
+
+        if (e->conn != QR_HANDLE_NONE && e->in_step)
+            return true;
+    }
+    return false;
+}
+
 /*
- * Makes sure that the log knows this incarnation. One that was retired while
+ * Makes sure that the log knows this incarnation, once an entry follows the
+ * log: registrations that nobody folds would push the last snapshot out. One that was retired while
  * we were away is given up for a new one.
  */
 static void agent_register(QRAgent *s, QREffects *out)
@@ -270,7 +283,8 @@
     g_autofree char *text = NULL;
     QRMember m = {0};
 
-    if (qr_agent_member(s) || s->now_ms < s->register_next_ms || s->stop_at_ms)
+    if (qr_agent_member(s) || s->now_ms < s->register_next_ms ||
+        s->stop_at_ms || !agent_entry_in_step(s))
         return;
     if (known && now) {
         /* the host's one slot has gone to a later process */
--- a/src/core/qr_agent_switch.c
+++ b/src/core/qr_agent_switch.c
@@ -239,6 +239,20 @@
     }
 }
 
+/*
+ * The engine refused to verify or to activate: what it holds is not what we
+ * gave it, as after a restart of its own. It is given all of it again.
+ */
+static void switch_load_again(QRAgent *s)
+{
+    if (!s->fetch)
+        return;
+    for (unsigned i = 0; i < s->fetch->n; i++)
+        s->fetch->chunks[i].loaded = false;
+    s->fetch->loaded = 0;
+    s->stage = QR_STAGE_FETCHING;
+}
+
 static void switch_order_failed(QRAgent *s, const QREvent *ev, QREffects *out)
 {
     s->count[QR_AGENT_COUNT_orders_failed]++;
@@ -249,12 +263,8 @@
     if (g_strcmp0(ev->text, WORD_FENCED) == 0 ||
         (s->failures >= ORDER_FAILURES_MAX && !ev->maybe))
         s->stage = QR_STAGE_FAILED;
-    else if (s->order_type == QR_EFFECT_VERIFY && s->fetch && !ev->maybe) {
-        /* what the engine holds is not what we gave: load it all again */
-        for (unsigned i = 0; i < s->fetch->n; i++)
-            s->fetch->chunks[i].loaded = false;
-        s->fetch->loaded = 0;
-    }
+    else if (s->order_type != QR_EFFECT_LOAD_CHUNK && !ev->maybe)
+        switch_load_again(s);
 }
 
 void qr_agent_order_done(QRAgent *s, const QREvent *ev, QREffects *out)
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -120,6 +120,7 @@
     uint64_t snapshot_asked_ms, snapshot_seen_ms, snapshot_seen_at;
     uint64_t log_answered_ms;
     bool log_reading, hosts_reading, hosts_known, exited;
+    bool in_step; /* nothing is missing between our state and the log */
     uint64_t plans;
     uint64_t count[QR_ENTRY_COUNTER_COUNT];
 } QREntry;
--- a/src/core/qr_entry_log.c
+++ b/src/core/qr_entry_log.c
@@ -186,6 +186,10 @@
     if (ev->first > s->config->revision + 1)
         entry_jump(s, ev, out);
     entry_apply(s, ev, out);
+    if (s->in_step && ev->first > s->config->revision + 1)
+        qr_effect_log(out, QR_LEVEL_ERROR, "log",
+                      "Records are gone and no snapshot stands for them.");
+    s->in_step = ev->first <= s->config->revision + 1;
     entry_settle_confirms(s, out);
     qr_entry_dispatch(s, out);
 }
@@ -214,11 +218,12 @@
     if (s->snapshot_seen_at != s->config->snapshot_at) {
         s->snapshot_seen_at = s->config->snapshot_at;
         s->snapshot_seen_ms = s->now_ms;
+        s->snapshot_asked_ms = 0;
     }
     if (records < every + every * turn / 8 &&
         s->now_ms - s->snapshot_seen_ms < every_ms + every_ms * turn / 8)
         return;
-    if (s->config->revision == 0 || s->now_ms - s->log_answered_ms > 2000)
+    if (!s->in_step || s->config->revision == 0 || s->now_ms - s->log_answered_ms > 2000)
         return; /* we may be behind */
     if (s->snapshot_asked_ms &&
         s->now_ms - s->snapshot_asked_ms < SNAPSHOT_AGAIN_MS)
--- a/src/core/qr_entry_peers.c
+++ b/src/core/qr_entry_peers.c
@@ -332,6 +332,7 @@
     g_auto(QRRollout) r = {0};
 
     m.revision = s->config->revision;
+    m.in_step = s->in_step;
     if (in && qr_intent_is_engine(in)) {
         qr_entry_rollout(s, in, &r);
         if (r.wave >= 0) {
--- a/src/core/qr_rollout.c
+++ b/src/core/qr_rollout.c
@@ -85,6 +85,18 @@
     return false;
 }
 
+static bool rollout_wave_done(const QRIntent *in, const QRHostView *views,
+                              const GPtrArray *hosts)
+{
+    for (unsigned i = 0; i < hosts->len; i++) {
+        const QRHostView *v = rollout_view(in, views, hosts->pdata[i]);
+
+        if (!v || !view_serves(in, v))
+            return false;
+    }
+    return true;
+}
+
 static char *rollout_wave_waits(const QRIntent *in, const QRHostView *views,
                                 int n, unsigned spare)
 {
@@ -99,6 +111,8 @@
                                v->unknown ? "not heard yet"
                                           : qr_stage_text(v->stage));
     }
+    if (rollout_wave_done(in, views, hosts))
+        return NULL;
     if (in->allow_short || !rollout_anyone_serves(in, views))
         return NULL; /* nothing is served that could be taken away */
     missing = rollout_missing(in, views, n);
--- a/src/wire/quayring.pb-c.c
+++ b/src/wire/quayring.pb-c.c
@@ -998,7 +998,7 @@
   (ProtobufCMessageInit) qr__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__heartbeat_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qr__heartbeat_reply__field_descriptors[3] =
 {
   {
     "revision",
@@ -1024,15 +1024,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "in_step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__HeartbeatReply, in_step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__heartbeat_reply__field_indices_by_name[] = {
   1,   /* field[1] = grants */
+  2,   /* field[2] = in_step */
   0,   /* field[0] = revision */
 };
 static const ProtobufCIntRange qr__heartbeat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor qr__heartbeat_reply__descriptor =
 {
@@ -1042,7 +1055,7 @@
   "Qr__HeartbeatReply",
   "qr",
   sizeof(Qr__HeartbeatReply),
-  2,
+  3,
   qr__heartbeat_reply__field_descriptors,
   qr__heartbeat_reply__field_indices_by_name,
   1,  qr__heartbeat_reply__number_ranges,
--- a/src/wire/quayring.pb-c.h
+++ b/src/wire/quayring.pb-c.h
@@ -127,10 +127,14 @@
   uint64_t revision;
   size_t n_grants;
   Qr__Grant **grants;
+  /*
+   * the entry holds the configuration that the log has
+   */
+  protobuf_c_boolean in_step;
 };
 #define QR__HEARTBEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__heartbeat_reply__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -33,15 +33,24 @@
 }
 
 
+# Below the ports that the kernel gives to outgoing connections: one of
+# those could be taken between our look and the bind.
+PORTS = (10000, 32000)
+next_port = [PORTS[0] + os.getpid() * 97 % (PORTS[1] - PORTS[0])]
+
+
 def free_ports(n):
-    socks = []
-    for _ in range(n):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        socks.append(s)
-    ports = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
+    ports = []
+    while len(ports) < n:
+        port = next_port[0]
+        next_port[0] = port + 1 if port < PORTS[1] else PORTS[0]
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -90,8 +90,9 @@
     ("agent-stops-at-once", 6, "core/qr_agent.c",
      "(s->runs.count > 0 ||", "(false &&", "fuzz_agent"),
     ("older-state-is-taken", 7, "core/qr_entry_peers.c",
-     "if (c->revision <= s->config->revision) {", "if (false) {",
-     "fuzz_entry"),
+     ("if (c->revision <= s->config->revision) {",
+      "if (m->revision <= s->config->revision)"),
+     ("if (false) {", "if (false)"), "fuzz_entry"),
     ("last-writer-wins", 7, "core/qr_config.c",
      "if (at > ch->base)", "if (false)", "fuzz_config"),
     ("a-retry-applies-twice", 7, "core/qr_config.c",
@@ -119,10 +120,13 @@
         target = os.path.join(top, "src", path)
         with open(target, encoding="utf-8") as f:
             text = f.read()
-        if text.count(old) < 1:
-            return name, point, test, "STALE: what it changes is not there"
+        pairs = [(old, new)] if isinstance(old, str) else zip(old, new)
+        for there, instead in pairs:
+            if there not in text:
+                return name, point, test, "STALE: what it changes is gone"
+            text = text.replace(there, instead, 1)
         with open(target, "w", encoding="utf-8") as f:
-            f.write(text.replace(old, new, 1))
+            f.write(text)
         built = subprocess.run(
             ["make", "-s", "B=build-san", "SAN=-fsanitize=address,undefined "
              "-fno-sanitize-recover=all", "CFLAGS=-O1 -g -Wno-error",
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -35,6 +35,14 @@
         with self.lock:
             self.faults.update(faults)
 
+    def do_get(self, h, path, query):
+        return 404, {}
+
+    def do_post(self, h, path, query, body):
+        return 404, {}
+
+    do_put = do_post
+
     def fault(self, name):
         return self.faults.get(name, 0)
 
--- a/tests/test_fuzz_agent.py
+++ b/tests/test_fuzz_agent.py
@@ -50,6 +50,7 @@
         self.reads = []           # open reads of manifest and chunks
         self.wants = []           # (connection, manifest, index) asked
         self.engine = {"active": "", "staged": {}, "verified": set()}
+        self.was_verified = set()  # as the agent was told
         self.engine_reads = 0
         self.runs = {}            # ref -> facts of a call that runs
         self.ran = {}             # call id -> times
@@ -60,13 +61,17 @@
         self.exited = False
         self.last_reply = 0
         self.fences = [(0, 0)]
+        self.whole = {}           # call id -> its whole answer
         self.append({"kind": "register", "host": "h1", "incarnation": "h1.0",
                      "service": "s", "availability_zone": "z",
                      "address": "127.0.0.1:8001", "slots": 2})
         self.append({"kind": "register", "host": "h2", "incarnation": "h2.0",
                      "service": "s", "availability_zone": "z",
                      "address": "127.0.0.1:8002", "slots": 2})
-        self.ev("TICK")
+        self.host_list(False)
+        self.intent("v1")
+        self.settle()
+        assert self.engine["active"] == VERSIONS["v1"][0], self.d.facts
 
     # -- the configuration, as entries push it
 
@@ -106,7 +111,7 @@
         current = state["intents"][0]["revision"] if state["intents"] else 0
         self.grant = -1
         for conn in list(self.conns.values()):
-            reply = pb.HeartbeatReply(revision=self.offset)
+            reply = pb.HeartbeatReply(revision=self.offset, in_step=True)
             if wave >= 0 and current:
                 reply.grants.add(intent="s", wave=wave,
                                  revision=current - (revision == 2))
@@ -162,7 +167,7 @@
             assert digest == json.loads(text)["chunks"][e["index"]], \
                 "a wrong chunk was given to the engine"
         if e["type"] == "ACTIVATE":
-            assert e["text"] in self.engine["verified"] or \
+            assert e["text"] in self.was_verified or \
                 e["text"] == self.engine["active"], "switched unverified"
             assert not self.runs, "switched while calls run"
         self.orders.append(e)
@@ -319,6 +324,7 @@
             if e["text"] not in g["staged"]:
                 g["staged"] = {e["text"]: {}}
                 g["verified"].discard(e["text"])
+                self.was_verified.discard(e["text"])
             g["staged"][e["text"]][e["index"]] = e["data"]
         elif e["type"] == "VERIFY":
             _, text, _ = VERSIONS[BY_ID[e["text"]]]
@@ -326,8 +332,11 @@
             if len(have) != len(json.loads(text)["chunks"]):
                 return "not whole"
             g["verified"].add(e["text"])
-        else:
+            self.was_verified.add(e["text"])
+        elif e["text"] in g["verified"] or e["text"] == g["active"]:
             g["active"] = e["text"]
+        else:
+            return "not verified"  # it restarted since
         return None
 
     @rule(how=st.sampled_from(["done", "done", "done", "done", "lost",
@@ -362,14 +371,15 @@
 
     # -- calls
 
-    @rule(entry=st.sampled_from(ENTRIES), again=st.integers(0, 6),
-          repeatable=st.booleans(), home=st.sampled_from(["start.0", "x.0"]),
-          expires=st.sampled_from([0, 600]))
+    @rule(entry=st.integers(0, 1), again=st.integers(0, 6),
+          repeatable=st.booleans(),
+          home=st.sampled_from(["start.0", "start.0", "x.0"]),
+          expires=st.sampled_from([0, 2, 600]))
     def call(self, entry, again, repeatable, home, expires):
         """A call, perhaps one that was sent before, over any entry."""
-        conn = self.conns.get(entry)
-        if not conn or self.exited:
+        if not self.conns or self.exited:
             return
+        conn = sorted(self.conns.values())[entry % len(self.conns)]
         self.next_call += 1
         olds = [s for s in self.starts.values() if not s["repeatable"]]
         old = olds[again % len(olds)] if olds and again else None
@@ -397,8 +407,6 @@
             self.ev("FRAME", ref=conn, frame=pb.Frame(
                 call_cancel=pb.CallCancel(call=call, attempt=attempt)))
 
-    whole = None
-
     @rule(pick=st.integers(0, 9), data=st.binary(min_size=1, max_size=5))
     def backend_data(self, pick, data):
         if self.runs:
@@ -411,8 +419,6 @@
     def backend_end(self, pick, how, mixed):
         if not self.runs:
             return
-        if self.whole is None:
-            self.whole = {}
         ref = sorted(self.runs)[pick % len(self.runs)]
         if how == "unreached" and self.runs[ref]["data"]:
             how = "cut"
@@ -427,6 +433,53 @@
         self.ev("REPLY_END", ref=ref, ok=int(how == "whole"),
                 maybe=int(how == "cut"), status=200, text=manifest)
 
+    @rule(steps=st.integers(1, 30))
+    def carry_on(self, steps):
+        """For a while nothing goes wrong, and calls keep running."""
+        for _ in range(steps):
+            if self.exited:
+                return
+            if self.dialling:
+                self.dial_ends(True)
+            if self.reads:
+                self.read_ends(0, "good")
+            if self.wants:
+                self.peer_gives(0, False, "good")
+            if self.orders:
+                self.order_ends("done")
+            if self.engine_reads:
+                self.engine_answers(True, 0)
+        self.push_state()
+
+    @rule(version=st.sampled_from(["v1", "v2", "v3"]), before=st.booleans(),
+          ends=st.booleans())
+    def switch_under_calls(self, version, before, ends):
+        """The grant comes while calls run; more calls come with it."""
+        self.intent(version)
+        for _ in range(4):
+            self.push_state()
+            self.carry_on(12)
+            self.d.now += 250
+            self.ev("TICK")
+        if before:
+            self.call(0, 0, True, "start.0", 600)
+        self.reply(1, 0)
+        self.ev("TICK")
+        self.call(1, 0, True, "start.0", 600)
+        if ends and self.runs:
+            self.backend_end(0, "whole", 0)
+        self.call(0, 0, False, "start.0", 600)
+
+    @rule(version=st.sampled_from(["v1", "v2", "v3"]))
+    def version_in_silence(self, version):
+        """No entry replies for longer than a lease, then all goes on."""
+        self.intent(version)
+        self.wait(2500)
+        for _ in range(4):
+            self.push_state()
+            self.carry_on(12)
+            self.wait(250)
+
     @rule(ref=st.integers(0, 2**34))
     def late_reply(self, ref):
         """Of a call that is long over."""
@@ -447,7 +500,6 @@
 
     def settle(self):
         """No more faults: the version asked for is served in the end."""
-        self.stopped = self.exited or self.d.facts.get("stage") == "failed"
         for _ in range(160):
             if self.exited:
                 return
--- a/tests/test_fuzz_config.py
+++ b/tests/test_fuzz_config.py
@@ -27,6 +27,7 @@
         self.intents = {}   # name -> (offset, intent)
         self.touched = {}   # name -> offset
         self.outcomes = {}  # change id -> (offset, accepted)
+        self.begun = None
         self.members = {}   # incarnation -> [host, registered, retired]
         self.state = self.whole.line({"reset": 1})
 
@@ -121,6 +122,16 @@
     def snapshot(self):
         self.append(self.state["record"])
 
+    @rule()
+    def begin_snapshot(self):
+        """Made now and appended later, with records in between."""
+        self.begun = self.state["record"]
+
+    @rule()
+    def late_snapshot(self):
+        if self.begun:
+            self.append(self.begun)
+
     @rule(cut=st.integers(0, 30), late=st.integers(0, 3))
     def fold_from_snapshot(self, cut, late):
         """Whoever starts from any snapshot ends at the same state."""
--- a/tests/test_fuzz_entry.py
+++ b/tests/test_fuzz_entry.py
@@ -61,6 +61,8 @@
         self.log = []
         self.ev("LOG_READ", offset=1, first=1, records=records(), ok=1)
         self.revision = self.d.facts["revision"]
+        for host in HOSTS:
+            self.connect(host)
 
     # -- carrying effects out, and checking each
 
@@ -202,6 +204,13 @@
                 if a[1] == conn and a[4] == "open":
                     a[4] = "lost"
 
+    @rule(pick=st.integers(0, 9))
+    def cut_under_a_call(self, pick):
+        _, a = self.open_attempt(pick)
+        if a:
+            self.cut(a[0])
+            self.connect(a[0])
+
     @rule(host=st.sampled_from(HOSTS))
     def cut(self, host):
         conn = self.conns.pop(host, None)
@@ -211,11 +220,13 @@
 
     # -- calls
 
-    @rule(team=st.sampled_from(TEAMS + ["stranger"]),
+    @rule(team=st.sampled_from(TEAMS * 3 + ["stranger"]),
           repeatable=st.booleans(), stream=st.booleans(),
-          attempt=st.integers(0, 2), priority=st.integers(0, 2),
-          deadline=st.sampled_from([1, 300, 5000]),
-          ticket=st.sampled_from(["good", "old", "future", "bad", None]))
+          attempt=st.sampled_from([0, 1, 1, 1, 2]),
+          priority=st.integers(0, 2),
+          deadline=st.sampled_from([1, 300, 5000, 20000, 20000]),
+          ticket=st.sampled_from(["good"] * 6 + ["old", "future", "bad",
+                                                 None]))
     def call(self, team, repeatable, stream, attempt, priority, deadline,
              ticket):
         if self.exited:
@@ -264,6 +275,22 @@
             a[4] = "cut"
             self.send(a[1], pb.Frame(call_data=pb.CallData(
                 call=a[2], attempt=a[3], at=at, data=b"zz")))
+            self.send(a[1], pb.Frame(call_end=pb.CallEnd(
+                call=a[2], attempt=a[3], length=len(call.data) + 2,
+                status=200, whole=True)))
+
+    @rule(pick=st.integers(0, 9))
+    def lost_then_refused(self, pick):
+        """What the first agent may have run, the next ones refuse."""
+        call, a = self.open_attempt(pick)
+        if not call:
+            return
+        self.cut(a[0])
+        while call.final is None and call.attempts[-1][4] == "open":
+            a = call.attempts[-1]
+            a[4] = "refused"
+            self.send(a[1], pb.Frame(call_refused=pb.CallRefused(
+                call=a[2], attempt=a[3], reason=8, not_run=True)))
 
     @rule(pick=st.integers(0, 9), whole=st.booleans(),
           short=st.integers(0, 1))
@@ -275,8 +302,8 @@
                 call=a[2], attempt=a[3], length=len(call.data) + short,
                 status=200, whole=whole)))
 
-    @rule(pick=st.integers(0, 9), not_run=st.booleans(),
-          reason=st.integers(1, 9))
+    @rule(pick=st.integers(0, 9), not_run=st.sampled_from([True, True, False]),
+          reason=st.sampled_from([1, 3, 4, 8, 1, 3, 2]))
     def refuse(self, pick, not_run, reason):
         call, a = self.open_attempt(pick)
         if not call:
@@ -368,7 +395,7 @@
     def teardown(self):
         if not hasattr(self, "d"):
             return
-        for _ in range(8):  # every call has come to an end by now
+        for _ in range(22):  # every call has come to an end by now
             self.wait(1000)
         assert all(c.final for c in self.calls.values())
         self.d.close()
