--- a/src/core/qr_entry_peers.c
+++ b/src/core/qr_entry_peers.c
@@ -330,15 +330,17 @@
     Qr__Grant grant = QR__GRANT__INIT;
     Qr__Grant *grants[] = {&grant};
     g_auto(QRRollout) r = {0};
+    int wave;
 
     m.revision = s->config->revision;
     m.in_step = s->in_step;
     if (in && qr_intent_is_engine(in)) {
         qr_entry_rollout(s, in, &r);
-        if (r.wave >= 0) {
+        wave = qr_rollout_grant(in, &r, b->manifest, b->host);
+        if (wave >= 0) {
             grant.intent = in->name;
             grant.revision = in->revision;
-            grant.wave = (uint32_t)r.wave;
+            grant.wave = (uint32_t)wave;
             m.n_grants = 1;
             m.grants = grants;
         }
--- a/src/core/qr_rollout.c
+++ b/src/core/qr_rollout.c
@@ -149,6 +149,7 @@
     r->complete = r->done == in->hosts->len;
     spare = qr_rollout_spare(in, total, most);
     r->why = rollout_failure(in, views);
+    r->failed = r->why != NULL;
     for (int n = 0; n < (int)in->waves->len && !r->why; n++) {
         r->why = rollout_wave_waits(in, views, n, spare);
         if (!r->why)
@@ -158,6 +159,14 @@
         r->why = g_strdup("");
 }
 
+int qr_rollout_grant(const QRIntent *in, const QRRollout *r,
+                     const char *manifest, const char *host)
+{
+    if (*manifest == '\0' && !r->failed)
+        return MAX(r->wave, qr_intent_wave_of(in, host));
+    return r->wave;
+}
+
 void qr_rollout_clear(QRRollout *r)
 {
     g_clear_pointer(&r->why, g_free);
--- a/src/core/qr_rollout.h
+++ b/src/core/qr_rollout.h
@@ -46,11 +46,20 @@
     unsigned done; /* hosts that serve what the intent asks */
     unsigned away;
     bool complete;
+    bool failed;
     char *why; /* why the next wave waits, "" if it does not */
 } QRRollout;
 
 /* 'views' stand in the order of the intent's hosts. */
 void qr_rollout_look(const QRIntent *in, const QRHostView *views, QRRollout *r);
+/*
+ * The last wave that 'host' is told of. A host that serves nothing takes no
+ * capacity away when it switches: it goes at once, unless the version has
+ * failed somewhere. Waves that wait for capacity would else wait for hosts
+ * that wait for their wave.
+ */
+int qr_rollout_grant(const QRIntent *in, const QRRollout *r,
+                     const char *manifest, const char *host);
 void qr_rollout_clear(QRRollout *r);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(QRRollout, qr_rollout_clear)
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -316,6 +316,30 @@
 }
 END_TEST
 
+START_TEST(rollout_has_no_deadlock)
+{
+    /* h3 serves nothing: waves wait for capacity, and it must not wait for
+     * its wave, which is the last */
+    QRIntent *in = some_intent(16, false);
+    g_auto(QRRollout) r = {0};
+    QRHostView v[4];
+
+    for (unsigned i = 0; i < 4; i++)
+        v[i] = (QRHostView){.manifest = "old", .why = "", .slots = 8};
+    v[0].manifest = HASH;
+    v[3].manifest = "";
+    qr_rollout_look(in, v, &r);
+    ck_assert_int_eq(r.wave, 0);
+    ck_assert_int_eq(qr_rollout_grant(in, &r, v[3].manifest, "h3"), 2);
+    ck_assert_int_eq(qr_rollout_grant(in, &r, v[1].manifest, "h1"), 0);
+    qr_rollout_clear(&r);
+    v[0].stage = QR_STAGE_FAILED;
+    qr_rollout_look(in, v, &r);
+    ck_assert_int_eq(qr_rollout_grant(in, &r, v[3].manifest, "h3"), -1);
+    qr_intent_free(in);
+}
+END_TEST
+
 START_TEST(burn_windows)
 {
     QRBurn *b = g_new0(QRBurn, 1);
@@ -377,6 +401,7 @@
     tcase_add_test(t, tree_has_no_circle);
     tcase_add_test(t, rollout_waves);
     tcase_add_test(t, rollout_spares_capacity);
+    tcase_add_test(t, rollout_has_no_deadlock);
     tcase_add_test(t, burn_windows);
     tcase_add_test(t, plan_findings);
     suite_add_tcase(s, t);
