--- a/src/core/qr_admit.c
+++ b/src/core/qr_admit.c
@@ -87,10 +87,10 @@
             if (!best || admit_before(s, c, best))
                 best = c;
         }
-        *to = admit_place(s, best);
+        *to = best ? admit_place(s, best) : NULL;
         if (*to)
             return best;
-        if (!best->home)
+        if (!best || !best->home)
             return NULL; /* no room at all for this priority or a lower one */
         g_ptr_array_add(tried, best);
     }
--- a/src/core/qr_agent_peers.c
+++ b/src/core/qr_agent_peers.c
@@ -273,8 +273,8 @@
 
 /*
  * Makes sure that the log knows this incarnation, once an entry follows the
- * log: registrations that nobody folds would push the last snapshot out. One that was retired while
- * we were away is given up for a new one.
+ * log: registrations that nobody folds would push the last snapshot out. One
+ * that was retired while we were away is given up for a new one.
  */
 static void agent_register(QRAgent *s, QREffects *out)
 {
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -105,14 +105,14 @@
     const QRSettings *set;
     QRConfig *config;
     const QRRoute *route;
-    GPtrArray *backends;  /* QRBackend * */
-    GPtrArray *peers;     /* QRPeer * */
-    GPtrArray *queues;    /* QRQueue * */
-    GPtrArray *shares;    /* QRShare * */
-    QRTable calls;        /* QRCall * */
-    QRTable confirms;     /* QRConfirm * */
+    GPtrArray *backends;        /* QRBackend * */
+    GPtrArray *peers;           /* QRPeer * */
+    GPtrArray *queues;          /* QRQueue * */
+    GPtrArray *shares;          /* QRShare * */
+    QRTable calls;              /* QRCall * */
+    QRTable confirms;           /* QRConfirm * */
     GHashTable *listed_leaving; /* hosts, by the last list */
-    GHashTable *retiring; /* incarnation -> when it was last asked for */
+    GHashTable *retiring;       /* incarnation -> when it was last asked for */
     uint64_t now_ms, wall_s, started_ms;
     uint64_t stop_at_ms;  /* 0 while it runs */
     uint64_t last_end_ms; /* of a call */
--- a/src/core/qr_entry_log.c
+++ b/src/core/qr_entry_log.c
@@ -223,7 +223,8 @@
     if (records < every + every * turn / 8 &&
         s->now_ms - s->snapshot_seen_ms < every_ms + every_ms * turn / 8)
         return;
-    if (!s->in_step || s->config->revision == 0 || s->now_ms - s->log_answered_ms > 2000)
+    if (!s->in_step || s->config->revision == 0 ||
+        s->now_ms - s->log_answered_ms > 2000)
         return; /* we may be behind */
     if (s->snapshot_asked_ms &&
         s->now_ms - s->snapshot_asked_ms < SNAPSHOT_AGAIN_MS)
--- a/src/core/qr_intent.c
+++ b/src/core/qr_intent.c
@@ -113,12 +113,13 @@
 {
     g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-    if (in->kind && strcmp(in->kind, "engine") && strcmp(in->kind, "plain"))
+    if (in->kind && !g_str_equal(in->kind, "engine") &&
+        !g_str_equal(in->kind, "plain"))
         qr_findings_add(f, place, "kind must be engine or plain");
     if (qr_intent_is_engine(in) && (!in->manifest || !in->version))
         qr_findings_add(f, place, "an engine needs version and manifest");
-    if (in->objective && strcmp(in->objective, "time") &&
-        strcmp(in->objective, "origin_bytes"))
+    if (in->objective && !g_str_equal(in->objective, "time") &&
+        !g_str_equal(in->objective, "origin_bytes"))
         qr_findings_add(f, place, "objective must be time or origin_bytes");
     if (in->manifest && *in->manifest &&
         strspn(in->manifest, "0123456789abcdef") != QR_SHA_HEX - 1)
--- a/src/core/qr_route.c
+++ b/src/core/qr_route.c
@@ -17,9 +17,15 @@
     return qr_hash_str(call->r->call_id, call->attempt + call->self);
 }
 
+/* One of the candidates, by number. */
+static QRBackend *route_at(const QRRoutePick *p, uint64_t number)
+{
+    return p->from[number % MAX(p->n, 1)];
+}
+
 static QRBackend *route_random(const QRRoutePick *p)
 {
-    return p->from[route_seed(p->call) % p->n];
+    return route_at(p, route_seed(p->call));
 }
 
 static QRBackend *route_least_reported(const QRRoutePick *p)
@@ -42,8 +48,8 @@
 static QRBackend *route_two_choices(const QRRoutePick *p)
 {
     uint64_t seed = route_seed(p->call);
-    QRBackend *a = p->from[seed % p->n];
-    QRBackend *b = p->from[(seed >> 32) % p->n];
+    QRBackend *a = route_at(p, seed);
+    QRBackend *b = route_at(p, seed >> 32);
 
     return route_fill(a) <= route_fill(b) ? a : b;
 }
@@ -68,7 +74,7 @@
 
     for (unsigned i = 0; i < p->n; i++)
         load += qr_backend_load(p->from[i]);
-    bound = load * AFFINITY_SLACK_PERCENT / 100 / p->n + 1;
+    bound = load * AFFINITY_SLACK_PERCENT / 100 / MAX(p->n, 1) + 1;
     for (unsigned i = 0; i < p->n; i++) {
         QRBackend *b = p->from[i];
         uint64_t w = qr_hash_str(b->host, prefix);
--- a/src/core/qr_settings.c
+++ b/src/core/qr_settings.c
@@ -54,9 +54,9 @@
                         "must be longer than address_valid_ms");
     if (!agent || !s->kind)
         return;
-    if (strcmp(s->kind, "engine") && strcmp(s->kind, "plain"))
+    if (!g_str_equal(s->kind, "engine") && !g_str_equal(s->kind, "plain"))
         qr_findings_add(f, "kind", "must be engine or plain");
-    if (!strcmp(s->kind, "engine") && (!s->weight_store || !s->origin))
+    if (g_str_equal(s->kind, "engine") && (!s->weight_store || !s->origin))
         qr_findings_add(f, "kind", "an engine needs weight_store and origin");
 }
 
