--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,7 @@
 # The thread sanitizer over a run of the whole path.
 tsan: deps
 	$(MAKE) B=$(T) SAN="-fsanitize=thread" CFLAGS="-O1 -g" $(T)/quayring
+	G_SLICE=always-malloc TSAN_OPTIONS=suppressions=$(CURDIR)/tests/tsan.supp \
 	QUAYRING=$(T)/quayring $(PYTHON) -m pytest -q -p no:cacheprovider \
 	    tests/test_path.py
 
--- a/src/core/qr_config.c
+++ b/src/core/qr_config.c
@@ -62,6 +62,7 @@
 
     c->intents = g_ptr_array_new_with_free_func((GDestroyNotify)qr_intent_free);
     c->members = g_ptr_array_new_with_free_func(member_free);
+    c->current = g_hash_table_new(g_str_hash, g_str_equal);
     c->applied = g_ptr_array_new_with_free_func(applied_free);
     c->removed = g_ptr_array_new_with_free_func(tombstone_free);
     return c;
@@ -72,6 +73,7 @@
     if (!c)
         return;
     g_ptr_array_unref(c->intents);
+    g_hash_table_unref(c->current);
     g_ptr_array_unref(c->members);
     g_ptr_array_unref(c->applied);
     g_ptr_array_unref(c->removed);
@@ -133,13 +135,7 @@
 
 QRMember *qr_config_member_of_host(const QRConfig *c, const char *host)
 {
-    for (unsigned i = c->members->len; i-- > 0;) {
-        QRMember *m = c->members->pdata[i];
-
-        if (m->retired == 0 && strcmp(m->host, host) == 0)
-            return m;
-    }
-    return NULL;
+    return g_hash_table_lookup(c->current, host);
 }
 
 bool qr_member_at(const QRMember *m, uint64_t revision)
@@ -200,10 +196,19 @@
 {
     if (m && m->retired == 0) {
         m->retired = offset;
+        g_hash_table_remove(c->current, m->host);
         config_forget_members(c);
     }
 }
 
+/* 'm' is taken over. */
+static void config_add_member(QRConfig *c, QRMember *m)
+{
+    g_ptr_array_add(c->members, m);
+    if (m->retired == 0)
+        g_hash_table_replace(c->current, m->host, m);
+}
+
 static QRMember *member_read(json_object *o, QRFindings *f)
 {
     MemberFields *x = g_new0(MemberFields, 1);
@@ -231,7 +236,7 @@
     m->registered = offset;
     m->retired = 0;
     config_retire(c, qr_config_member_of_host(c, m->host), offset);
-    g_ptr_array_add(c->members, m);
+    config_add_member(c, m);
     return 0;
 }
 
@@ -582,7 +587,7 @@
     QRMember *m = member_read(o, f);
 
     if (m)
-        g_ptr_array_add(c->members, m);
+        config_add_member(c, m);
 }
 
 static void state_read_applied(QRConfig *c, json_object *o, QRFindings *f)
--- a/src/core/qr_config.h
+++ b/src/core/qr_config.h
@@ -54,6 +54,7 @@
     uint64_t history_from; /* members before this are forgotten */
     GPtrArray *intents;    /* QRIntent * */
     GPtrArray *members;    /* QRMember * */
+    GHashTable *current;   /* host -> its member that is in, borrowed */
     GPtrArray *applied;    /* QRApplied *, oldest first */
     GPtrArray *removed;    /* QRTombstone *, oldest first */
     uint64_t snapshot_at;  /* offset of the last snapshot record */
--- a/src/core/qr_entry.c
+++ b/src/core/qr_entry.c
@@ -15,6 +15,8 @@
     s->config = qr_config_new();
     s->route = qr_route_by_name(QR_ROUTE_DEFAULT);
     s->backends = g_ptr_array_new_with_free_func(qr_backend_free);
+    s->backend_by_host = g_hash_table_new(g_str_hash, g_str_equal);
+    s->rollouts = g_ptr_array_new_with_free_func(qr_entry_rollout_free);
     s->peers = g_ptr_array_new_with_free_func(qr_peer_free);
     s->queues = g_ptr_array_new_with_free_func(qr_queue_free);
     s->shares = g_ptr_array_new_with_free_func(qr_share_free);
@@ -34,6 +36,8 @@
         return;
     qr_table_clear(&s->calls, qr_call_free);
     qr_table_clear(&s->confirms, qr_confirm_free);
+    g_hash_table_unref(s->backend_by_host);
+    g_ptr_array_unref(s->rollouts);
     g_ptr_array_unref(s->backends);
     g_ptr_array_unref(s->peers);
     g_ptr_array_unref(s->queues);
@@ -46,13 +50,7 @@
 
 QRBackend *qr_entry_backend(const QREntry *s, const char *host)
 {
-    for (unsigned i = 0; i < s->backends->len; i++) {
-        QRBackend *b = s->backends->pdata[i];
-
-        if (strcmp(b->host, host) == 0)
-            return b;
-    }
-    return NULL;
+    return g_hash_table_lookup(s->backend_by_host, host);
 }
 
 QRBackend *qr_entry_backend_of_conn(const QREntry *s, QRHandle conn)
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -99,20 +99,29 @@
     uint64_t since_ms;
 } QRConfirm;
 
+/* How far an intent was when last looked at. */
+typedef struct QREntryRollout {
+    char *intent;
+    uint64_t looked_ms, revision;
+    QRRollout r;
+} QREntryRollout;
+
 typedef struct QRRoute QRRoute;
 
 typedef struct QREntry {
     const QRSettings *set;
     QRConfig *config;
     const QRRoute *route;
-    GPtrArray *backends;        /* QRBackend * */
-    GPtrArray *peers;           /* QRPeer * */
-    GPtrArray *queues;          /* QRQueue * */
-    GPtrArray *shares;          /* QRShare * */
-    QRTable calls;              /* QRCall * */
-    QRTable confirms;           /* QRConfirm * */
-    GHashTable *listed_leaving; /* hosts, by the last list */
-    GHashTable *retiring;       /* incarnation -> when it was last asked for */
+    GPtrArray *backends;         /* QRBackend * */
+    GHashTable *backend_by_host; /* borrowed */
+    GPtrArray *rollouts;         /* QREntryRollout * */
+    GPtrArray *peers;            /* QRPeer * */
+    GPtrArray *queues;           /* QRQueue * */
+    GPtrArray *shares;           /* QRShare * */
+    QRTable calls;               /* QRCall * */
+    QRTable confirms;            /* QRConfirm * */
+    GHashTable *listed_leaving;  /* hosts, by the last list */
+    GHashTable *retiring;        /* incarnation -> when it was last asked for */
     uint64_t now_ms, wall_s, started_ms;
     uint64_t stop_at_ms;  /* 0 while it runs */
     uint64_t last_end_ms; /* of a call */
@@ -144,8 +153,12 @@
 void qr_backend_free(void *p);
 void qr_peer_free(void *p);
 
-/* How far 'in' is rolled out, as this entry sees it. */
-void qr_entry_rollout(const QREntry *s, const QRIntent *in, QRRollout *r);
+/*
+ * How far 'in' is rolled out, as this entry sees it; looked at anew once a
+ * tick at most. Borrowed, until the next call.
+ */
+const QRRollout *qr_entry_rollout(QREntry *s, const QRIntent *in);
+void qr_entry_rollout_free(void *p);
 
 /* qr_entry_log.c */
 void qr_entry_log_read(QREntry *s, const QREvent *ev, QREffects *out);
--- a/src/core/qr_entry_ops.c
+++ b/src/core/qr_entry_ops.c
@@ -75,13 +75,12 @@
     return o;
 }
 
-static json_object *ops_intent_status(const QREntry *s, const QRIntent *in)
+static json_object *ops_intent_status(QREntry *s, const QRIntent *in)
 {
     json_object *o = json_object_new_object();
     json_object *hosts = json_object_new_array();
-    g_auto(QRRollout) r = {0};
+    const QRRollout *r = qr_entry_rollout(s, in);
 
-    qr_entry_rollout(s, in, &r);
     qr_json_str(o, "intent", in->name);
     qr_json_str(o, "service", in->service);
     qr_json_str(o, "kind", in->kind);
@@ -89,19 +88,19 @@
     qr_json_str(o, "manifest", in->manifest);
     qr_json_int(o, "revision", (int64_t)in->revision);
     qr_json_int(o, "hosts", in->hosts->len);
-    qr_json_int(o, "serving", r.done);
-    qr_json_int(o, "away", r.away);
-    qr_json_bool(o, "complete", r.complete);
-    qr_json_int(o, "wave", r.wave);
+    qr_json_int(o, "serving", r->done);
+    qr_json_int(o, "away", r->away);
+    qr_json_bool(o, "complete", r->complete);
+    qr_json_int(o, "wave", r->wave);
     qr_json_int(o, "waves", in->waves->len);
-    qr_json_str(o, "waits", r.why);
+    qr_json_str(o, "waits", r->why);
     for (unsigned i = 0; i < in->hosts->len; i++)
         json_object_array_add(hosts, ops_host_json(s, in, in->hosts->pdata[i]));
     qr_json_add(o, "host_list", hosts);
     return o;
 }
 
-static json_object *ops_status(const QREntry *s)
+static json_object *ops_status(QREntry *s)
 {
     json_object *o = json_object_new_object();
     json_object *a = json_object_new_array();
@@ -124,7 +123,7 @@
     return o;
 }
 
-static json_object *ops_intents(const QREntry *s)
+static json_object *ops_intents(QREntry *s)
 {
     json_object *o = json_object_new_object();
     json_object *a = json_object_new_array();
@@ -136,7 +135,7 @@
     return o;
 }
 
-static json_object *ops_burn(const QREntry *s)
+static json_object *ops_burn(QREntry *s)
 {
     json_object *o = json_object_new_object();
     json_object *a = json_object_new_array();
@@ -208,7 +207,7 @@
 {
     static const struct {
         const char *name;
-        json_object *(*make)(const QREntry *s);
+        json_object *(*make)(QREntry *s);
     } views[] = {
 #define DEF(name) {#name, ops_##name},
         OPS_VIEWS
--- a/src/core/qr_entry_peers.c
+++ b/src/core/qr_entry_peers.c
@@ -236,6 +236,7 @@
         b->target = g_strdup("");
         b->why = g_strdup("");
         g_ptr_array_add(s->backends, b);
+        g_hash_table_insert(s->backend_by_host, b->host, b);
     }
     if (b->conn != QR_HANDLE_NONE && b->conn != conn) {
         const QRMember *known = qr_config_member(s->config, m->incarnation);
@@ -313,12 +314,45 @@
     }
 }
 
-void qr_entry_rollout(const QREntry *s, const QRIntent *in, QRRollout *r)
+void qr_entry_rollout_free(void *p)
 {
-    g_autofree QRHostView *views = g_new0(QRHostView, in->hosts->len);
+    QREntryRollout *e = p;
 
+    g_free(e->intent);
+    qr_rollout_clear(&e->r);
+    g_free(e);
+}
+
+static QREntryRollout *entry_rollout_row(QREntry *s, const char *intent)
+{
+    QREntryRollout *e;
+
+    for (unsigned i = 0; i < s->rollouts->len; i++) {
+        e = s->rollouts->pdata[i];
+        if (strcmp(e->intent, intent) == 0)
+            return e;
+    }
+    e = g_new0(QREntryRollout, 1);
+    e->intent = g_strdup(intent);
+    g_ptr_array_add(s->rollouts, e);
+    return e;
+}
+
+const QRRollout *qr_entry_rollout(QREntry *s, const QRIntent *in)
+{
+    QREntryRollout *e = entry_rollout_row(s, in->name);
+    g_autofree QRHostView *views = NULL;
+
+    if (e->r.why && e->revision == in->revision &&
+        s->now_ms - e->looked_ms < (uint64_t)s->set->tick_ms)
+        return &e->r;
+    views = g_new0(QRHostView, in->hosts->len);
     entry_views(s, in, views);
-    qr_rollout_look(in, views, r);
+    qr_rollout_clear(&e->r);
+    qr_rollout_look(in, views, &e->r);
+    e->looked_ms = s->now_ms;
+    e->revision = in->revision;
+    return &e->r;
 }
 
 static void entry_heartbeat_reply(QREntry *s, const QRBackend *b,
@@ -329,14 +363,14 @@
     Qr__HeartbeatReply m = QR__HEARTBEAT_REPLY__INIT;
     Qr__Grant grant = QR__GRANT__INIT;
     Qr__Grant *grants[] = {&grant};
-    g_auto(QRRollout) r = {0};
+    const QRRollout *r;
     int wave;
 
     m.revision = s->config->revision;
     m.in_step = s->in_step;
     if (in && qr_intent_is_engine(in)) {
-        qr_entry_rollout(s, in, &r);
-        wave = qr_rollout_grant(in, &r, b->manifest, b->host);
+        r = qr_entry_rollout(s, in);
+        wave = qr_rollout_grant(in, r, b->manifest, b->host);
         if (wave >= 0) {
             grant.intent = in->name;
             grant.revision = in->revision;
--- a/src/core/qr_rollout.c
+++ b/src/core/qr_rollout.c
@@ -33,96 +33,87 @@
     return !qr_intent_is_engine(in) || strcmp(v->manifest, in->manifest) == 0;
 }
 
-static const QRHostView *rollout_view(const QRIntent *in,
-                                      const QRHostView *views, const char *host)
+/* What one look gathers, so that every host is looked at once a wave. */
+typedef struct Look {
+    const QRIntent *in;
+    const QRHostView *views;
+    GHashTable *place; /* host -> place in 'views', plus one */
+    unsigned spare;
+    unsigned missing; /* hosts that cannot take calls */
+    bool anyone_serves;
+    const char *blocker; /* host of an earlier wave that is waited for */
+} Look;
+
+static bool view_missing(const QRHostView *v)
 {
-    for (unsigned i = 0; i < in->hosts->len; i++) {
-        if (strcmp(in->hosts->pdata[i], host) == 0)
-            return &views[i];
-    }
-    return NULL;
+    return v->away || v->unknown || *v->manifest == '\0';
 }
 
-/* Is anything before wave 'n' still to be waited for? Returns its host. */
-static const char *rollout_waits_for(const QRIntent *in,
-                                     const QRHostView *views, int n)
+static const QRHostView *look_view(const Look *l, const char *host)
 {
-    for (int w = 0; w < n; w++) {
-        const GPtrArray *hosts = in->waves->pdata[w];
+    unsigned at = GPOINTER_TO_UINT(g_hash_table_lookup(l->place, host));
 
-        for (unsigned i = 0; i < hosts->len; i++) {
-            const QRHostView *v = rollout_view(in, views, hosts->pdata[i]);
-
-            if (v && !view_serves(in, v) && !v->away)
-                return hosts->pdata[i];
-        }
-    }
-    return NULL;
+    return at ? &l->views[at - 1] : NULL;
 }
 
-/* Hosts outside wave 'n' that cannot take calls. */
-static unsigned rollout_missing(const QRIntent *in, const QRHostView *views,
-                                int n)
+static bool look_wave_done(const Look *l, const GPtrArray *hosts)
 {
-    unsigned missing = 0;
-
-    for (unsigned i = 0; i < in->hosts->len; i++) {
-        const QRHostView *v = &views[i];
+    for (unsigned i = 0; i < hosts->len; i++) {
+        const QRHostView *v = look_view(l, hosts->pdata[i]);
 
-        if (qr_intent_wave_of(in, in->hosts->pdata[i]) == n)
-            continue;
-        missing += v->away || v->unknown || *v->manifest == '\0';
+        if (!v || !view_serves(l->in, v))
+            return false;
     }
-    return missing;
+    return true;
 }
 
-static bool rollout_anyone_serves(const QRIntent *in, const QRHostView *views)
+/* Hosts outside the wave that cannot take calls. */
+static unsigned look_missing_outside(const Look *l, const GPtrArray *hosts)
 {
-    for (unsigned i = 0; i < in->hosts->len; i++) {
-        if (*views[i].manifest && !views[i].away)
-            return true;
-    }
-    return false;
-}
+    unsigned missing = l->missing;
 
-static bool rollout_wave_done(const QRIntent *in, const QRHostView *views,
-                              const GPtrArray *hosts)
-{
     for (unsigned i = 0; i < hosts->len; i++) {
-        const QRHostView *v = rollout_view(in, views, hosts->pdata[i]);
+        const QRHostView *v = look_view(l, hosts->pdata[i]);
 
-        if (!v || !view_serves(in, v))
-            return false;
+        if (v && view_missing(v))
+            missing--;
     }
-    return true;
+    return missing;
 }
 
-static char *rollout_wave_waits(const QRIntent *in, const QRHostView *views,
-                                int n, unsigned spare)
+static char *look_wave_waits(const Look *l, unsigned n)
 {
-    const GPtrArray *hosts = in->waves->pdata[n];
-    const char *host = rollout_waits_for(in, views, n);
+    const GPtrArray *hosts = l->in->waves->pdata[n];
     unsigned missing;
 
-    if (host) {
-        const QRHostView *v = rollout_view(in, views, host);
+    if (l->blocker) {
+        const QRHostView *v = look_view(l, l->blocker);
 
-        return g_strdup_printf("waits for host %s (%s)", host,
+        return g_strdup_printf("waits for host %s (%s)", l->blocker,
                                v->unknown ? "not heard yet"
                                           : qr_stage_text(v->stage));
     }
-    if (rollout_wave_done(in, views, hosts))
-        return NULL;
-    if (in->allow_short || !rollout_anyone_serves(in, views))
-        return NULL; /* nothing is served that could be taken away */
-    missing = rollout_missing(in, views, n);
-    if (missing > 0 && missing + hosts->len > MAX(spare, 1))
-        return g_strdup_printf("%u hosts are away and wave %d takes %u, "
+    if (l->in->allow_short || !l->anyone_serves || look_wave_done(l, hosts))
+        return NULL; /* it takes nothing away that is due */
+    missing = look_missing_outside(l, hosts);
+    if (missing > 0 && missing + hosts->len > MAX(l->spare, 1))
+        return g_strdup_printf("%u hosts are away and wave %u takes %u, "
                                "%u can be spared",
-                               missing, n, hosts->len, spare);
+                               missing, n, hosts->len, l->spare);
     return NULL;
 }
 
+/* Later waves wait for hosts of this one that are neither done nor away. */
+static void look_note_blocker(Look *l, const GPtrArray *hosts)
+{
+    for (unsigned i = 0; i < hosts->len && !l->blocker; i++) {
+        const QRHostView *v = look_view(l, hosts->pdata[i]);
+
+        if (v && !view_serves(l->in, v) && !v->away)
+            l->blocker = hosts->pdata[i];
+    }
+}
+
 static char *rollout_failure(const QRIntent *in, const QRHostView *views)
 {
     for (unsigned i = 0; i < in->hosts->len; i++) {
@@ -133,27 +124,41 @@
     return NULL;
 }
 
-void qr_rollout_look(const QRIntent *in, const QRHostView *views, QRRollout *r)
+static void look_hosts(Look *l, QRRollout *r)
 {
     int64_t total = 0, most = 0;
-    unsigned spare;
+
+    for (unsigned i = 0; i < l->in->hosts->len; i++) {
+        const QRHostView *v = &l->views[i];
+
+        g_hash_table_insert(l->place, l->in->hosts->pdata[i],
+                            GUINT_TO_POINTER(i + 1));
+        r->done += view_serves(l->in, v);
+        r->away += v->away;
+        l->missing += view_missing(v);
+        l->anyone_serves = l->anyone_serves || (*v->manifest && !v->away);
+        total += v->slots;
+        most = MAX(most, v->slots);
+    }
+    l->spare = qr_rollout_spare(l->in, total, most);
+    r->complete = r->done == l->in->hosts->len;
+}
+
+void qr_rollout_look(const QRIntent *in, const QRHostView *views, QRRollout *r)
+{
+    g_autoptr(GHashTable) place = g_hash_table_new(g_str_hash, g_str_equal);
+    Look l = {.in = in, .views = views, .place = place};
 
     memset(r, 0, sizeof(*r));
     r->wave = -1;
-    for (unsigned i = 0; i < in->hosts->len; i++) {
-        r->done += view_serves(in, &views[i]);
-        r->away += views[i].away;
-        total += views[i].slots;
-        most = MAX(most, views[i].slots);
-    }
-    r->complete = r->done == in->hosts->len;
-    spare = qr_rollout_spare(in, total, most);
+    look_hosts(&l, r);
     r->why = rollout_failure(in, views);
     r->failed = r->why != NULL;
-    for (int n = 0; n < (int)in->waves->len && !r->why; n++) {
-        r->why = rollout_wave_waits(in, views, n, spare);
+    for (unsigned n = 0; n < in->waves->len && !r->why; n++) {
+        r->why = look_wave_waits(&l, n);
         if (!r->why)
-            r->wave = n;
+            r->wave = (int)n;
+        look_note_blocker(&l, in->waves->pdata[n]);
     }
     if (!r->why)
         r->why = g_strdup("");
