--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,11 @@
 	QUAYRING_FUZZ=long $(PYTHON) -m pytest -q -p no:cacheprovider \
 	    tests/test_fuzz_*.py
 
+# Switches each mechanism off in a scratch copy: its proof must go red.
+mutants: deps
+	$(MAKE) san
+	$(PYTHON) tests/mutants.py
+
 demo: deps
 	$(MAKE) all
 	$(PYTHON) tests/demo.py $(PLACES)
@@ -104,5 +109,5 @@
 clean:
 	rm -rf build build-san build-tsan
 
-.PHONY: all deps san test fuzz demo measure tsan lint format generate install \
+.PHONY: all deps san test fuzz mutants demo measure tsan lint format generate install \
         clean
--- a/src/core/qr_entry_ops.c
+++ b/src/core/qr_entry_ops.c
@@ -71,6 +71,7 @@
     qr_json_int(o, "slots", b ? b->slots : 0);
     qr_json_int(o, "origin_bytes", b ? (int64_t)b->origin_bytes : 0);
     qr_json_int(o, "wave", qr_intent_wave_of(in, host));
+    qr_json_int(o, "revision", b ? (int64_t)b->revision : 0);
     qr_json_str(o, "why", b ? b->why : "");
     return o;
 }
--- a/src/core/qr_fetch.c
+++ b/src/core/qr_fetch.c
@@ -57,6 +57,8 @@
     unsigned roots =
         strcmp(objective, "time") == 0 ? ROOTS_FOR_TIME : ROOTS_FOR_BYTES;
 
+    if (set->origin_roots > 0)
+        roots = (unsigned)set->origin_roots;
     f->manifest = g_strdup(manifest);
     f->text = g_bytes_ref(text);
     f->hosts = g_ptr_array_new_with_free_func(g_free);
--- a/src/core/qr_settings.h
+++ b/src/core/qr_settings.h
@@ -39,6 +39,8 @@
     DEF(link_bytes_per_s, 0, 1000000000000, 0) /* weights, each way; 0 any */  \
     DEF(fan_out, 1, 64, 2) /* children of a host in a tree */                  \
     DEF(trees, 1, 256, 16)                                                     \
+    /* hosts of a tree that draw from the origin; 0: by the objective */       \
+    DEF(origin_roots, 0, 65535, 0)                                             \
     DEF(dedup_max, 16, 10000000, 65536)        /* calls remembered */          \
     DEF(replay_max, 0, 1048576, 16384)         /* bytes of an answer kept */   \
     DEF(origin_timeout_ms, 1000, 600000, 3000) /* without a byte of it */      \
