Whoever is a little behind gets records, not the whole state

Ruled out: a smaller form of the state (half of it would still break the budget once agents are counted); pulling by every agent from the log (1,500 readers of a service that we share).

Change: entries keep the last 256 records and send those that a receiver lacks; what was sent on a connection is not sent again for two seconds.

--- a/src/core/qr_agent_peers.c
+++ b/src/core/qr_agent_peers.c
@@ -176,6 +176,21 @@
     qr_agent_heartbeat(s, out); /* who sent it learns that it is here */
 }
 
+static void agent_on_records(QRAgent *s, const QREvent *ev, QREffects *out)
+{
+    const Qr__Records *m = ev->frame->records;
+    uint64_t before = s->config->revision;
+
+    for (size_t i = 0; i < m->n_record; i++) {
+        if (m->from + i > s->config->revision &&
+            qr_config_apply(s->config, m->from + i,
+                            (const char *)m->record[i].data, m->record[i].len))
+            break; /* some are missing between: the state will come */
+    }
+    if (s->config->revision != before)
+        qr_agent_heartbeat(s, out);
+}
+
 static void agent_on_call(QRAgent *s, const QREvent *ev, QREffects *out)
 {
     qr_agent_call_start(s, ev->ref, ev->frame->call_start, out);
@@ -194,6 +209,7 @@
 /* Frames that an agent takes; DEF(body, handler). */
 #define AGENT_FRAMES                                                           \
     DEF(HEARTBEAT_REPLY, agent_on_reply)                                       \
+    DEF(RECORDS, agent_on_records)                                             \
     DEF(STATE, agent_on_state)                                                 \
     DEF(CALL_START, agent_on_call)                                             \
     DEF(CALL_CANCEL, agent_on_cancel)                                          \
--- a/src/core/qr_entry.c
+++ b/src/core/qr_entry.c
@@ -20,6 +20,7 @@
     s->peers = g_ptr_array_new_with_free_func(qr_peer_free);
     s->queues = g_ptr_array_new_with_free_func(qr_queue_free);
     s->shares = g_ptr_array_new_with_free_func(qr_share_free);
+    s->recent = g_queue_new();
     s->listed_leaving =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->retiring = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -42,6 +43,7 @@
     g_ptr_array_unref(s->peers);
     g_ptr_array_unref(s->queues);
     g_ptr_array_unref(s->shares);
+    g_queue_free_full(s->recent, (GDestroyNotify)g_bytes_unref);
     g_hash_table_unref(s->listed_leaving);
     g_hash_table_unref(s->retiring);
     qr_config_free(s->config);
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -39,6 +39,11 @@
         QR_ENTRY_COUNTER_COUNT
 } QREntryCounter;
 
+/* How much of the configuration was sent on a connection, and when. */
+typedef struct QRSentState {
+    uint64_t revision, at_ms;
+} QRSentState;
+
 /* An agent as this entry sees it. Rows are never freed, only emptied. */
 typedef struct QRBackend {
     char *host, *incarnation, *service, *availability_zone, *address;
@@ -46,7 +51,8 @@
     QRHandle conn;       /* QR_HANDLE_NONE while it is not connected */
     bool leaving;        /* by its own word */
     bool listed_leaving; /* by the host list's */
-    uint64_t heard_ms, revision, state_sent_ms, full_until_ms;
+    uint64_t heard_ms, revision, full_until_ms;
+    QRSentState sent;
     uint64_t origin_bytes;
     unsigned stage; /* QRStage */
     uint32_t in_flight, handed_on, slots, chunks_have, chunks_total;
@@ -59,7 +65,8 @@
     QRHandle conn;    /* the one that this entry dialled */
     QRHandle in_conn; /* the one that the peer dialled */
     bool dialling, leaving, listed;
-    uint64_t revision, state_sent_ms;
+    uint64_t revision;
+    QRSentState sent;
 } QRPeer;
 
 typedef struct QRShare {
@@ -121,7 +128,8 @@
     QRTable calls;               /* QRCall * */
     QRTable confirms;            /* QRConfirm * */
     GHashTable *listed_leaving;  /* hosts, by the last list */
-    GHashTable *retiring;        /* incarnation -> when it was last asked for */
+    GQueue *recent;       /* GBytes *: the last records, up to our revision */
+    GHashTable *retiring; /* incarnation -> when it was last asked for */
     uint64_t now_ms, wall_s, started_ms;
     uint64_t stop_at_ms;  /* 0 while it runs */
     uint64_t last_end_ms; /* of a call */
@@ -147,6 +155,10 @@
 void qr_entry_closed(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_hosts(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_peers_tick(QREntry *s, QREffects *out);
+/* Applies the record at 'offset'; false if it is not the next one. */
+bool qr_entry_apply(QREntry *s, uint64_t offset, GBytes *record);
+/* The configuration moved on: all who have to know are told. */
+void qr_entry_moved(QREntry *s, QREffects *out);
 /* Sends the configuration to all that have an older one. */
 void qr_entry_spread(QREntry *s, QREffects *out);
 void qr_entry_publish(QREntry *s, QREffects *out);
--- a/src/core/qr_entry_log.c
+++ b/src/core/qr_entry_log.c
@@ -154,25 +154,14 @@
     uint64_t before = s->config->revision;
 
     for (unsigned i = 0; i < ev->records->len; i++) {
-        gsize len;
-        const char *data = g_bytes_get_data(ev->records->pdata[i], &len);
         uint64_t offset = ev->offset + i;
 
         if (offset > s->config->revision &&
-            qr_config_apply(s->config, offset, data, len))
+            !qr_entry_apply(s, offset, ev->records->pdata[i]))
             break;
     }
-    if (s->config->revision == before)
-        return;
-    for (unsigned i = 0; i < s->backends->len; i++)
-        ((QRBackend *)s->backends->pdata[i])->state_sent_ms = 0;
-    for (unsigned i = 0; i < s->peers->len; i++)
-        ((QRPeer *)s->peers->pdata[i])->state_sent_ms = 0;
-    qr_effect_log(out, QR_LEVEL_INFO, "log",
-                  "Revision %" G_GUINT64_FORMAT " is in force.",
-                  s->config->revision);
-    qr_entry_publish(s, out);
-    qr_entry_spread(s, out);
+    if (s->config->revision != before)
+        qr_entry_moved(s, out);
 }
 
 void qr_entry_log_read(QREntry *s, const QREvent *ev, QREffects *out)
--- a/src/core/qr_entry_peers.c
+++ b/src/core/qr_entry_peers.c
@@ -10,6 +10,8 @@
 #define PEERS_MAX 1024
 /* A process that still has an old configuration is sent it again by then. */
 #define STATE_AGAIN_MS 2000
+/* Records kept for those that are a little behind; others get the state. */
+#define RECENT_MAX 256
 
 void qr_backend_free(void *p)
 {
@@ -124,50 +126,109 @@
     return qr_frame_pack(&frame);
 }
 
-/* One receiver of the configuration: an agent or an entry. */
-static void entry_spread_to(QREntry *s, QRHandle conn, uint64_t revision,
-                            uint64_t *sent_ms, GBytes **packed, QREffects *out)
+/* Records from 'from' up to our revision; they are among the recent ones. */
+static GBytes *entry_records_frame(const QREntry *s, uint64_t from)
+{
+    unsigned n = (unsigned)(s->config->revision + 1 - from);
+    unsigned skip = s->recent->length - n;
+    g_autofree ProtobufCBinaryData *rows = g_new(ProtobufCBinaryData, n);
+    Qr__Frame frame = QR__FRAME__INIT;
+    Qr__Records m = QR__RECORDS__INIT;
+
+    for (unsigned i = 0; i < n; i++) {
+        GBytes *b = g_queue_peek_nth(s->recent, skip + i);
+        gsize len;
+
+        rows[i].data = (uint8_t *)g_bytes_get_data(b, &len);
+        rows[i].len = len;
+    }
+    m.from = from;
+    m.n_record = n;
+    m.record = rows;
+    frame.body_case = QR__FRAME__BODY_RECORDS;
+    frame.records = &m;
+    return qr_frame_pack(&frame);
+}
+
+/* What one round of spreading has packed, for receivers that need the same. */
+typedef struct Spread {
+    GBytes *state, *records;
+    uint64_t records_from;
+} Spread;
+
+static GBytes *spread_frame(QREntry *s, Spread *p, uint64_t have)
+{
+    if (s->config->revision - have > s->recent->length) {
+        if (!p->state)
+            p->state = entry_state_frame(s);
+        return p->state;
+    }
+    if (!p->records || p->records_from != have + 1) {
+        g_clear_pointer(&p->records, g_bytes_unref);
+        p->records = entry_records_frame(s, have + 1);
+        p->records_from = have + 1;
+    }
+    return p->records;
+}
+
+/*
+ * One receiver, an agent or an entry: what it has not got and was not sent
+ * on this connection; after STATE_AGAIN_MS what was sent counts no more.
+ */
+static void spread_to(QREntry *s, Spread *p, QRHandle conn, uint64_t have,
+                      QRSentState *sent, QREffects *out)
 {
     QREffect *e;
 
-    if (conn == QR_HANDLE_NONE || revision >= s->config->revision)
-        return;
-    if (*sent_ms && s->now_ms - *sent_ms < STATE_AGAIN_MS)
+    if (s->now_ms - sent->at_ms < STATE_AGAIN_MS)
+        have = MAX(have, sent->revision);
+    if (conn == QR_HANDLE_NONE || have >= s->config->revision)
         return;
-    if (!*packed)
-        *packed = entry_state_frame(s);
     e = qr_effect(out, QR_EFFECT_SEND, conn);
-    e->data = g_bytes_ref(*packed);
-    *sent_ms = s->now_ms;
+    e->data = g_bytes_ref(spread_frame(s, p, have));
+    sent->revision = s->config->revision;
+    sent->at_ms = s->now_ms;
     s->count[QR_ENTRY_COUNT_state_sent]++;
 }
 
 void qr_entry_spread(QREntry *s, QREffects *out)
 {
-    GBytes *packed = NULL;
+    Spread p = {0};
 
     for (unsigned i = 0; i < s->backends->len; i++) {
         QRBackend *b = s->backends->pdata[i];
 
-        entry_spread_to(s, b->conn, b->revision, &b->state_sent_ms, &packed,
-                        out);
+        spread_to(s, &p, b->conn, b->revision, &b->sent, out);
     }
     for (unsigned i = 0; i < s->peers->len; i++) {
         QRPeer *e = s->peers->pdata[i];
 
-        entry_spread_to(s, e->conn, e->revision, &e->state_sent_ms, &packed,
-                        out);
+        spread_to(s, &p, e->conn, e->revision, &e->sent, out);
     }
-    g_clear_pointer(&packed, g_bytes_unref);
+    g_clear_pointer(&p.state, g_bytes_unref);
+    g_clear_pointer(&p.records, g_bytes_unref);
 }
 
-/* The configuration moved on: what was sent before no longer counts. */
-static void entry_config_moved(QREntry *s)
+bool qr_entry_apply(QREntry *s, uint64_t offset, GBytes *record)
 {
-    for (unsigned i = 0; i < s->backends->len; i++)
-        ((QRBackend *)s->backends->pdata[i])->state_sent_ms = 0;
-    for (unsigned i = 0; i < s->peers->len; i++)
-        ((QRPeer *)s->peers->pdata[i])->state_sent_ms = 0;
+    gsize len;
+    const char *data = g_bytes_get_data(record, &len);
+
+    if (qr_config_apply(s->config, offset, data, len))
+        return false;
+    g_queue_push_tail(s->recent, g_bytes_ref(record));
+    if (s->recent->length > RECENT_MAX)
+        g_bytes_unref(g_queue_pop_head(s->recent));
+    return true;
+}
+
+void qr_entry_moved(QREntry *s, QREffects *out)
+{
+    qr_effect_log(out, QR_LEVEL_INFO, "log",
+                  "Revision %" G_GUINT64_FORMAT " is in force.",
+                  s->config->revision);
+    qr_entry_publish(s, out);
+    qr_entry_spread(s, out);
 }
 
 void qr_entry_take_config(QREntry *s, QRConfig *c, QREffects *out)
@@ -178,9 +239,9 @@
     }
     qr_config_free(s->config);
     s->config = c;
-    entry_config_moved(s);
-    qr_entry_publish(s, out);
-    qr_entry_spread(s, out);
+    while (!g_queue_is_empty(s->recent)) /* they do not lead up to it */
+        g_bytes_unref(g_queue_pop_head(s->recent));
+    qr_entry_moved(s, out);
 }
 
 void qr_entry_opened(QREntry *s, const QREvent *ev, QREffects *out)
@@ -191,7 +252,7 @@
         return; /* it was accepted: a Hello will say whose it is */
     e->conn = ev->ref;
     e->dialling = false;
-    e->state_sent_ms = 0;
+    e->sent = (QRSentState){0};
     entry_hello(s, ev->ref, out);
     entry_announce(s, e, out);
 }
@@ -259,7 +320,7 @@
     b->conn = conn;
     b->heard_ms = 0; /* a heartbeat must say that it is ready */
     b->revision = 0;
-    b->state_sent_ms = 0;
+    b->sent = (QRSentState){0};
     b->leaving = false;
     b->listed_leaving = g_hash_table_contains(s->listed_leaving, b->host);
     b->full_until_ms = 0;
@@ -430,6 +491,24 @@
     qr_entry_take_config(s, c, out);
 }
 
+static void entry_on_records(QREntry *s, QRHandle conn, const Qr__Frame *frame,
+                             QREffects *out)
+{
+    const Qr__Records *m = frame->records;
+    uint64_t before = s->config->revision;
+
+    (void)conn;
+    for (size_t i = 0; i < m->n_record; i++) {
+        g_autoptr(GBytes) b = g_bytes_new(m->record[i].data, m->record[i].len);
+
+        if (m->from + i > s->config->revision &&
+            !qr_entry_apply(s, m->from + i, b))
+            break; /* some are missing between */
+    }
+    if (s->config->revision != before)
+        qr_entry_moved(s, out);
+}
+
 static void entry_on_peer_info(QREntry *s, QRHandle conn,
                                const Qr__Frame *frame, QREffects *out)
 {
@@ -477,6 +556,7 @@
 #define ENTRY_FRAMES                                                           \
     DEF(HELLO, entry_on_hello)                                                 \
     DEF(HEARTBEAT, entry_on_heartbeat)                                         \
+    DEF(RECORDS, entry_on_records)                                             \
     DEF(STATE, entry_on_state)                                                 \
     DEF(PEER_INFO, entry_on_peer_info)                                         \
     DEF(CALL_REFUSED, entry_on_refused)                                        \
--- a/src/wire/quayring.pb-c.c
+++ b/src/wire/quayring.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &qr__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qr__records__init
+                     (Qr__Records         *message)
+{
+  static const Qr__Records init_value = QR__RECORDS__INIT;
+  *message = init_value;
+}
+size_t qr__records__get_packed_size
+                     (const Qr__Records *message)
+{
+  assert(message->base.descriptor == &qr__records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qr__records__pack
+                     (const Qr__Records *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qr__records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qr__records__pack_to_buffer
+                     (const Qr__Records *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qr__records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qr__Records *
+       qr__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qr__Records *)
+     protobuf_c_message_unpack (&qr__records__descriptor,
+                                allocator, len, data);
+}
+void   qr__records__free_unpacked
+                     (Qr__Records *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qr__records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qr__peer_info__init
                      (Qr__PeerInfo         *message)
 {
@@ -1113,6 +1158,57 @@
   (ProtobufCMessageInit) qr__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qr__records__field_descriptors[2] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Records, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Qr__Records, n_record),
+    offsetof(Qr__Records, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qr__records__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  1,   /* field[1] = record */
+};
+static const ProtobufCIntRange qr__records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qr__records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qr.Records",
+  "Records",
+  "Qr__Records",
+  "qr",
+  sizeof(Qr__Records),
+  2,
+  qr__records__field_descriptors,
+  qr__records__field_indices_by_name,
+  1,  qr__records__number_ranges,
+  (ProtobufCMessageInit) qr__records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qr__peer_info__field_descriptors[2] =
 {
   {
@@ -1742,7 +1838,7 @@
   (ProtobufCMessageInit) qr__chunk_give__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor qr__frame__field_descriptors[13] =
 {
   {
     "hello",
@@ -1888,6 +1984,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qr__Frame, body_case),
+    offsetof(Qr__Frame, records),
+    &qr__records__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__frame__field_indices_by_name[] = {
   9,   /* field[9] = call_cancel */
@@ -1901,12 +2009,13 @@
   2,   /* field[2] = heartbeat_reply */
   0,   /* field[0] = hello */
   4,   /* field[4] = peer_info */
+  12,   /* field[12] = records */
   3,   /* field[3] = state */
 };
 static const ProtobufCIntRange qr__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor qr__frame__descriptor =
 {
@@ -1916,7 +2025,7 @@
   "Qr__Frame",
   "qr",
   sizeof(Qr__Frame),
-  12,
+  13,
   qr__frame__field_descriptors,
   qr__frame__field_indices_by_name,
   1,  qr__frame__number_ranges,
--- a/src/wire/quayring.pb-c.h
+++ b/src/wire/quayring.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Qr__Grant Qr__Grant;
 typedef struct Qr__HeartbeatReply Qr__HeartbeatReply;
 typedef struct Qr__State Qr__State;
+typedef struct Qr__Records Qr__Records;
 typedef struct Qr__PeerInfo Qr__PeerInfo;
 typedef struct Qr__CallStart Qr__CallStart;
 typedef struct Qr__CallRefused Qr__CallRefused;
@@ -151,6 +152,24 @@
     , 0, {0,NULL} }
 
 
+/*
+ * Log records, in order, for whoever is only a little behind.
+ */
+struct  Qr__Records
+{
+  ProtobufCMessage base;
+  /*
+   * offset of the first
+   */
+  uint64_t from;
+  size_t n_record;
+  ProtobufCBinaryData *record;
+};
+#define QR__RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qr__records__descriptor) \
+    , 0, 0,NULL }
+
+
 struct  Qr__PeerInfo
 {
   ProtobufCMessage base;
@@ -279,7 +298,8 @@
   QR__FRAME__BODY_CALL_END = 9,
   QR__FRAME__BODY_CALL_CANCEL = 10,
   QR__FRAME__BODY_CHUNK_WANT = 11,
-  QR__FRAME__BODY_CHUNK_GIVE = 12
+  QR__FRAME__BODY_CHUNK_GIVE = 12,
+  QR__FRAME__BODY_RECORDS = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FRAME__BODY__CASE)
 } Qr__Frame__BodyCase;
 
@@ -300,6 +320,7 @@
     Qr__CallCancel *call_cancel;
     Qr__ChunkWant *chunk_want;
     Qr__ChunkGive *chunk_give;
+    Qr__Records *records;
   };
 };
 #define QR__FRAME__INIT \
@@ -402,6 +423,25 @@
 void   qr__state__free_unpacked
                      (Qr__State *message,
                       ProtobufCAllocator *allocator);
+/* Qr__Records methods */
+void   qr__records__init
+                     (Qr__Records         *message);
+size_t qr__records__get_packed_size
+                     (const Qr__Records   *message);
+size_t qr__records__pack
+                     (const Qr__Records   *message,
+                      uint8_t             *out);
+size_t qr__records__pack_to_buffer
+                     (const Qr__Records   *message,
+                      ProtobufCBuffer     *buffer);
+Qr__Records *
+       qr__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qr__records__free_unpacked
+                     (Qr__Records *message,
+                      ProtobufCAllocator *allocator);
 /* Qr__PeerInfo methods */
 void   qr__peer_info__init
                      (Qr__PeerInfo         *message);
@@ -590,6 +630,9 @@
 typedef void (*Qr__State_Closure)
                  (const Qr__State *message,
                   void *closure_data);
+typedef void (*Qr__Records_Closure)
+                 (const Qr__Records *message,
+                  void *closure_data);
 typedef void (*Qr__PeerInfo_Closure)
                  (const Qr__PeerInfo *message,
                   void *closure_data);
@@ -628,6 +671,7 @@
 extern const ProtobufCMessageDescriptor qr__grant__descriptor;
 extern const ProtobufCMessageDescriptor qr__heartbeat_reply__descriptor;
 extern const ProtobufCMessageDescriptor qr__state__descriptor;
+extern const ProtobufCMessageDescriptor qr__records__descriptor;
 extern const ProtobufCMessageDescriptor qr__peer_info__descriptor;
 extern const ProtobufCMessageDescriptor qr__call_start__descriptor;
 extern const ProtobufCMessageDescriptor qr__call_refused__descriptor;
--- a/tests/test_fuzz_agent.py
+++ b/tests/test_fuzz_agent.py
@@ -38,6 +38,7 @@
         self.d = Driver("agent", settings(self.checks_fence))
         self.config = Driver("config")
         self.offset = 0
+        self.log = []
         self.snapshot = None
         self.registered = None    # incarnation in the log
         self.version = None       # that the intent asks
@@ -79,6 +80,7 @@
     def append(self, record):
         self.offset += 1
         text = record if isinstance(record, str) else json.dumps(record)
+        self.log.append(text)
         self.snapshot = self.config.line({
             "apply": text, "offset": self.offset})["snapshot"]
 
@@ -100,6 +102,18 @@
             self.ev("FRAME", ref=conn, frame=pb.Frame(state=pb.State(
                 revision=self.offset, snapshot=self.snapshot.encode())))
 
+    @rule(back=st.integers(0, 6), skip=st.integers(0, 2))
+    def push_records(self, back, skip):
+        """The last records, some of them known, some perhaps missing."""
+        start = max(0, len(self.log) - back)
+        revision = self.d.facts["revision"]
+        for conn in list(self.conns.values()):
+            self.ev("FRAME", ref=conn, frame=pb.Frame(records=pb.Records(
+                **{"from": start + 1 + skip},
+                record=[r.encode() for r in self.log[start + skip:]])))
+        if self.conns and not self.exited and start + skip <= revision:
+            assert self.d.facts["revision"] >= len(self.log)
+
     @rule()
     def retire(self):
         if self.registered:
--- a/tests/test_fuzz_entry.py
+++ b/tests/test_fuzz_entry.py
@@ -75,6 +75,7 @@
 
     def check_revision(self):
         got = self.d.facts["revision"]
+        self.revision_before = getattr(self, "revision", 0)
         assert got >= getattr(self, "revision", 0), "the revision fell"
         self.revision = got
 
@@ -368,6 +369,15 @@
             self.ev("FRAME", ref=99, frame=pb.Frame(state=pb.State(
                 revision=offset, snapshot=snapshot.encode())))
 
+    @rule(start=st.integers(0, 8), n=st.integers(0, 3))
+    def records_from_a_peer(self, start, n):
+        """Known ones, ones behind a hole, or the next ones."""
+        follows = start <= self.revision + 1 < start + n
+        self.ev("FRAME", ref=99, frame=pb.Frame(records=pb.Records(
+            **{"from": start}, record=[b'{"kind":"retire"}'] * n)))
+        if not self.exited:
+            assert follows or self.revision_before == self.revision
+
     @rule(raw=st.binary(max_size=30))
     def bad_state(self, raw):
         self.ev("FRAME", ref=99, frame=pb.Frame(state=pb.State(
