--- a/src/core/qr_agent_weights.c
+++ b/src/core/qr_agent_weights.c
@@ -7,7 +7,7 @@
 
 /* Chunks on the way to all takers: few, so that each arrives soon and can be
  * handed on, rather than all at once and late. */
-#define GIVE_WINDOW 3
+#define GIVE_WINDOW 5
 #define TAKERS_MAX 4096
 #define WANTS_MAX QR_CHUNKS_MAX
 /* Index in a ChunkGive that only says "still at work for you". */
--- a/src/core/qr_entry_ops.c
+++ b/src/core/qr_entry_ops.c
@@ -192,9 +192,8 @@
                 "outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
                 h->service, h->team, qr_outcome_text(k), h->burn.total[k]);
     }
-    e = qr_effect(out, QR_EFFECT_ANSWER, request);
+    e = qr_effect(out, QR_EFFECT_METRICS, request);
     e->status = 200;
-    e->key = g_strdup("text/plain; version=0.0.4");
     e->data = g_string_free_to_bytes(t);
 }
 
--- a/src/core/qr_event.h
+++ b/src/core/qr_event.h
@@ -54,6 +54,7 @@
     DEF(ANSWER_DATA)   /* ref: request; data */                                \
     DEF(ANSWER_END)    /* ref: request; text: last line */                     \
     DEF(ANSWER)        /* ref: request; status, data, retry_after_ms */        \
+    DEF(METRICS)       /* ref: request; data: the reducer's own counters */    \
     DEF(PUBLISH)       /* text: address answers for the other threads */       \
     DEF(READ_MANIFEST) /* text: manifest */                                    \
     DEF(READ_CHUNK)    /* text: manifest; index; key: hash */                  \
--- a/src/core/qr_fetch.c
+++ b/src/core/qr_fetch.c
@@ -7,9 +7,6 @@
 
 /* A source that failed is passed over for so many stall times. */
 #define PASS_OVER_STALLS 10
-/* Hosts of each tree that draw from the origin, by objective. */
-#define ROOTS_FOR_TIME 2
-#define ROOTS_FOR_BYTES 1
 /* After so many failed reads in a row those who wait for us wait no more. */
 #define ORIGIN_FAILURES_MAX 2
 
@@ -54,8 +51,7 @@
                       GError **err)
 {
     g_autoptr(QRFetch) f = g_new0(QRFetch, 1);
-    unsigned roots =
-        strcmp(objective, "time") == 0 ? ROOTS_FOR_TIME : ROOTS_FOR_BYTES;
+    unsigned roots = qr_tree_roots(objective, hosts->len);
 
     if (set->origin_roots > 0)
         roots = (unsigned)set->origin_roots;
--- a/src/core/qr_plan.c
+++ b/src/core/qr_plan.c
@@ -121,7 +121,7 @@
 static json_object *plan_sources(const QRIntent *in)
 {
     json_object *o = json_object_new_object();
-    unsigned roots = strcmp(in->objective, "time") == 0 ? 2 : 1;
+    unsigned roots = qr_tree_roots(in->objective, in->hosts->len);
 
     for (unsigned i = 0; i < in->hosts->len; i++) {
         const char *host = in->hosts->pdata[i];
--- a/src/core/qr_tree.c
+++ b/src/core/qr_tree.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Up to so many hosts two roots a tree are faster than one. */
+#define TWO_ROOTS_MAX 8
+
 typedef struct RingPlace {
     uint64_t weight;
     const char *host;
@@ -42,6 +45,11 @@
     t->roots = MAX(1, roots);
 }
 
+unsigned qr_tree_roots(const char *objective, unsigned hosts)
+{
+    return strcmp(objective, "time") == 0 && hosts <= TWO_ROOTS_MAX ? 2 : 1;
+}
+
 void qr_tree_clear(QRTree *t)
 {
     g_clear_pointer(&t->ring, g_ptr_array_unref);
--- a/src/core/qr_tree.h
+++ b/src/core/qr_tree.h
@@ -29,7 +29,14 @@
                   unsigned roots);
 void qr_tree_clear(QRTree *t);
 
-/* Own rank in the tree of chunk 'index'; 0 is the root. */
+/*
+ * Hosts of each tree that draw from the origin, by an intent's objective. A
+ * second one spares hosts an upload, but the origin's link then takes half of
+ * the window for its own copies: measured, it pays for few hosts only.
+ */
+unsigned qr_tree_roots(const char *objective, unsigned hosts);
+
+/* Own rank in the tree of chunk'index'; 0 is the root. */
 unsigned qr_tree_rank(const QRTree *t, unsigned index);
 /* How many sources lie between this host and the origin. */
 unsigned qr_tree_depth(const QRTree *t, unsigned index);
--- a/src/node/qr_node.c
+++ b/src/node/qr_node.c
@@ -26,11 +26,46 @@
     qr_net_close(n->net, e->ref);
 }
 
+/* The connections' counters stand below the reducer's. */
+static GBytes *node_with_net_metrics(const QRNode *n, GBytes *metrics)
+{
+    static const struct {
+        const char *name, *help;
+    } names[] = {
+#define DEF(name, help) {#name, help},
+        QR_NET_COUNTERS
+#undef DEF
+    };
+    gsize len;
+    const char *p = g_bytes_get_data(metrics, &len);
+    GString *t = g_string_new_len(p, (gssize)len);
+
+    for (unsigned i = 0; i < QR_NET_COUNTER_COUNT; i++)
+        g_string_append_printf(t,
+                               "# HELP quayring_%s_total %s\n"
+                               "# TYPE quayring_%s_total counter\n"
+                               "quayring_%s_total %" G_GUINT64_FORMAT "\n",
+                               names[i].name, names[i].help, names[i].name,
+                               names[i].name, qr_net_count(n->net, i));
+    return g_string_free_to_bytes(t);
+}
+
 static void node_answer(QRNode *n, const QREffect *e)
 {
     n->faces.front->answer(n->front, e);
 }
 
+static void node_metrics(QRNode *n, const QREffect *e)
+{
+    QREffect with = *e;
+
+    with.type = QR_EFFECT_ANSWER;
+    with.key = "text/plain; version=0.0.4";
+    with.data = node_with_net_metrics(n, e->data);
+    n->faces.front->answer(n->front, &with);
+    g_bytes_unref(with.data);
+}
+
 static void node_publish(QRNode *n, const QREffect *e)
 {
     n->faces.front->publish(n->front, e->text);
@@ -65,6 +100,7 @@
     DEF(ANSWER_DATA, node_answer)                                              \
     DEF(ANSWER_END, node_answer)                                               \
     DEF(ANSWER, node_answer)                                                   \
+    DEF(METRICS, node_metrics)                                                 \
     DEF(PUBLISH, node_publish)                                                 \
     DEF(READ_MANIFEST, qr_jobs_add)                                            \
     DEF(READ_CHUNK, qr_jobs_add)                                               \
--- a/tests/measure.py
+++ b/tests/measure.py
@@ -1,7 +1,7 @@
 """Measures the decisions on real processes, against baselines run beside
 them, and the reducers alone. Prints tables and writes build/measured.csv.
 
-    measure.py [cost|rollout|faults|force|calls ...]
+    measure.py [cost|rollout|faults|force|control|calls ...]
 """
 import csv
 import json
@@ -55,7 +55,7 @@
 
 
 def measure_rollout():
-    for n in (6, 12, 24, 48):
+    for n in (6, 12, 24, 48, 96):
         for objective in ("time", "origin_bytes"):
             with bench(n) as b:
                 took, copies = roll_out(b, "v1", objective, n)
@@ -115,6 +115,49 @@
             statistics.median(times) * 1000, "ms, median of 5")
 
 
+def process_cost(node):
+    """(CPU seconds so far, resident MiB) of a process."""
+    with open(f"/proc/{node.proc.pid}/stat", encoding="ascii") as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return (ticks / os.sysconf("SC_CLK_TCK"),
+            int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 2**20)
+
+
+def net_bytes(b):
+    text = ask(b.caller_address(), "GET", "/metrics")[2].decode()
+    return sum(int(line.split()[1]) for line in text.splitlines()
+               if line.startswith("quayring_net_bytes_"))
+
+
+def measure_control():
+    """What an entry and an agent spend with no call and no change, at the
+    default settings, every agent before every entry."""
+    seconds = 10
+    times = {"heartbeat_ms": 500, "lease_ms": 3000, "hosts_poll_ms": 1000,
+             "tick_ms": 50}
+    for entries, agents in ((7, 16), (14, 32), (14, 64)):
+        with Bench(services=[("ledger", "plain", agents)], entries=entries,
+                   slots=2, entry_settings=dict(times, log_poll_ms=250),
+                   agent_settings=times) as b:
+            b.apply(b.declaration())
+            time.sleep(2)
+            watched = {"entry": b.nodes["entry-0"],
+                       "agent": b.nodes["ledger-0"]}
+            before = {k: process_cost(n)[0] for k, n in watched.items()}
+            sent = net_bytes(b)
+            time.sleep(seconds)
+            rate = (net_bytes(b) - sent) / seconds
+            row("entry frames", entries + agents, f"{entries} x {agents}",
+                rate / 1000, "KB/s both ways")
+            for kind, node in watched.items():
+                cpu, rss = process_cost(node)
+                row(f"{kind} CPU", entries + agents, f"{entries} x {agents}",
+                    (cpu - before[kind]) / seconds * 100, "% of a core")
+                row(f"{kind} memory", entries + agents,
+                    f"{entries} x {agents}", rss, "MiB resident")
+
+
 def measure_calls():
     """Whole calls of 24 tokens, with and without a rollout beside them."""
     with bench(12) as b:
@@ -158,6 +201,7 @@
 
 WHAT = {"cost": measure_cost, "rollout": measure_rollout,
         "faults": measure_faults, "force": measure_force,
+        "control": measure_control,
         "calls": measure_calls}
 
 
