--- a/tests/cost.c
+++ b/tests/cost.c
@@ -109,6 +109,8 @@
 
         qr_findings_init(&f, "s");
         d = qr_config_from_snapshot(snapshot, strlen(snapshot), &f);
+        if (!d)
+            exit(EXIT_FAILURE);
     }
     print_row("fold_from_snapshot", n, (seconds() - t) * 1e3 / ROUNDS, "ms");
 }
