Smaller files, and what nobody called is gone

Cause: read with a newcomer's eyes: qr_entry_peers.c (723 lines) did three jobs and qr_config.c (709) two; the texts of both roles stood twice in the settings; a depth of trees and texts of errors were asked for by nobody; records that made no sense were counted and not shown.

Ruled out: joining the two roles' peers files; what looks alike there (reading the host list) ends in different rows.

Change: qr_entry_spread.c and qr_config_query.c; one list of texts; status shows bad_records; mutants may touch two files.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 	@tests/install-deps
 
 san:
-	$(MAKE) B=$(S) SAN="$(SAN_FLAGS)" CFLAGS="-O1 -g" \
+	$(MAKE) -s -j4 B=$(S) SAN="$(SAN_FLAGS)" CFLAGS="-O1 -g" \
 	    $(S)/quayring $(S)/drive $(S)/unit
 
 # Unit tests, fuzzers with fixed seeds, and tests on real processes.
--- a/src/base/qr_base.c
+++ b/src/base/qr_base.c
@@ -10,22 +10,11 @@
 #include <string.h>
 #include <time.h>
 
-static const char *const error_texts[] = {
-#define DEF(name, text) text,
-    QR_ERROR_LIST
-#undef DEF
-};
-
 GQuark qr_error_quark(void)
 {
     return g_quark_from_static_string("quayring");
 }
 
-const char *qr_error_text(QRErrorCode code)
-{
-    return code < QR_ERROR_COUNT ? error_texts[code] : "unknown error";
-}
-
 void qr_findings_init(QRFindings *f, const char *file)
 {
     f->file = file;
--- a/src/base/qr_base.h
+++ b/src/base/qr_base.h
@@ -9,26 +9,18 @@
 #include <stdint.h>
 #include <stddef.h>
 
-/* Typed errors; DEF(name, text). */
-#define QR_ERROR_LIST                                                          \
-    DEF(BAD_INPUT, "bad input")                                                \
-    DEF(TOO_LARGE, "too large")                                                \
-    DEF(IO, "input/output failed")                                             \
-    DEF(MAYBE_DONE, "no answer, may have been done")                           \
-    DEF(REFUSED, "refused")                                                    \
-    DEF(CONFLICT, "conflict")                                                  \
-    DEF(NOT_FOUND, "not found")
-
+/* What a GError of QR_ERROR says. */
 typedef enum QRErrorCode {
-#define DEF(name, text) QR_ERROR_##name,
-    QR_ERROR_LIST
-#undef DEF
-        QR_ERROR_COUNT
+    QR_ERROR_BAD_INPUT,
+    QR_ERROR_TOO_LARGE,
+    QR_ERROR_IO,         /* it surely was not done */
+    QR_ERROR_MAYBE_DONE, /* no answer: it may have been done */
+    QR_ERROR_REFUSED,
+    QR_ERROR_CONFLICT,
 } QRErrorCode;
 
 #define QR_ERROR (qr_error_quark())
 GQuark qr_error_quark(void);
-const char *qr_error_text(QRErrorCode code);
 
 /* What is wrong with an input, and where; collected, reported together. */
 typedef struct QRFindings {
--- a/src/core/qr_entry.h
+++ b/src/core/qr_entry.h
@@ -155,12 +155,6 @@
 void qr_entry_closed(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_hosts(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_peers_tick(QREntry *s, QREffects *out);
-/* Applies the record at 'offset'; false if it is not the next one. */
-bool qr_entry_apply(QREntry *s, uint64_t offset, GBytes *record);
-/* The configuration moved on: all who have to know are told. */
-void qr_entry_moved(QREntry *s, QREffects *out);
-/* Sends the configuration to all that have an older one. */
-void qr_entry_spread(QREntry *s, QREffects *out);
 void qr_entry_publish(QREntry *s, QREffects *out);
 void qr_backend_free(void *p);
 void qr_peer_free(void *p);
@@ -172,14 +166,22 @@
 const QRRollout *qr_entry_rollout(QREntry *s, const QRIntent *in);
 void qr_entry_rollout_free(void *p);
 
+/* qr_entry_spread.c */
+/* Applies the record at 'offset'; false if it is not the next one. */
+bool qr_entry_apply(QREntry *s, uint64_t offset, GBytes *record);
+/* Takes over 'c' if it is newer; otherwise frees it. */
+void qr_entry_take_config(QREntry *s, QRConfig *c, QREffects *out);
+/* The configuration moved on: all who have to know are told. */
+void qr_entry_moved(QREntry *s, QREffects *out);
+/* Sends the configuration to all that have an older one. */
+void qr_entry_spread(QREntry *s, QREffects *out);
+
 /* qr_entry_log.c */
 void qr_entry_log_read(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_log_failed(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_appended(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_confirm(QREntry *s, const QREvent *ev, QREffects *out);
 void qr_entry_log_tick(QREntry *s, QREffects *out);
-/* Takes over 'c' if it is newer; otherwise frees it. */
-void qr_entry_take_config(QREntry *s, QRConfig *c, QREffects *out);
 void qr_confirm_free(void *p);
 
 /* qr_entry_calls.c */
--- a/src/core/qr_entry_ops.c
+++ b/src/core/qr_entry_ops.c
@@ -118,6 +118,7 @@
                 s->log_answered_ms ? (int64_t)(s->now_ms - s->log_answered_ms)
                                    : -1);
     qr_json_int(o, "entries_connected", peers);
+    qr_json_int(o, "bad_records", (int64_t)s->config->bad_records);
     qr_json_int(o, "calls_open", s->calls.count);
     qr_json_bool(o, "stopping", s->stop_at_ms != 0);
     qr_json_add(o, "intents", a);
--- a/src/core/qr_settings.c
+++ b/src/core/qr_settings.c
@@ -13,27 +13,22 @@
     {#name, QR_FIELD_INT, offsetof(QRSettings, name), false, min,              \
      max,   fallback},
 
+/* Texts of both roles. */
+#define TEXT_BOTH                                                              \
+    TEXT(role, QR_FIELD_NAME, true), TEXT(host, QR_FIELD_NAME, true),          \
+        TEXT(availability_zone, QR_FIELD_NAME, true),                          \
+        TEXT(listen, QR_FIELD_ADDRESS, true),                                  \
+        TEXT(log, QR_FIELD_ADDRESS, true),                                     \
+        TEXT(host_list, QR_FIELD_ADDRESS, true),                               \
+        TEXT(entries, QR_FIELD_ADDRESSES, false),
+
 static const QRField entry_fields[] = {
-    TEXT(role, QR_FIELD_NAME, true),
-    TEXT(host, QR_FIELD_NAME, true),
-    TEXT(availability_zone, QR_FIELD_NAME, true),
-    TEXT(listen, QR_FIELD_ADDRESS, true),
-    TEXT(log, QR_FIELD_ADDRESS, true),
-    TEXT(host_list, QR_FIELD_ADDRESS, true),
-    TEXT(entries, QR_FIELD_ADDRESSES, false),
-    TEXT(callers, QR_FIELD_ADDRESS, true),
+    TEXT_BOTH TEXT(callers, QR_FIELD_ADDRESS, true),
     QR_SETTINGS_BOTH QR_SETTINGS_ENTRY{0},
 };
 
 static const QRField agent_fields[] = {
-    TEXT(role, QR_FIELD_NAME, true),
-    TEXT(host, QR_FIELD_NAME, true),
-    TEXT(availability_zone, QR_FIELD_NAME, true),
-    TEXT(listen, QR_FIELD_ADDRESS, true),
-    TEXT(log, QR_FIELD_ADDRESS, true),
-    TEXT(host_list, QR_FIELD_ADDRESS, true),
-    TEXT(entries, QR_FIELD_ADDRESSES, false),
-    TEXT(service, QR_FIELD_NAME, true),
+    TEXT_BOTH TEXT(service, QR_FIELD_NAME, true),
     TEXT(kind, QR_FIELD_NAME, true),
     TEXT(backend, QR_FIELD_ADDRESS, true),
     TEXT(weight_store, QR_FIELD_ADDRESS, false),
@@ -43,6 +38,7 @@
 };
 #undef DEF
 #undef TEXT
+#undef TEXT_BOTH
 
 /* What single fields cannot tell. */
 static void settings_check(const QRSettings *s, bool agent, QRFindings *f)
--- a/src/core/qr_tree.c
+++ b/src/core/qr_tree.c
@@ -81,18 +81,6 @@
     return (rank - t->roots) / t->fan_out;
 }
 
-unsigned qr_tree_depth(const QRTree *t, unsigned index)
-{
-    unsigned rank = qr_tree_rank(t, index);
-    unsigned depth = 0;
-
-    while (!tree_is_root(t, rank)) {
-        rank = tree_parent(t, rank);
-        depth++;
-    }
-    return depth;
-}
-
 int qr_tree_source(const QRTree *t, unsigned index,
                    bool (*usable)(void *arg, unsigned place), void *arg)
 {
--- a/src/core/qr_tree.h
+++ b/src/core/qr_tree.h
@@ -38,8 +38,6 @@
 
 /* Own rank in the tree of chunk'index'; 0 is the root. */
 unsigned qr_tree_rank(const QRTree *t, unsigned index);
-/* How many sources lie between this host and the origin. */
-unsigned qr_tree_depth(const QRTree *t, unsigned index);
 /*
  * Place on the ring of the host to ask for chunk 'index', or QR_TREE_ORIGIN.
  * 'usable' says whether the host at a place may be asked.
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -89,7 +89,8 @@
      "fuzz_entry"),
     ("agent-stops-at-once", 6, "core/qr_agent.c",
      "(s->runs.count > 0 ||", "(false &&", "fuzz_agent"),
-    ("older-state-is-taken", 7, "core/qr_entry_peers.c",
+    ("older-state-is-taken", 7,
+     ("core/qr_entry_spread.c", "core/qr_entry_peers.c"),
      ("if (c->revision <= s->config->revision) {",
       "if (m->revision <= s->config->revision)"),
      ("if (false) {", "if (false)"), "fuzz_entry"),
@@ -110,6 +111,16 @@
 ]
 
 
+def mutate(target, there, instead):
+    with open(target, encoding="utf-8") as f:
+        text = f.read()
+    if there not in text:
+        return False
+    with open(target, "w", encoding="utf-8") as f:
+        f.write(text.replace(there, instead, 1))
+    return True
+
+
 def run_mutant(mutant):
     name, point, path, old, new, test = mutant
     with tempfile.TemporaryDirectory(prefix="quayring-mutant-") as scratch:
@@ -117,16 +128,11 @@
         shutil.copytree(ROOT, top, symlinks=True, copy_function=shutil.copy2,
                         ignore=shutil.ignore_patterns(
                             ".git", "build", "build-tsan", "quayring"))
-        target = os.path.join(top, "src", path)
-        with open(target, encoding="utf-8") as f:
-            text = f.read()
-        pairs = [(old, new)] if isinstance(old, str) else zip(old, new)
-        for there, instead in pairs:
-            if there not in text:
+        if isinstance(path, str):
+            path, old, new = (path,), (old,), (new,)
+        for one, there, instead in zip(path, old, new):
+            if not mutate(os.path.join(top, "src", one), there, instead):
                 return name, point, test, "STALE: what it changes is gone"
-            text = text.replace(there, instead, 1)
-        with open(target, "w", encoding="utf-8") as f:
-            f.write(text)
         built = subprocess.run(
             ["make", "-s", "B=build-san", "SAN=-fsanitize=address,undefined "
              "-fno-sanitize-recover=all", "CFLAGS=-O1 -g -Wno-error",
