Calls sent again a while after their answer have a rule of their own

The machine seldom sent the same call again after it had ended and time had passed.

Change: call_and_resend.

--- a/tests/test_fuzz_agent.py
+++ b/tests/test_fuzz_agent.py
@@ -506,6 +506,17 @@
             if self.engine_reads:
                 self.engine_answers(True, 0)
 
+    @rule(ms=st.sampled_from([10, 150, 2500]))
+    def call_and_resend(self, ms):
+        """The answer is lost, and the caller sends again a while later."""
+        self.call(0, 0, False, "start.0", 600)
+        if self.runs:
+            self.backend_end(len(self.runs) - 1, "whole", 0)
+        self.wait(ms)
+        olds = sum(not s["repeatable"] for s in self.starts.values())
+        if olds:
+            self.call(1, 2 * olds - 1, False, "start.0", 600)
+
     @rule(version=st.sampled_from(["v1", "v2", "v3"]))
     def version_in_silence(self, version):
         """No entry replies for longer than a lease, then all goes on."""
