--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # quayring: see README.md for the targets.
 
 VERSION := $(shell cat VERSION)
-PKGS := glib-2.0 json-c neon libmicrohttpd libprotobuf-c liburcu-bp libcrypto
+PKGS := glib-2.0 json-c neon libmicrohttpd libprotobuf-c liburcu-bp libcrypto \
+        libuv
 B ?= build
 S := build-san
 T := build-tsan
@@ -13,15 +14,18 @@
 SAN ?=
 SAN_FLAGS := -fsanitize=address,undefined -fno-sanitize-recover=all
 # recursive: nothing is asked of pkg-config before 'deps' has installed it
-ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -DQR_VERSION='"$(VERSION)"' -Isrc \
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -DQR_VERSION='"$(VERSION)"' -Isrc -Iplatform \
              $(WARN) $(CFLAGS) $(SAN) \
              $(shell pkg-config --cflags $(PKGS))
-LIBS = $(shell pkg-config --libs $(PKGS)) -llog4c -lpthread
+LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -llog4c \
+       -lpthread
 
-GEN := src/wire/quayring.pb-c.c
-LIB_SRC := $(GEN) $(filter-out src/cmd/% $(GEN),$(wildcard src/*/*.c))
+GEN := src/wire/quayring.pb-c.c src/wire/fleet.pb-c.c
+LIB_SRC := $(GEN) $(filter-out src/cmd/% $(GEN),$(wildcard src/*/*.c)) \
+           $(wildcard platform/*.c)
 CMD_SRC := $(wildcard src/cmd/*.c)
-OWN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] tests/*.[ch]))
+OWN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] platform/*.[ch] \
+       tests/*.[ch]))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 CMD_OBJ := $(CMD_SRC:%.c=$(B)/%.o)
 TEST_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/*.c))
@@ -88,7 +92,7 @@
 lint: deps
 	clang-format --dry-run -Werror $(OWN)
 	printf '%s\n' $(filter %.c,$(OWN)) | xargs -P 8 -n 4 sh -c \
-	    'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Isrc \
+	    'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Isrc -Iplatform \
 	    -DQR_VERSION="\"\"" $(shell pkg-config --cflags $(PKGS) check)' tidy
 	pyflakes3 tests/*.py
 
@@ -97,7 +101,7 @@
 
 # Needed only when src/wire/quayring.proto changes.
 generate:
-	cd src/wire && protoc-c --c_out=. quayring.proto
+	cd src/wire && protoc-c --c_out=. quayring.proto fleet.proto
 	protoc --python_out=tests/gen -Isrc/wire src/wire/quayring.proto
 
 install: all
@@ -107,7 +111,7 @@
 	install -D -m 644 -t $(DESTDIR)$(PREFIX)/share/doc/quayring/etc etc/*
 
 clean:
-	rm -rf build build-san build-tsan
+	rm -rf build build-san build-tsan target
 
 .PHONY: all deps san test fuzz mutants demo measure tsan lint format generate install \
         clean
--- a/src/base/qr_json.c
+++ b/src/base/qr_json.c
@@ -231,6 +231,23 @@
         *out = n;
 }
 
+static void json_read_number(json_object *v, const char *place,
+                             const QRField *d, double *out, QRFindings *f)
+{
+    double n = json_object_get_double(v);
+
+    if (!json_object_is_type(v, json_type_int) &&
+        !json_object_is_type(v, json_type_double))
+        qr_findings_add(f, place, "must be a number");
+    else if (!(n >= (double)d->min && n <= (double)d->max))
+        qr_findings_add(f, place,
+                        "%g is not within %" G_GINT64_FORMAT
+                        "..%" G_GINT64_FORMAT,
+                        n, d->min, d->max);
+    else
+        *out = n;
+}
+
 static void json_read_names(json_object *v, const char *place, const QRField *d,
                             GPtrArray *out, QRFindings *f)
 {
@@ -268,6 +285,9 @@
     case QR_FIELD_INT:
         json_read_int(v, place, d, member, f);
         break;
+    case QR_FIELD_NUMBER:
+        json_read_number(v, place, d, member, f);
+        break;
     case QR_FIELD_BOOL:
         if (json_object_is_type(v, json_type_boolean))
             *(bool *)member = json_object_get_boolean(v);
@@ -300,6 +320,8 @@
 
         if (fields->type == QR_FIELD_INT)
             *(int64_t *)member = fields->fallback;
+        else if (fields->type == QR_FIELD_NUMBER)
+            *(double *)member = (double)fields->fallback;
         else if (fields->type == QR_FIELD_BOOL)
             *(bool *)member = fields->fallback != 0;
         else if (fields->type == QR_FIELD_NAMES ||
--- a/src/base/qr_json.h
+++ b/src/base/qr_json.h
@@ -15,6 +15,7 @@
     QR_FIELD_TEXT,      /* char *: any text */
     QR_FIELD_ADDRESS,   /* char *: ip:port */
     QR_FIELD_INT,       /* int64_t within min..max */
+    QR_FIELD_NUMBER,    /* double within min..max, fractions too */
     QR_FIELD_BOOL,      /* bool */
     QR_FIELD_NAMES,     /* GPtrArray of char *, each a name */
     QR_FIELD_ADDRESSES, /* GPtrArray of char *, each ip:port */
@@ -26,7 +27,7 @@
     QRFieldType type;
     size_t offset; /* of the member in the struct read into */
     bool required;
-    int64_t min, max, fallback; /* of QR_FIELD_INT; fallback of BOOL too */
+    int64_t min, max, fallback; /* of numbers; fallback of BOOL too */
 } QRField;
 
 /*
--- a/src/cmd/qr_cmd.h
+++ b/src/cmd/qr_cmd.h
@@ -13,6 +13,8 @@
 #define QR_VERB_LIST                                                           \
     DEF(entry, "-c FILE", "answer callers and route their calls")              \
     DEF(agent, "-c FILE", "serve one backend server host")                     \
+    DEF(gateway, "-c FILE", "relay calls straight to engines")                 \
+    DEF(sidecar, "-c FILE", "bring weights to the engine on this machine")     \
     DEF(check, "FILE...", "check settings and print every finding")            \
     DEF(plan, "-e ADDRESS [-o PLAN] DECLARATION",                              \
         "show what a declaration would change")                                \
--- a/src/cmd/qr_cmd_serve.c
+++ b/src/cmd/qr_cmd_serve.c
@@ -1,9 +1,12 @@
 /*
- * The verbs that read settings: entry, agent, check.
+ * The verbs that read settings: entry, agent, gateway, sidecar, check.
  */
 #include "qr_cmd.h"
 #include "core/qr_settings.h"
+#include "fleet/qr_fleet_settings.h"
+#include "gateway/qr_gateway.h"
 #include "node/qr_node.h"
+#include "sidecar/qr_sidecar.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -86,6 +89,43 @@
     return serve(argc, argv, "agent");
 }
 
+static int serve_fleet(int argc, char **argv, const char *role,
+                       int (*run)(const char *file, QRFleetSettings *set))
+{
+    g_auto(QRFindings) f = {0};
+    g_autoptr(QRFleetSettings) set = NULL;
+    g_autoptr(GError) err = NULL;
+    g_autofree char *text = NULL;
+    g_autofree char *found = NULL;
+    ServeArgs a = {0};
+    gsize len;
+
+    argp_parse(&serve_argp, argc, argv, 0, NULL, &a);
+    qr_findings_init(&f, a.file);
+    if (!g_file_get_contents(a.file, &text, &len, &err))
+        qr_findings_add(&f, "file", "%s", err->message);
+    else
+        set = qr_fleet_settings_read(text, len, &f);
+    if (set && strcmp(set->role, role) != 0)
+        qr_findings_add(&f, "role", "is %s, not %s", set->role, role);
+    if (qr_findings_count(&f) > 0) {
+        found = qr_findings_text(&f);
+        fputs(found, stderr);
+        return QR_EXIT_FINDINGS;
+    }
+    return run(a.file, set);
+}
+
+int qr_cmd_gateway(int argc, char **argv)
+{
+    return serve_fleet(argc, argv, "gateway", qr_gateway_run);
+}
+
+int qr_cmd_sidecar(int argc, char **argv)
+{
+    return serve_fleet(argc, argv, "sidecar", qr_sidecar_run);
+}
+
 static error_t check_option(int key, char *arg, struct argp_state *state)
 {
     GPtrArray *files = state->input;
@@ -108,18 +148,37 @@
     NULL,
     NULL};
 
+/* Whose settings they are is told by their role. */
+static void check_text(const char *file, const char *text, gsize len,
+                       QRFindings *f)
+{
+    g_autoptr(QRSettings) set = NULL;
+    g_autoptr(QRFleetSettings) fleet = NULL;
+
+    if (qr_fleet_settings_meant(text, len))
+        fleet = qr_fleet_settings_read(text, len, f);
+    else
+        set = qr_settings_read(text, len, f);
+    if (set || fleet)
+        printf("%s: fit for use as %s\n", file,
+               set ? set->role : fleet->role);
+}
+
 static unsigned check_file(const char *file)
 {
     g_auto(QRFindings) f = {0};
-    g_autoptr(QRSettings) set = NULL;
+    g_autoptr(GError) err = NULL;
     g_autofree char *text = NULL;
+    g_autofree char *found = NULL;
+    gsize len;
 
     qr_findings_init(&f, file);
-    set = serve_read(file, &f);
-    text = qr_findings_text(&f);
-    fputs(text, stderr);
-    if (set)
-        printf("%s: fit for use as %s\n", file, set->role);
+    if (g_file_get_contents(file, &text, &len, &err))
+        check_text(file, text, len, &f);
+    else
+        qr_findings_add(&f, "file", "%s", err->message);
+    found = qr_findings_text(&f);
+    fputs(found, stderr);
     return qr_findings_count(&f);
 }
 
--- /dev/null
+++ b/src/fleet/qr_engines.c
@@ -0,0 +1,261 @@
+/*
+ * What a gateway believes of the engines.
+ */
+#include "qr_engines.h"
+
+#include <string.h>
+
+#define FAILURES_TO_EJECT 6
+#define WEIGHT_ERROR 1
+#define WEIGHT_BREAK 2
+#define EJECT_FIRST_MS 1000
+#define EJECT_MOST_MS 8000
+#define FULL_PAUSE_MS 60  /* a full engine is left alone for so long */
+#define MOVED_PAUSE_MS 250
+#define SMOOTHING 0.2
+
+void qr_engine_record_free(QREngineRecord *r)
+{
+    if (!r)
+        return;
+    g_free(r->id);
+    g_free(r->service);
+    g_free(r->address);
+    g_free(r->zone);
+    g_free(r->model);
+    g_free(r);
+}
+
+static void engine_free(void *row)
+{
+    QREngine *e = row;
+
+    qr_engine_record_free(e->record);
+    g_hash_table_unref(e->others);
+    g_free(e);
+}
+
+void qr_engines_init(QREngines *t)
+{
+    t->by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
+    t->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
+}
+
+void qr_engines_clear(QREngines *t)
+{
+    g_clear_pointer(&t->by_service, g_hash_table_unref);
+    g_clear_pointer(&t->by_id, g_hash_table_unref);
+}
+
+static void index_add(QREngines *t, QREngine *e)
+{
+    GPtrArray *list = g_hash_table_lookup(t->by_service, e->record->service);
+
+    if (!list) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(t->by_service, g_strdup(e->record->service), list);
+    }
+    g_ptr_array_add(list, e);
+}
+
+static void index_remove(QREngines *t, QREngine *e)
+{
+    GPtrArray *list = g_hash_table_lookup(t->by_service, e->record->service);
+
+    if (list)
+        g_ptr_array_remove_fast(list, e);
+}
+
+static const char *record_change(const QREngineRecord *old,
+                                 const QREngineRecord *new)
+{
+    if (old->draining != new->draining)
+        return new->draining ? "draining" : "ready again";
+    if (strcmp(old->address, new->address) != 0)
+        return "moved";
+    if (old->version != new->version)
+        return "other version";
+    return NULL;
+}
+
+const char *qr_engines_record(QREngines *t, QREngineRecord *r, uint64_t now_ms)
+{
+    QREngine *e = g_hash_table_lookup(t->by_id, r->id);
+    const char *change;
+
+    if (!e) {
+        e = g_new0(QREngine, 1);
+        e->record = r;
+        e->heard_ms = now_ms;
+        e->others =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_insert(t->by_id, r->id, e);
+        index_add(t, e);
+        return "new";
+    }
+    change = e->gone ? "back" : record_change(e->record, r);
+    /* the key of the table is the record's own id: it stays */
+    g_free(r->id);
+    r->id = e->record->id;
+    e->record->id = NULL;
+    index_remove(t, e);
+    qr_engine_record_free(e->record);
+    e->record = r;
+    e->gone = false;
+    e->heard_ms = now_ms;
+    index_add(t, e);
+    return change;
+}
+
+bool qr_engines_drop(QREngines *t, const char *id, uint64_t now_ms)
+{
+    QREngine *e = g_hash_table_lookup(t->by_id, id);
+
+    if (!e || e->gone)
+        return false;
+    e->gone = true;
+    e->heard_ms = now_ms;
+    return true;
+}
+
+unsigned qr_engines_keep_only(QREngines *t, GHashTable *ids, uint64_t now_ms)
+{
+    GHashTableIter it;
+    void *key, *value;
+    unsigned dropped = 0;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        if (!g_hash_table_contains(ids, key))
+            dropped += qr_engines_drop(t, key, now_ms);
+    }
+    return dropped;
+}
+
+QREngine *qr_engines_get(const QREngines *t, const char *id)
+{
+    return g_hash_table_lookup(t->by_id, id);
+}
+
+QREngine *qr_engines_at(const QREngines *t, const char *address)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QREngine *e = value;
+
+        if (!e->gone && strcmp(e->record->address, address) == 0)
+            return e;
+    }
+    return NULL;
+}
+
+const GPtrArray *qr_engines_of(const QREngines *t, const char *service)
+{
+    return g_hash_table_lookup(t->by_service, service);
+}
+
+void qr_engines_sweep(QREngines *t)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QREngine *e = value;
+
+        if (e->gone && e->own == 0) {
+            index_remove(t, e);
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+void qr_engines_told_load(QREngines *t, const char *id, const char *gateway,
+                          unsigned open)
+{
+    QREngine *e = g_hash_table_lookup(t->by_id, id);
+
+    if (!e)
+        return;
+    if (open == 0)
+        g_hash_table_remove(e->others, gateway);
+    else
+        g_hash_table_insert(e->others, g_strdup(gateway),
+                            GUINT_TO_POINTER(open));
+}
+
+void qr_engines_forget_gateway(QREngines *t, const char *gateway)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value))
+        g_hash_table_remove(((QREngine *)value)->others, gateway);
+}
+
+unsigned qr_engine_open(const QREngine *e)
+{
+    GHashTableIter it;
+    void *value;
+    unsigned open = e->own;
+
+    g_hash_table_iter_init(&it, e->others);
+    while (g_hash_table_iter_next(&it, NULL, &value))
+        open += GPOINTER_TO_UINT(value);
+    return open;
+}
+
+uint64_t qr_engine_version(const QREngine *e)
+{
+    if (e->told && e->told_ms >= e->heard_ms)
+        return e->told_version;
+    return e->told ? MAX(e->told_version, e->record->version)
+                   : e->record->version;
+}
+
+static bool outcome_failure(QREngine *e, unsigned weight, uint64_t now_ms)
+{
+    uint64_t pause;
+
+    e->failures += weight;
+    if (!e->trial && e->failures < FAILURES_TO_EJECT)
+        return false;
+    pause = (uint64_t)EJECT_FIRST_MS << MIN(e->ejections, 3u);
+    e->ejected_until_ms = now_ms + MIN(pause, (uint64_t)EJECT_MOST_MS);
+    e->ejections++;
+    e->trial = false;
+    e->failures = 0;
+    return true;
+}
+
+bool qr_engine_outcome(QREngine *e, QREngineOutcome outcome, double first_ms,
+                       uint64_t now_ms)
+{
+    switch (outcome) {
+    case QR_OUTCOME_GOOD:
+        e->failures = 0;
+        e->ejections = 0;
+        e->trial = false;
+        e->answer_ms += SMOOTHING * (first_ms - e->answer_ms);
+        return false;
+    case QR_OUTCOME_FULL:
+        e->trial = false;
+        e->refused_until_ms = now_ms + FULL_PAUSE_MS;
+        return false;
+    case QR_OUTCOME_MOVED:
+        e->trial = false;
+        e->refused_until_ms = now_ms + MOVED_PAUSE_MS;
+        return false;
+    case QR_OUTCOME_ERROR:
+        return outcome_failure(e, WEIGHT_ERROR, now_ms);
+    case QR_OUTCOME_FAILURE:
+        return outcome_failure(e, WEIGHT_BREAK, now_ms);
+    }
+    return false;
+}
--- /dev/null
+++ b/src/fleet/qr_engines.h
@@ -0,0 +1,83 @@
+/*
+ * What a gateway believes of the engines: from the store, from sidecars, from
+ * other gateways, and from its own calls.
+ */
+#ifndef QR_ENGINES_H
+#define QR_ENGINES_H
+
+#include "qr_policy.h"
+
+/* An engine's own record in the store. */
+typedef struct QREngineRecord {
+    char *id, *service, *address, *zone;
+    unsigned slots;
+    bool draining;
+    char *model;      /* NULL: holds no weights */
+    uint64_t version; /* of the model, whole; 0: none */
+} QREngineRecord;
+
+void qr_engine_record_free(QREngineRecord *r);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(QREngineRecord, qr_engine_record_free)
+
+typedef struct QREngine {
+    QREngineRecord *record;
+    uint64_t heard_ms;  /* when the record last changed here */
+    bool gone;          /* no record any more; no new calls */
+    unsigned own;       /* calls that we have open there */
+    unsigned own_told;  /* of these, what the other gateways know */
+    GHashTable *others; /* gateway's name -> its open calls, as told */
+    /* told by the sidecar; newer than the record */
+    bool told, told_switching, told_unreachable;
+    uint64_t told_version, told_ms;
+    /* from our own calls */
+    unsigned failures;      /* in a row, by weight */
+    uint64_t ejected_until_ms;
+    unsigned ejections;     /* in a row */
+    bool trial;             /* one call is out to see if it works again */
+    double answer_ms;       /* smoothed time to the first byte */
+    uint64_t refused_until_ms; /* it said that it is full */
+} QREngine;
+
+typedef struct QREngines {
+    GHashTable *by_id;      /* id -> QREngine *, owned */
+    GHashTable *by_service; /* service -> GPtrArray of QREngine * */
+} QREngines;
+
+void qr_engines_init(QREngines *t);
+void qr_engines_clear(QREngines *t);
+/* Takes a record over. Returns what changed, for the log, or NULL. */
+const char *qr_engines_record(QREngines *t, QREngineRecord *r, uint64_t now_ms);
+/* The engine's record is gone. Returns false if it was not known. */
+bool qr_engines_drop(QREngines *t, const char *id, uint64_t now_ms);
+/* Drops those that are not among 'ids' (a set). Returns how many. */
+unsigned qr_engines_keep_only(QREngines *t, GHashTable *ids, uint64_t now_ms);
+QREngine *qr_engines_get(const QREngines *t, const char *id);
+/* The live engine at an address, or NULL. */
+QREngine *qr_engines_at(const QREngines *t, const char *address);
+const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
+/* Forgets engines that are gone and carry no call of ours. */
+void qr_engines_sweep(QREngines *t);
+
+/* What 'gateway' told of its open calls. */
+void qr_engines_told_load(QREngines *t, const char *id, const char *gateway,
+                          unsigned open);
+/* Nothing that 'gateway' told counts any more. */
+void qr_engines_forget_gateway(QREngines *t, const char *gateway);
+unsigned qr_engine_open(const QREngine *e);
+/* The version of weights that calls begin on there; 0: none, or unknown. */
+uint64_t qr_engine_version(const QREngine *e);
+
+/* How a call at the engine went. */
+typedef enum QREngineOutcome {
+    QR_OUTCOME_GOOD,    /* a whole answer */
+    QR_OUTCOME_ERROR,   /* a whole answer that says that it failed */
+    QR_OUTCOME_FAILURE, /* a break, no answer, bytes that are none */
+    QR_OUTCOME_FULL,    /* it turned the call away for want of room */
+    QR_OUTCOME_MOVED,   /* another engine has the address, or version */
+} QREngineOutcome;
+
+/* Returns true if the engine was ejected by this. */
+bool qr_engine_outcome(QREngine *e, QREngineOutcome outcome, double first_ms,
+                       uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/fleet/qr_follower.c
@@ -0,0 +1,219 @@
+/*
+ * Follows one topic of the store.
+ */
+#include "qr_follower.h"
+
+#include <string.h>
+
+#define CONNECT_MS 700
+#define BACKOFF_FIRST_MS 200
+#define BACKOFF_MOST_MS 1000
+
+struct QRFollower {
+    QRClient *client;
+    const QRPlatform *platform;
+    QRFollowerOptions options;
+    char *address;
+    const QRFollowerHandlers *handlers;
+    void *owner;
+    QRWhole *call;
+    bool listing;       /* the call under way is a listing */
+    bool listed;        /* a listing was taken, reads go on from 'offset' */
+    char *after;        /* last key of the page before */
+    GHashTable *keys;   /* seen in this listing */
+    uint64_t list_end;  /* end as the first page told it */
+    uint64_t offset;
+    uint64_t next_ms, now_ms, answered_ms, gap_ms;
+    unsigned backoff_ms;
+    bool reached, paused;
+    uint64_t calls;
+};
+
+static void follower_failed(QRFollower *f, const char *why)
+{
+    if (f->reached || f->answered_ms == 0)
+        f->handlers->reached(f->owner, false, why);
+    f->reached = false;
+    f->answered_ms = f->answered_ms ? f->answered_ms : 1;
+    f->next_ms = f->now_ms + f->backoff_ms;
+    f->backoff_ms = MIN(f->backoff_ms * 2, BACKOFF_MOST_MS);
+}
+
+static void follower_worked(QRFollower *f)
+{
+    f->backoff_ms = BACKOFF_FIRST_MS;
+    f->gap_ms = f->reached ? 0 : f->now_ms - MIN(f->answered_ms, f->now_ms);
+    f->answered_ms = f->now_ms;
+    if (!f->reached) {
+        f->reached = true;
+        f->handlers->reached(f->owner, true, "answered");
+    }
+}
+
+static void take_records(QRFollower *f, const QRStorePage *page)
+{
+    for (unsigned i = 0; i < page->records->len; i++)
+        f->handlers->record(f->owner, page->records->pdata[i]);
+}
+
+static void restart_listing(QRFollower *f)
+{
+    f->listed = false;
+    g_clear_pointer(&f->after, g_free);
+    g_hash_table_remove_all(f->keys);
+    f->next_ms = f->now_ms;
+}
+
+static void take_listing(QRFollower *f, const QRStorePage *page)
+{
+    const QRStoreRecord *last = NULL;
+
+    if (!f->after)
+        f->list_end = page->end;
+    take_records(f, page);
+    for (unsigned i = 0; i < page->records->len; i++) {
+        last = page->records->pdata[i];
+        g_hash_table_add(f->keys, g_strdup(last->key));
+    }
+    f->next_ms = f->now_ms;
+    if (page->more && last) {
+        g_free(f->after);
+        f->after = g_strdup(last->key);
+        return;
+    }
+    g_clear_pointer(&f->after, g_free);
+    f->handlers->listed(f->owner, f->keys);
+    g_hash_table_remove_all(f->keys);
+    /* what changed while pages were read stands behind the first end */
+    f->offset = f->list_end;
+    f->listed = true;
+    if (f->options.wait_ms == 0)
+        f->next_ms = f->now_ms + f->options.interval_ms;
+}
+
+static void take_read(QRFollower *f, const QRStorePage *page)
+{
+    if (page->lost) {
+        restart_listing(f);
+        return;
+    }
+    take_records(f, page);
+    f->offset += page->records->len;
+    f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
+}
+
+static void answer_done(void *owner, unsigned ref, const QRWholeAnswer *a)
+{
+    QRFollower *f = owner;
+    QRStorePage page = {0};
+    char why[64];
+    int rc = -1;
+
+    (void)ref;
+    f->call = NULL;
+    if (a->status == 0)
+        g_strlcpy(why, a->why, sizeof(why));
+    else
+        g_snprintf(why, sizeof(why), "status %u", a->status);
+    if (a->status)
+        rc = f->listing ? f->platform->parse_list(a->status, a->data, a->len,
+                                                  &page)
+                        : f->platform->parse_read(a->status, a->data, a->len,
+                                                  f->offset, &page);
+    if (rc != 0) {
+        follower_failed(f, why);
+    } else {
+        follower_worked(f);
+        if (f->listing)
+            take_listing(f, &page);
+        else
+            take_read(f, &page);
+    }
+    qr_store_page_clear(&page);
+}
+
+static void follower_send(QRFollower *f)
+{
+    g_autofree char *path = NULL;
+    QRWholeRequest r = {0};
+
+    f->listing = !f->listed;
+    path = f->listing ? f->platform->list_path(f->options.topic, f->after)
+                      : f->platform->read_path(f->options.topic, f->offset,
+                                               f->options.wait_ms);
+    r.address = f->address;
+    r.method = "GET";
+    r.path = path;
+    r.connect_ms = CONNECT_MS;
+    r.timeout_ms =
+        f->options.timeout_ms + (f->listing ? 0 : f->options.wait_ms);
+    f->calls++;
+    f->call = qr_whole_send(f->client, &r, answer_done, f, 0);
+}
+
+QRFollower *qr_follower_new(QRClient *client, const QRPlatform *platform,
+                            const QRFollowerOptions *options,
+                            const QRFollowerHandlers *handlers, void *owner)
+{
+    QRFollower *f = g_new0(QRFollower, 1);
+
+    f->client = client;
+    f->platform = platform;
+    f->options = *options;
+    f->address = g_strdup(options->address);
+    f->handlers = handlers;
+    f->owner = owner;
+    f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->backoff_ms = BACKOFF_FIRST_MS;
+    return f;
+}
+
+void qr_follower_free(QRFollower *f)
+{
+    if (!f)
+        return;
+    qr_whole_cancel(f->call);
+    g_hash_table_unref(f->keys);
+    g_free(f->after);
+    g_free(f->address);
+    g_free(f);
+}
+
+void qr_follower_tick(QRFollower *f, uint64_t now_ms)
+{
+    f->now_ms = now_ms;
+    if (!f->call && !f->paused && now_ms >= f->next_ms)
+        follower_send(f);
+}
+
+uint64_t qr_follower_offset(const QRFollower *f)
+{
+    return f->listed ? f->offset : 0;
+}
+
+bool qr_follower_reached(const QRFollower *f)
+{
+    return f->reached;
+}
+
+uint64_t qr_follower_gap_ms(const QRFollower *f)
+{
+    return f->gap_ms;
+}
+
+uint64_t qr_follower_answered_ms(const QRFollower *f)
+{
+    return f->answered_ms;
+}
+
+void qr_follower_pause(QRFollower *f, bool paused)
+{
+    f->paused = paused;
+    if (!paused)
+        f->next_ms = 0;
+}
+
+uint64_t qr_follower_calls(const QRFollower *f)
+{
+    return f->calls;
+}
--- /dev/null
+++ b/src/fleet/qr_follower.h
@@ -0,0 +1,47 @@
+/*
+ * Follows one topic of the store: lists the newest record of each key, then
+ * reads what comes after. Lists again when the store no longer keeps what it
+ * was to read next.
+ */
+#ifndef QR_FOLLOWER_H
+#define QR_FOLLOWER_H
+
+#include "net/qr_whole.h"
+#include "qr_platform.h"
+
+typedef struct QRFollowerHandlers {
+    /* A record, newest last; an empty value says that its key is gone. */
+    void (*record)(void *owner, const QRStoreRecord *record);
+    /* A listing is whole: keys that are not in the set 'keys' are gone. */
+    void (*listed)(void *owner, GHashTable *keys);
+    /* The store answered again, or no longer does ('why'). */
+    void (*reached)(void *owner, bool reached, const char *why);
+} QRFollowerHandlers;
+
+typedef struct QRFollowerOptions {
+    QRTopic topic;
+    const char *address;   /* ip:port of the store */
+    unsigned wait_ms;      /* how long a read waits for records; 0: not */
+    unsigned interval_ms;  /* between two reads */
+    unsigned timeout_ms;   /* for an answer, beyond wait_ms */
+} QRFollowerOptions;
+
+typedef struct QRFollower QRFollower;
+
+QRFollower *qr_follower_new(QRClient *client, const QRPlatform *platform,
+                            const QRFollowerOptions *options,
+                            const QRFollowerHandlers *handlers, void *owner);
+void qr_follower_free(QRFollower *f);
+void qr_follower_tick(QRFollower *f, uint64_t now_ms);
+/* Offset behind the newest record seen; 0 before the first listing. */
+uint64_t qr_follower_offset(const QRFollower *f);
+/* Whether the last call was answered, and when the last answer came. */
+bool qr_follower_reached(const QRFollower *f);
+uint64_t qr_follower_answered_ms(const QRFollower *f);
+/* How long the store had been away before its last answer. */
+uint64_t qr_follower_gap_ms(const QRFollower *f);
+/* Stops reading, or goes on with a read at once. */
+void qr_follower_pause(QRFollower *f, bool paused);
+uint64_t qr_follower_calls(const QRFollower *f);
+
+#endif
--- /dev/null
+++ b/src/fleet/qr_members.h
@@ -0,0 +1,46 @@
+/*
+ * Our own processes as this one has heard of them.
+ */
+#ifndef QR_MEMBERS_H
+#define QR_MEMBERS_H
+
+#include "base/qr_base.h"
+#include "wire/fleet.pb-c.h"
+
+#define QR_ROLE_GATEWAY "gateway"
+#define QR_ROLE_SIDECAR "sidecar"
+
+typedef struct QRFleetMember {
+    char *name, *role, *address, *zone, *region, *service_address, *service;
+    uint64_t incarnation;
+    uint64_t heard_ms; /* from itself; 0: only from others */
+    bool leaving;
+    /* sidecars, as told */
+    char *model;
+    uint64_t held; /* version whose pieces it has all */
+} QRFleetMember;
+
+typedef struct QRFleetMembers {
+    GHashTable *by_name; /* name -> QRFleetMember *, owned */
+} QRFleetMembers;
+
+void qr_members_init(QRFleetMembers *m);
+void qr_members_clear(QRFleetMembers *m);
+/*
+ * Takes what a process said of itself ('direct'), or another one of it.
+ * Returns the member if that was news, else NULL.
+ */
+QRFleetMember *qr_members_hello(QRFleetMembers *m, const Qr__Fleet__Hello *hello,
+                           bool direct, uint64_t now_ms);
+QRFleetMember *qr_members_get(const QRFleetMembers *m, const char *name);
+QRFleetMember *qr_members_at(const QRFleetMembers *m, const char *address);
+void qr_members_heard(QRFleetMember *member, uint64_t now_ms);
+bool qr_member_alive(const QRFleetMember *member, uint64_t lease_ms,
+                     uint64_t now_ms);
+/* Members of 'role', of 'service' if that is not NULL; by name. */
+GPtrArray *qr_members_of(const QRFleetMembers *m, const char *role,
+                         const char *service);
+/* Fills a message that borrows the member's texts. */
+void qr_member_describe(const QRFleetMember *member, Qr__Fleet__Hello *hello);
+
+#endif
--- /dev/null
+++ b/src/fleet/qr_operator.h
@@ -0,0 +1,52 @@
+/*
+ * What the operator has put into force, as far as this process knows: the
+ * newest record of each key, the configuration, and the versions of weights.
+ * Records come from the store or from peers; only newer ones count.
+ */
+#ifndef QR_OPERATOR_H
+#define QR_OPERATOR_H
+
+#include "qr_platform.h"
+#include "wire/fleet.pb-c.h"
+
+#define QR_AGE_UNKNOWN_MS 3600000 /* of a record that was there at the start */
+
+/* A version of a model's weights that engines are to serve. */
+typedef struct QRNamedVersion {
+    uint64_t version;
+    uint64_t since_ms; /* when the first of us heard of it; may be long ago */
+} QRNamedVersion;
+
+typedef struct QRHeldRecord {
+    QRStoreRecord *record;
+    uint64_t since_ms; /* may lie before the clock's zero: signed use */
+} QRHeldRecord;
+
+typedef struct QROperator {
+    const QRPlatform *platform;
+    GHashTable *records;  /* key -> QRHeldRecord * */
+    GHashTable *versions; /* model -> QRNamedVersion * */
+    QRPolicy *policy;     /* NULL: none is known yet */
+    uint64_t policy_since_ms;
+    uint64_t end;         /* offset behind the newest record */
+} QROperator;
+
+void qr_operator_init(QROperator *o, const QRPlatform *platform);
+void qr_operator_clear(QROperator *o);
+/*
+ * Takes a record; 'age_ms' is how long others have known it. Returns true if
+ * it was newer than what was known under its key.
+ */
+bool qr_operator_take(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
+                      uint64_t now_ms);
+const QRNamedVersion *qr_operator_version(const QROperator *o,
+                                          const char *model);
+/* Sends all records behind 'offset' by 'send'. */
+void qr_operator_tell(const QROperator *o, uint64_t offset, uint64_t now_ms,
+                      void (*send)(void *to, const Qr__Fleet__Frame *frame),
+                      void *to);
+/* Takes records that a peer told; returns how many were news. */
+unsigned qr_operator_heard(QROperator *o, const Qr__Fleet__Records *records,
+                           uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/fleet/qr_platform.c
@@ -0,0 +1,35 @@
+/*
+ * Ownership of what a platform's parsers return.
+ */
+#include "qr_platform.h"
+
+void qr_store_record_free(void *record)
+{
+    QRStoreRecord *r = record;
+
+    if (!r)
+        return;
+    g_free(r->key);
+    g_bytes_unref(r->value);
+    g_free(r);
+}
+
+void qr_store_page_clear(QRStorePage *page)
+{
+    g_clear_pointer(&page->records, g_ptr_array_unref);
+}
+
+void qr_manifest_free(QRManifest *m)
+{
+    if (!m)
+        return;
+    g_free(m->model);
+    if (m->digests)
+        g_ptr_array_unref(m->digests);
+    g_free(m);
+}
+
+void qr_engine_report_clear(QREngineReport *r)
+{
+    g_clear_pointer(&r->model, g_free);
+}
--- /dev/null
+++ b/src/fleet/qr_platform.h
@@ -0,0 +1,131 @@
+/*
+ * The one place where a platform's manner of speaking meets the product:
+ * names, formats and calls, as a table. Nothing in a platform decides.
+ */
+#ifndef QR_PLATFORM_H
+#define QR_PLATFORM_H
+
+#include "qr_engines.h"
+#include "qr_policy.h"
+
+/* Header fields between callers, gateways and engines. */
+typedef struct QRHeaderNames {
+    const char *call_id;         /* of one attempt of a caller */
+    const char *deadline_ms;     /* what is left of the caller's time */
+    const char *key;             /* of the caller's team */
+    const char *team;            /* told to the engine */
+    const char *expect_engine;   /* any other engine refuses */
+    const char *expect_version;  /* of weights; any other is refused */
+    const char *not_run;         /* in an answer: surely not run */
+    const char *signature;       /* an engine's own answer */
+    const char *priority;        /* 0 first */
+    const char *usage;           /* "tokens in,tokens out" */
+    const char *last_event;      /* of a stream that is taken up again */
+} QRHeaderNames;
+
+/* Kinds of records that the store keeps, newest of each key. */
+typedef enum QRTopic {
+    QR_TOPIC_OPERATOR, /* configuration, named versions */
+    QR_TOPIC_ENGINES,  /* engines' own records */
+    QR_TOPIC_MEMBERS,  /* our processes */
+    QR_TOPIC_COUNT
+} QRTopic;
+
+/* One record of a topic; an empty value says that the key is gone. */
+typedef struct QRStoreRecord {
+    char *key;
+    GBytes *value;
+    uint64_t offset;
+} QRStoreRecord;
+
+void qr_store_record_free(void *record);
+
+/* An answer of the store to a read. */
+typedef struct QRStorePage {
+    GPtrArray *records; /* QRStoreRecord * */
+    uint64_t end;       /* offset behind the newest record of the topic */
+    bool more;          /* of a listing: another page follows */
+    bool lost;          /* of a read: what was asked for is no longer kept */
+} QRStorePage;
+
+void qr_store_page_clear(QRStorePage *page);
+
+/* What an operator's record says. */
+typedef enum QROperatorKind {
+    QR_OPERATOR_OTHER,
+    QR_OPERATOR_POLICY,
+    QR_OPERATOR_WEIGHTS,
+} QROperatorKind;
+
+typedef struct QRManifest {
+    char *model;
+    uint64_t version;
+    uint32_t chunk_bytes;
+    unsigned layers;
+    GPtrArray *digests; /* SHA-256 in hex */
+} QRManifest;
+
+void qr_manifest_free(QRManifest *m);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(QRManifest, qr_manifest_free)
+
+/* What an engine says of itself. */
+typedef struct QREngineReport {
+    char *model;      /* NULL: none */
+    uint64_t version; /* whole; 0: none or in parts */
+    bool busy;        /* an order is under way */
+    uint64_t sequence; /* of orders taken */
+    unsigned active, queued;
+    double pace;
+} QREngineReport;
+
+void qr_engine_report_clear(QREngineReport *r);
+
+/* A request to be sent: the first line and header fields but Host. */
+typedef struct QRPlatform {
+    const char *name;
+    QRHeaderNames headers;
+
+    /* Paths of requests. The caller frees them. */
+    char *(*list_path)(QRTopic topic, const char *after_key);
+    char *(*read_path)(QRTopic topic, uint64_t offset, unsigned wait_ms);
+    /* A record to be put; 'body' is set. */
+    char *(*put_path)(QRTopic topic, const char *key, GBytes *value,
+                      GBytes **body);
+    /* Each returns -1 if the answer cannot be understood. */
+    int (*parse_list)(unsigned status, const char *data, size_t len,
+                      QRStorePage *page);
+    int (*parse_read)(unsigned status, const char *data, size_t len,
+                      uint64_t offset, QRStorePage *page);
+
+    QROperatorKind (*operator_kind)(const char *key);
+    /* NULL if the record is not a configuration. */
+    QRPolicy *(*parse_policy)(const char *data, size_t len, QRFindings *f);
+    int (*parse_weights)(const char *data, size_t len, char **model,
+                         uint64_t *version);
+    QREngineRecord *(*parse_engine)(const char *id, const char *data,
+                                    size_t len);
+
+    /* Answers to callers that ask where to go. */
+    bool (*is_directory)(const char *target);
+    char *(*directory_answer)(const GPtrArray *addresses, unsigned ttl_s);
+    bool (*is_ready)(const char *target);
+    /* The caller's zone in a directory request, or NULL. The caller frees. */
+    char *(*directory_zone)(const char *target);
+
+    /* Weights. */
+    char *(*manifest_path)(const char *model, uint64_t version);
+    QRManifest *(*parse_manifest)(const char *data, size_t len);
+    char *(*piece_path)(const char *model, uint64_t version, unsigned index);
+    char *(*stage_path)(const char *model, unsigned index, bool put);
+    char *(*staged_list_path)(const char *model);
+    char *(*report_path)(void);
+    int (*parse_report)(const char *data, size_t len, QREngineReport *r);
+    char *(*order_path)(void);
+    char *(*start_order)(const char *model, uint64_t version,
+                         uint64_t sequence);
+} QRPlatform;
+
+/* The platform that settings name, or NULL. Defined in platform/. */
+const QRPlatform *qr_platform_find(const char *name);
+
+#endif
--- /dev/null
+++ b/src/gateway/qr_budget.h
@@ -0,0 +1,29 @@
+/*
+ * Retry budget: over a sliding window, sendings beyond the first of each call
+ * stay under a share of the calls plus an allowance.
+ */
+#ifndef QR_BUDGET_H
+#define QR_BUDGET_H
+
+#include "base/qr_base.h"
+
+#define QR_BUDGET_SLICES 20
+
+typedef struct QRBudget {
+    double ratio;       /* retries per call */
+    uint32_t window_ms;
+    struct {
+        uint64_t slice; /* number of the slice of time that it counts */
+        uint32_t calls, retries;
+    } slices[QR_BUDGET_SLICES];
+} QRBudget;
+
+void qr_budget_init(QRBudget *b, double ratio, uint32_t window_ms);
+void qr_budget_call(QRBudget *b, uint64_t now_ms);
+/*
+ * Takes one retry if the window allows it. 'allowance' is this process's part
+ * of the retries that are allowed beside the share.
+ */
+bool qr_budget_retry(QRBudget *b, double allowance, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/gateway/qr_gateway.c
@@ -0,0 +1,324 @@
+/*
+ * A gateway's life: start, the passing of time, reload, stop.
+ */
+#include "qr_gateway.h"
+#include "qr_relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 20
+#define SLOW_TICK_MS 100
+#define SWEEP_MS 2000
+#define STORE_TIMEOUT_MS 1500
+#define END_MARGIN_MS 400     /* of the grace time, kept for the end itself */
+#define RESERVED_DESCRIPTORS 200
+#define ADDRESS_LIVES 3       /* callers keep an answer up to so many times */
+#define HOLD_ENGINE_MS 1200   /* until measured */
+#define HOLD_PLAIN_MS 50
+#define FIRST_ENGINE_MS 120
+#define FIRST_PLAIN_MS 15
+
+uint64_t qr_gateway_now(const QRGateway *g)
+{
+    return uv_now(g->loop);
+}
+
+bool qr_gateway_is_ready(const QRGateway *g)
+{
+    return g->stopping_ms == 0 && g->operator.policy && g->engines_known;
+}
+
+QRServiceStats *qr_gateway_stats(QRGateway *g, const char *service)
+{
+    QRServiceStats *s = g_hash_table_lookup(g->services, service);
+    const QRService *policy;
+    bool engine;
+
+    if (s)
+        return s;
+    policy = g->operator.policy
+                 ? qr_policy_service(g->operator.policy, service)
+                 : NULL;
+    engine = policy && policy->engine.model;
+    s = g_new0(QRServiceStats, 1);
+    qr_budget_init(&s->budget, g->set->retry_ratio,
+                   (uint32_t)(g->set->retry_window_s * 1000));
+    s->hold_ms = engine ? HOLD_ENGINE_MS : HOLD_PLAIN_MS;
+    s->first_ms = engine ? FIRST_ENGINE_MS : FIRST_PLAIN_MS;
+    g_queue_init(&s->waiting);
+    g_hash_table_insert(g->services, g_strdup(service), s);
+    return s;
+}
+
+void qr_gateway_apply_limits(QRGateway *g)
+{
+    const QRPolicy *p = g->operator.policy;
+    QRServerLimits l;
+
+    if (!p)
+        return;
+    l.head_max = p->head_max;
+    l.body_max = p->body_max;
+    l.head_timeout_ms = p->head_timeout_ms;
+    l.idle_timeout_ms = p->idle_timeout_ms;
+    l.connections_max =
+        (unsigned)(g->set->descriptors_max - RESERVED_DESCRIPTORS) * 3 / 4;
+    qr_server_limit(g->callers, &l);
+}
+
+static void gateway_stop_now(QRGateway *g)
+{
+    if (g->stopped)
+        return;
+    g->stopped = true;
+    qr_logf(QR_LEVEL_INFO, "gateway", "stopped calls_open=%u", g->relays->len);
+    uv_stop(g->loop);
+}
+
+/* A planned stop, step by step; see docs/PLATFORM.md. */
+static void gateway_stopping(QRGateway *g, uint64_t now)
+{
+    uint64_t since = now - g->stopping_ms;
+    uint64_t grace = (uint64_t)(g->set->grace_s * 1000);
+    uint64_t kept = (uint64_t)g->set->address_valid_s * 1000 * ADDRESS_LIVES;
+
+    if (since >= MIN(kept, grace - MIN(grace, 2000))) {
+        qr_server_stop_listening(g->callers);
+        if (g->relays->len == 0 && qr_server_close_idle(g->callers) == 0)
+            gateway_stop_now(g);
+    }
+    if (since + END_MARGIN_MS >= grace)
+        gateway_stop_now(g);
+}
+
+static void gateway_slow_tick(QRGateway *g, uint64_t now)
+{
+    qr_server_tick(g->callers, now);
+    qr_server_tick(g->directory, now);
+    qr_server_tick(g->readiness, now);
+    if (g->metrics)
+        qr_server_tick(g->metrics, now);
+    qr_peers_tick(g->peers, now);
+    qr_gateway_heartbeat(g, now);
+    if (now >= g->sweep_ms) {
+        g->sweep_ms = now + SWEEP_MS;
+        qr_engines_sweep(&g->engines);
+    }
+    if (g->stopping_ms > 0)
+        gateway_stopping(g, now);
+    qr_log_flush();
+}
+
+static void gateway_tick(uv_timer_t *timer)
+{
+    QRGateway *g = timer->data;
+    uint64_t now = qr_gateway_now(g);
+
+    qr_client_tick(g->to_engines, now);
+    qr_client_tick(g->to_store, now);
+    qr_follower_tick(g->follow_operator, now);
+    qr_follower_tick(g->follow_engines, now);
+    qr_relay_tick(g, now);
+    if (now >= g->slow_tick_ms) {
+        g->slow_tick_ms = now + SLOW_TICK_MS;
+        gateway_slow_tick(g, now);
+    }
+}
+
+static void gateway_terminate(uv_signal_t *handle, int signum)
+{
+    QRGateway *g = handle->data;
+
+    if (g->stopping_ms > 0)
+        return;
+    qr_logf(QR_LEVEL_INFO, "gateway", "stopping signal=%d calls_open=%u "
+            "connections=%u", signum, g->relays->len,
+            qr_server_connections(g->callers));
+    g->stopping_ms = MAX(qr_gateway_now(g), 1);
+    qr_server_drain(g->callers);
+    qr_gateway_tell_leaving(g);
+}
+
+/* Takes what may change while running; addresses stay as they are. */
+static void gateway_reload(uv_signal_t *handle, int signum)
+{
+    QRGateway *g = handle->data;
+    g_auto(QRFindings) f = {0};
+    g_autofree char *text = NULL;
+    g_autoptr(QRFleetSettings) new = NULL;
+    gsize len;
+
+    (void)signum;
+    qr_findings_init(&f, g->settings_file);
+    if (g_file_get_contents(g->settings_file, &text, &len, NULL))
+        new = qr_fleet_settings_read(text, len, &f);
+    if (!new) {
+        qr_logf(QR_LEVEL_WARN, "gateway", "reload refused findings=%u",
+                qr_findings_count(&f));
+        return;
+    }
+    g->set->address_valid_s = new->address_valid_s;
+    g->set->grace_s = new->grace_s;
+    g->set->version_ms = new->version_ms;
+    g->set->retry_ratio = new->retry_ratio;
+    g->set->retry_allowance = new->retry_allowance;
+    qr_logf(QR_LEVEL_INFO, "gateway", "reloaded file=%s", g->settings_file);
+}
+
+static QRServer *serve(QRGateway *g, const char *address,
+                       const QRServerHandlers *handlers, GError **err)
+{
+    return qr_server_new(g->loop, address, handlers, g, err);
+}
+
+static bool gateway_listen(QRGateway *g, GError **err)
+{
+    const QRFleetSettings *s = g->set;
+
+    g->callers = serve(g, s->callers, &qr_gateway_callers_handlers, err);
+    if (!g->callers)
+        return false;
+    g->directory = serve(g, s->directory, &qr_gateway_directory_handlers, err);
+    if (!g->directory)
+        return false;
+    g->readiness = serve(g, s->readiness, &qr_gateway_readiness_handlers, err);
+    if (!g->readiness)
+        return false;
+    if (s->metrics)
+        g->metrics = serve(g, s->metrics, &qr_gateway_metrics_handlers, err);
+    g->peers =
+        qr_peers_new(g->loop, s->peers, &qr_gateway_peer_handlers, g, err);
+    return g->peers != NULL;
+}
+
+static void gateway_follow(QRGateway *g)
+{
+    QRFollowerOptions operator = {
+        .topic = QR_TOPIC_OPERATOR,
+        .address = g->set->store,
+        .wait_ms = (unsigned)g->set->operator_wait_ms,
+        .timeout_ms = STORE_TIMEOUT_MS,
+    };
+    QRFollowerOptions engines = {
+        .topic = QR_TOPIC_ENGINES,
+        .address = g->set->store,
+        .interval_ms = (unsigned)g->set->engines_poll_ms,
+        .timeout_ms = STORE_TIMEOUT_MS,
+    };
+
+    g->to_engines = qr_client_new(g->loop, g->platform->headers.call_id);
+    g->to_store = qr_client_new(g->loop, g->platform->headers.call_id);
+    g->follow_operator = qr_follower_new(g->to_store, g->platform, &operator,
+                                         &qr_gateway_operator_handlers, g);
+    g->follow_engines = qr_follower_new(g->to_store, g->platform, &engines,
+                                        &qr_gateway_engines_handlers, g);
+}
+
+static void stats_free(void *p)
+{
+    QRServiceStats *s = p;
+
+    g_queue_clear(&s->waiting);
+    g_free(s);
+}
+
+static void gateway_init(QRGateway *g, const char *file, QRFleetSettings *set)
+{
+    memset(g, 0, sizeof(*g));
+    g->loop = uv_default_loop();
+    g->set = set;
+    g->settings_file = file;
+    g->platform = qr_platform_find(set->platform);
+    g->regions = qr_fleet_settings_regions(set);
+    g->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        stats_free);
+    g->followers = g_ptr_array_new();
+    g->relays = g_ptr_array_new();
+    g->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
+    g->random = g->incarnation;
+    g->gateways_most = 1;
+    qr_operator_init(&g->operator, g->platform);
+    qr_engines_init(&g->engines);
+    qr_members_init(&g->members);
+}
+
+static void gateway_signals(QRGateway *g)
+{
+    uv_signal_init(g->loop, &g->sigterm);
+    uv_signal_init(g->loop, &g->sigint);
+    uv_signal_init(g->loop, &g->sighup);
+    g->sigterm.data = g->sigint.data = g->sighup.data = g;
+    uv_signal_start(&g->sigterm, gateway_terminate, SIGTERM);
+    uv_signal_start(&g->sigint, gateway_terminate, SIGINT);
+    uv_signal_start(&g->sighup, gateway_reload, SIGHUP);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+static void gateway_dial_seeds(QRGateway *g)
+{
+    for (unsigned i = 0; i < g->set->seeds->len; i++) {
+        const char *address = g->set->seeds->pdata[i];
+
+        if (strcmp(address, g->set->peers) != 0)
+            qr_peers_dial(g->peers, address);
+    }
+}
+
+/* Frees what the process ends with, so that leaks are found in tests. */
+static void gateway_clear(QRGateway *g)
+{
+    qr_follower_free(g->follow_operator);
+    qr_follower_free(g->follow_engines);
+    while (g->relays->len > 0)
+        qr_relay_gone(g->relays->pdata[0]);
+    qr_client_close(g->to_engines);
+    qr_client_close(g->to_store);
+    qr_server_close(g->callers);
+    qr_server_close(g->directory);
+    qr_server_close(g->readiness);
+    if (g->metrics)
+        qr_server_close(g->metrics);
+    qr_peers_close(g->peers);
+    uv_close((uv_handle_t *)&g->timer, NULL);
+    uv_close((uv_handle_t *)&g->sigterm, NULL);
+    uv_close((uv_handle_t *)&g->sigint, NULL);
+    uv_close((uv_handle_t *)&g->sighup, NULL);
+    uv_run(g->loop, UV_RUN_DEFAULT);
+    uv_loop_close(g->loop);
+    g_ptr_array_unref(g->followers);
+    g_ptr_array_unref(g->relays);
+    g_hash_table_unref(g->services);
+    g_hash_table_unref(g->regions);
+    qr_operator_clear(&g->operator);
+    qr_engines_clear(&g->engines);
+    qr_members_clear(&g->members);
+}
+
+int qr_gateway_run(const char *settings_file, QRFleetSettings *set)
+{
+    QRGateway g;
+    g_autoptr(GError) err = NULL;
+
+    gateway_init(&g, settings_file, set);
+    qr_log_start_bounded(set->host, (int)set->log_level);
+    if (!gateway_listen(&g, &err)) {
+        qr_logf(QR_LEVEL_ERROR, "gateway", "cannot start why=%s", err->message);
+        qr_log_stop();
+        return EXIT_FAILURE;
+    }
+    gateway_follow(&g);
+    gateway_signals(&g);
+    gateway_dial_seeds(&g);
+    uv_timer_init(g.loop, &g.timer);
+    g.timer.data = &g;
+    uv_timer_start(&g.timer, gateway_tick, 0, TICK_MS);
+    qr_logf(QR_LEVEL_INFO, "gateway",
+            "started version=%s callers=%s zone=%s store=%s seeds=%u",
+            QR_VERSION, set->callers, set->availability_zone, set->store,
+            set->seeds->len);
+    uv_run(g.loop, UV_RUN_DEFAULT);
+    gateway_clear(&g);
+    qr_log_stop();
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/gateway/qr_gateway.h
@@ -0,0 +1,86 @@
+/*
+ * A gateway: answers callers' address questions, takes their calls and relays
+ * them to engines. This header is the state that its parts share.
+ */
+#ifndef QR_GATEWAY_H
+#define QR_GATEWAY_H
+
+#include "fleet/qr_engines.h"
+#include "fleet/qr_fleet_settings.h"
+#include "fleet/qr_follower.h"
+#include "fleet/qr_members.h"
+#include "fleet/qr_operator.h"
+#include "io/qr_log.h"
+#include "net/qr_client.h"
+#include "net/qr_peer.h"
+#include "net/qr_server.h"
+#include "qr_budget.h"
+#include "qr_counters.h"
+
+#include <uv.h>
+
+/* How one service has done lately, seen from here. */
+typedef struct QRServiceStats {
+    QRBudget budget;
+    double hold_ms;  /* smoothed: from sending to the end of the answer */
+    double first_ms; /* smoothed: to the first byte, at engines with room */
+    bool measured;
+    GQueue waiting;  /* QRRelay * in the order of their arrival */
+} QRServiceStats;
+
+typedef struct QRGateway {
+    uv_loop_t *loop;
+    QRFleetSettings *set;
+    const char *settings_file;
+    const QRPlatform *platform;
+    QROperator operator;
+    QREngines engines;
+    bool engines_known; /* a whole listing was taken */
+    QRFleetMembers members;
+    GHashTable *regions;  /* zone -> region */
+    GHashTable *services; /* name -> QRServiceStats * */
+    QRServer *callers, *directory, *readiness, *metrics;
+    QRClient *to_engines, *to_store;
+    QRFollower *follow_operator, *follow_engines;
+    QRPeerNet *peers;
+    GPtrArray *followers; /* QRPeerConn *: sidecars that asked to be told */
+    GPtrArray *relays;    /* QRRelay *: calls under way */
+    QRCounters counters;
+    uv_timer_t timer;
+    uv_signal_t sigterm, sigint, sighup;
+    uint64_t incarnation, random;
+    uint64_t stopping_ms; /* when SIGTERM came; 0: it did not */
+    uint64_t heartbeat_ms, slow_tick_ms, sweep_ms;
+    unsigned heartbeats_rested; /* since the last whole load message */
+    unsigned gateways_most; /* seen at once, this one too */
+    bool stopped;
+} QRGateway;
+
+/* Parts: beliefs (store and peers), front (callers), relay (calls). */
+extern const QRFollowerHandlers qr_gateway_operator_handlers;
+extern const QRFollowerHandlers qr_gateway_engines_handlers;
+extern const QRPeerHandlers qr_gateway_peer_handlers;
+extern const QRServerHandlers qr_gateway_callers_handlers;
+extern const QRServerHandlers qr_gateway_directory_handlers;
+extern const QRServerHandlers qr_gateway_readiness_handlers;
+extern const QRServerHandlers qr_gateway_metrics_handlers;
+
+/* Tells peers our load and who is there, when due. */
+void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
+/* Sends our word to every gateway: we leave, or still stay. */
+void qr_gateway_tell_leaving(QRGateway *g);
+/* Gateways heard from lately, and this one. */
+unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms);
+/* The version that calls for 'service' must begin on; 0: any. */
+uint64_t qr_gateway_version_in_force(const QRGateway *g,
+                                     const QRService *service, uint64_t now_ms);
+bool qr_gateway_is_ready(const QRGateway *g);
+/* Applies the limits that the configuration sets to callers. */
+void qr_gateway_apply_limits(QRGateway *g);
+QRServiceStats *qr_gateway_stats(QRGateway *g, const char *service);
+uint64_t qr_gateway_now(const QRGateway *g);
+
+/* Runs until SIGTERM. Returns an exit status. */
+int qr_gateway_run(const char *settings_file, QRFleetSettings *set);
+
+#endif
--- /dev/null
+++ b/src/gateway/qr_gateway_front.c
@@ -0,0 +1,236 @@
+/*
+ * What callers ask of a gateway: calls, addresses, readiness, metrics.
+ */
+#include "qr_gateway.h"
+#include "qr_relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ID_MAX 128
+#define RETRY_UNREADY_MS 500
+#define RETRY_STOPPING_MS 50
+#define REFUSE_BEFORE_END_MS 3000 /* of a stop: no new calls from then on */
+#define DEADLINE_MOST_MS 3600000
+#define ADDRESSES_MOST 64
+
+typedef enum CallFault {
+    CALL_OK,
+    CALL_MALFORMED,
+    CALL_NO_ROUTE,
+    CALL_NO_KEY,
+} CallFault;
+
+static unsigned fault_status(CallFault fault)
+{
+    static const unsigned statuses[] = {200, 400, 404, 401};
+
+    return statuses[fault];
+}
+
+/* A whole number of milliseconds; false if 'text' is none. */
+static bool parse_ms(const char *text, uint32_t *ms)
+{
+    char *end;
+    unsigned long n;
+
+    if (!g_ascii_isdigit(*text))
+        return false;
+    n = strtoul(text, &end, 10);
+    *ms = (uint32_t)MIN(n, (unsigned long)DEADLINE_MOST_MS);
+    return *end == '\0';
+}
+
+static CallFault read_call(const QRGateway *g, QRExchange *x, QRRelayCall *call)
+{
+    const QRHeaderNames *names = &g->platform->headers;
+    const QRPolicy *policy = g->operator.policy;
+    const QRHeaders *h = qr_exchange_headers(x);
+    const char *host = qr_headers_get(h, "Host");
+    const char *deadline = qr_headers_get(h, names->deadline_ms);
+    const char *key = qr_headers_get(h, names->key);
+    const QRPolicyTeam *team = NULL;
+
+    call->id = qr_headers_get(h, names->call_id);
+    call->team = "";
+    call->team_priority = 0;
+    call->route = qr_policy_route(policy, host ? host : "",
+                                  qr_exchange_target(x));
+    if (!call->route)
+        return CALL_NO_ROUTE;
+    if (!call->id || !*call->id || strlen(call->id) > ID_MAX ||
+        qr_headers_times(h, names->call_id) != 1)
+        return CALL_MALFORMED;
+    call->deadline_ms = DEADLINE_MOST_MS;
+    if (deadline && !parse_ms(deadline, &call->deadline_ms))
+        return CALL_MALFORMED;
+    if (key && qr_headers_times(h, names->key) == 1)
+        team = qr_policy_team(policy, key);
+    if (!team && !call->route->open && policy->teams->len > 0)
+        return CALL_NO_KEY;
+    if (team) {
+        call->team = team->name;
+        call->team_priority = team->priority;
+    }
+    call->service = qr_route_service(call->route, call->id);
+    return CALL_OK;
+}
+
+static bool stopping_late(const QRGateway *g)
+{
+    uint64_t grace = (uint64_t)(g->set->grace_s * 1000);
+
+    return g->stopping_ms > 0 &&
+           qr_gateway_now(g) + REFUSE_BEFORE_END_MS > g->stopping_ms + grace;
+}
+
+static void refuse(QRGateway *g, QRExchange *x, unsigned status,
+                   unsigned retry_ms, QRCounter counter, const char *why)
+{
+    const char *id = qr_headers_get(qr_exchange_headers(x),
+                                    g->platform->headers.call_id);
+
+    g->counters.counts[counter]++;
+    qr_logf(QR_LEVEL_INFO, "call",
+            "refused id=%s status=%u why=%s policy=%" G_GUINT64_FORMAT,
+            id ? id : "-", status, why,
+            g->operator.policy ? g->operator.policy->version : 0);
+    qr_relay_own_answer(x, status, retry_ms);
+}
+
+static void callers_request(void *owner, QRExchange *x)
+{
+    static const char *const whys[] = {"", "malformed", "no route", "no key"};
+    QRGateway *g = owner;
+    QRRelayCall call;
+    CallFault fault;
+
+    g->counters.counts[QR_COUNTER_calls]++;
+    if (!g->operator.policy) {
+        refuse(g, x, 503, RETRY_UNREADY_MS, QR_COUNTER_refused_unready,
+               "no configuration yet");
+        return;
+    }
+    if (stopping_late(g)) {
+        refuse(g, x, 503, RETRY_STOPPING_MS, QR_COUNTER_refused_stopping,
+               "stopping");
+        return;
+    }
+    fault = read_call(g, x, &call);
+    if (fault != CALL_OK)
+        refuse(g, x, fault_status(fault), 0, QR_COUNTER_rejected, whys[fault]);
+    else
+        qr_relay_start(g, x, &call);
+}
+
+static void callers_gone(void *owner, QRExchange *x)
+{
+    QRRelay *r = qr_exchange_data(x);
+
+    (void)owner;
+    if (r)
+        qr_relay_gone(r);
+}
+
+const QRServerHandlers qr_gateway_callers_handlers = {callers_request,
+                                                      callers_gone};
+
+static void nothing_gone(void *owner, QRExchange *x)
+{
+    (void)owner;
+    (void)x; /* answered at once: there is nothing to give up */
+}
+
+/* Gateways that take callers: this one, and those heard from lately. */
+static GPtrArray *open_gateways(QRGateway *g, const char *zone)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    GPtrArray *out = g_ptr_array_new();
+    uint64_t now = qr_gateway_now(g);
+
+    if (g->stopping_ms == 0 &&
+        (!zone || strcmp(zone, g->set->availability_zone) == 0))
+        g_ptr_array_add(out, g->set->callers);
+    for (unsigned i = 0; i < list->len && out->len < ADDRESSES_MOST; i++) {
+        QRFleetMember *m = list->pdata[i];
+
+        if (m->leaving || (zone && strcmp(zone, m->zone) != 0) ||
+            !qr_member_alive(m, (uint64_t)g->set->lease_ms, now))
+            continue;
+        g_ptr_array_add(out, m->service_address);
+    }
+    return out;
+}
+
+static void directory_request(void *owner, QRExchange *x)
+{
+    QRGateway *g = owner;
+    const char *target = qr_exchange_target(x);
+    g_autoptr(GPtrArray) addresses = NULL;
+    g_autofree char *body = NULL;
+    QRHeaders headers;
+
+    if (!g->platform->is_directory(target)) {
+        qr_relay_own_answer(x, 404, 0);
+        return;
+    }
+    addresses = open_gateways(g, NULL);
+    if (addresses->len == 0) {
+        qr_relay_own_answer(x, 503, RETRY_UNREADY_MS);
+        return;
+    }
+    g->counters.counts[QR_COUNTER_directory]++;
+    body = g->platform->directory_answer(addresses,
+                                         (unsigned)g->set->address_valid_s);
+    qr_headers_init(&headers);
+    qr_headers_add(&headers, "Content-Type", "application/json");
+    qr_exchange_reply(x, 200, &headers, body, strlen(body));
+    qr_headers_clear(&headers);
+}
+
+const QRServerHandlers qr_gateway_directory_handlers = {directory_request,
+                                                        nothing_gone};
+
+static void readiness_request(void *owner, QRExchange *x)
+{
+    QRGateway *g = owner;
+    bool known = g->platform->is_ready(qr_exchange_target(x));
+
+    qr_relay_own_answer(x,
+                        !known                    ? 404
+                        : qr_gateway_is_ready(g) ? 200
+                                                  : 503,
+                        0);
+}
+
+const QRServerHandlers qr_gateway_readiness_handlers = {readiness_request,
+                                                        nothing_gone};
+
+static void metrics_request(void *owner, QRExchange *x)
+{
+    QRGateway *g = owner;
+    g_autoptr(GString) out = g_string_new(NULL);
+    QRHeaders headers;
+
+    qr_counters_text(&g->counters, out);
+    g_string_append_printf(
+        out,
+        "quayring_calls_open %u\n"
+        "quayring_engine_connections_opened_total %" G_GUINT64_FORMAT "\n"
+        "quayring_peer_bytes_total %" G_GUINT64_FORMAT "\n"
+        "quayring_store_calls_total %" G_GUINT64_FORMAT "\n"
+        "quayring_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+        g->relays->len, qr_client_opened(g->to_engines),
+        qr_peers_bytes(g->peers),
+        qr_follower_calls(g->follow_operator) +
+            qr_follower_calls(g->follow_engines),
+        qr_log_dropped());
+    qr_headers_init(&headers);
+    qr_headers_add(&headers, "Content-Type", "text/plain; version=0.0.4");
+    qr_exchange_reply(x, 200, &headers, out->str, out->len);
+    qr_headers_clear(&headers);
+}
+
+const QRServerHandlers qr_gateway_metrics_handlers = {metrics_request,
+                                                      nothing_gone};
--- /dev/null
+++ b/src/gateway/qr_relay.h
@@ -0,0 +1,28 @@
+/*
+ * One call of a caller on its way through engines and back.
+ */
+#ifndef QR_RELAY_H
+#define QR_RELAY_H
+
+#include "qr_gateway.h"
+
+typedef struct QRRelay QRRelay;
+
+/* What is known of a call when it is let in. The relay copies all of it. */
+typedef struct QRRelayCall {
+    const QRPolicyRoute *route;
+    const char *service, *team, *id;
+    unsigned team_priority;
+    uint32_t deadline_ms; /* what the caller will wait */
+} QRRelayCall;
+
+/* Starts the call of 'x', which is answered sooner or later. */
+void qr_relay_start(QRGateway *g, QRExchange *x, const QRRelayCall *call);
+/* The caller of 'r' left. */
+void qr_relay_gone(QRRelay *r);
+/* Looks at time-outs and at calls that wait for an engine. */
+void qr_relay_tick(QRGateway *g, uint64_t now_ms);
+/* An answer of our own, with when to come back if 'retry_ms' is not 0. */
+void qr_relay_own_answer(QRExchange *x, unsigned status, unsigned retry_ms);
+
+#endif
--- a/src/io/qr_log.h
+++ b/src/io/qr_log.h
@@ -1,5 +1,8 @@
 /*
  * Logs by log4c: short sentences, each with the prefix of its part.
+ *
+ * With a bound, lines are kept in memory and written to standard output when
+ * it takes them; what does not fit is dropped, counted, and the count logged.
  */
 #ifndef QR_LOG_H
 #define QR_LOG_H
@@ -8,7 +11,15 @@
 
 /* 'level' is the most detailed QRLevel that is written. */
 void qr_log_start(const char *host, int level);
+/* To standard output, never blocking. */
+void qr_log_start_bounded(const char *host, int level);
 void qr_log(QRLevel level, const char *part, const char *text);
+/* "sentence key=value ..." */
+void qr_logf(QRLevel level, const char *part, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+/* Writes what standard output takes now. */
+void qr_log_flush(void);
+uint64_t qr_log_dropped(void);
 void qr_log_stop(void);
 
 #endif
--- /dev/null
+++ b/src/net/qr_message.c
@@ -0,0 +1,193 @@
+/*
+ * One HTTP/1.1 message as it is read off a connection, by http-parser.
+ */
+#include "qr_message.h"
+
+#include <string.h>
+
+static int fail(QRMessage *m, QRMessageFault why)
+{
+    if (m->fault == QR_MESSAGE_OK)
+        m->fault = why;
+    return -1;
+}
+
+static bool value_ok(const char *s)
+{
+    for (; *s; s++) {
+        if ((unsigned char)*s < 0x20 && *s != '\t')
+            return false;
+        if (*s == 0x7f)
+            return false;
+    }
+    return true;
+}
+
+static int field_done(QRMessage *m)
+{
+    if (!m->in_value)
+        return 0;
+    /* a NUL inside would hide what follows it */
+    if (strlen(m->value->str) != m->value->len || !value_ok(m->value->str))
+        return fail(m, QR_MESSAGE_MALFORMED);
+    while (m->value->len > 0 &&
+           g_ascii_isspace(m->value->str[m->value->len - 1]))
+        g_string_truncate(m->value, m->value->len - 1);
+    qr_headers_add(&m->headers, m->name->str, m->value->str);
+    g_string_truncate(m->name, 0);
+    g_string_truncate(m->value, 0);
+    m->in_value = false;
+    return 0;
+}
+
+static int count_head(QRMessage *m, size_t len)
+{
+    m->head_bytes += len;
+    if (m->head_bytes > m->head_max)
+        return fail(m, QR_MESSAGE_HEAD_TOO_LARGE);
+    return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+    QRMessage *m = p->data;
+
+    g_string_append_len(m->target, at, (gssize)len);
+    return count_head(m, len);
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+    QRMessage *m = p->data;
+
+    if (m->head_done) /* a trailer: dropped */
+        return count_head(m, len);
+    if (field_done(m))
+        return -1;
+    g_string_append_len(m->name, at, (gssize)len);
+    return count_head(m, len);
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+    QRMessage *m = p->data;
+
+    if (m->head_done)
+        return count_head(m, len);
+    m->in_value = true;
+    g_string_append_len(m->value, at, (gssize)len);
+    return count_head(m, len);
+}
+
+static int on_head(http_parser *p)
+{
+    QRMessage *m = p->data;
+    bool no_body;
+
+    if (field_done(m))
+        return -1;
+    m->head_done = true;
+    if (p->type == HTTP_REQUEST && p->method != HTTP_CONNECT)
+        p->upgrade = 0; /* no other protocol is spoken */
+    no_body = m->handlers->head(m, m->owner);
+    return no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+    QRMessage *m = p->data;
+
+    m->body_bytes += len;
+    if (m->body_max && m->body_bytes > m->body_max)
+        return fail(m, QR_MESSAGE_BODY_TOO_LARGE);
+    m->handlers->body(m, m->owner, at, len);
+    return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+    QRMessage *m = p->data;
+
+    m->done = true;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+void qr_message_init(QRMessage *m, enum http_parser_type type,
+                     const QRMessageHandlers *handlers, void *owner)
+{
+    memset(m, 0, sizeof(*m));
+    http_parser_init(&m->parser, type);
+    m->parser.data = m;
+    m->handlers = handlers;
+    m->owner = owner;
+    qr_headers_init(&m->headers);
+    m->target = g_string_new(NULL);
+    m->name = g_string_new(NULL);
+    m->value = g_string_new(NULL);
+    m->head_max = 65536;
+}
+
+void qr_message_clear(QRMessage *m)
+{
+    qr_headers_clear(&m->headers);
+    g_string_free(m->target, TRUE);
+    g_string_free(m->name, TRUE);
+    g_string_free(m->value, TRUE);
+}
+
+void qr_message_next(QRMessage *m)
+{
+    enum http_parser_type type = m->parser.type;
+
+    http_parser_init(&m->parser, type);
+    m->parser.data = m;
+    qr_headers_reset(&m->headers);
+    g_string_truncate(m->target, 0);
+    g_string_truncate(m->name, 0);
+    g_string_truncate(m->value, 0);
+    m->in_value = m->head_done = m->done = false;
+    m->head_bytes = m->body_bytes = 0;
+    m->fault = QR_MESSAGE_OK;
+}
+
+size_t qr_message_read(QRMessage *m, const char *data, size_t len)
+{
+    size_t used = http_parser_execute(&m->parser, &parser_settings, data, len);
+    enum http_errno err = HTTP_PARSER_ERRNO(&m->parser);
+
+    if (m->done && err == HPE_PAUSED)
+        http_parser_pause(&m->parser, 0);
+    else if (err == HPE_HEADER_OVERFLOW)
+        fail(m, QR_MESSAGE_HEAD_TOO_LARGE);
+    else if (err != HPE_OK || m->parser.upgrade)
+        fail(m, QR_MESSAGE_MALFORMED);
+    if (m->done)
+        m->handlers->end(m, m->owner);
+    return used;
+}
+
+bool qr_message_end_of_file(QRMessage *m)
+{
+    if (m->done)
+        return true;
+    http_parser_execute(&m->parser, &parser_settings, NULL, 0);
+    if (!m->done)
+        return false;
+    m->handlers->end(m, m->owner);
+    return true;
+}
+
+bool qr_message_keeps_open(const QRMessage *m)
+{
+    return http_should_keep_alive(&m->parser) != 0;
+}
--- /dev/null
+++ b/src/net/qr_message.h
@@ -0,0 +1,57 @@
+/*
+ * One HTTP/1.1 message as it is read off a connection, by http-parser.
+ */
+#ifndef QR_MESSAGE_H
+#define QR_MESSAGE_H
+
+#include "qr_headers.h"
+
+#include <http_parser.h>
+
+/* Why reading ended, beside the end of a message. */
+typedef enum QRMessageFault {
+    QR_MESSAGE_OK,
+    QR_MESSAGE_MALFORMED,
+    QR_MESSAGE_HEAD_TOO_LARGE,
+    QR_MESSAGE_BODY_TOO_LARGE,
+} QRMessageFault;
+
+typedef struct QRMessage QRMessage;
+
+typedef struct QRMessageHandlers {
+    /* The head is whole. Returning true says that no body follows. */
+    bool (*head)(QRMessage *m, void *owner);
+    void (*body)(QRMessage *m, void *owner, const char *data, size_t len);
+    void (*end)(QRMessage *m, void *owner);
+} QRMessageHandlers;
+
+struct QRMessage {
+    http_parser parser;
+    const QRMessageHandlers *handlers;
+    void *owner;
+    QRHeaders headers;
+    GString *target;      /* of a request */
+    GString *name, *value; /* of the field being read */
+    bool in_value;
+    bool head_done, done;
+    size_t head_bytes, head_max;
+    size_t body_bytes, body_max; /* body_max 0: any */
+    QRMessageFault fault;
+};
+
+void qr_message_init(QRMessage *m, enum http_parser_type type,
+                     const QRMessageHandlers *handlers, void *owner);
+void qr_message_clear(QRMessage *m);
+/* Makes ready for the next message on the same connection. */
+void qr_message_next(QRMessage *m);
+/*
+ * Reads up to the end of one message. Returns the bytes taken; what lies
+ * behind them belongs to the next message. Sets m->fault.
+ */
+size_t qr_message_read(QRMessage *m, const char *data, size_t len);
+/* The peer ended the connection in order. False if that cuts the message. */
+bool qr_message_end_of_file(QRMessage *m);
+/* Whether the connection may carry another message after this one. */
+bool qr_message_keeps_open(const QRMessage *m);
+
+#endif
--- /dev/null
+++ b/src/net/qr_peer.c
@@ -0,0 +1,326 @@
+/*
+ * Connections between our own processes: protobuf-c frames over TCP, kept
+ * open, dialled again when they break.
+ */
+#include "qr_peer.h"
+#include "qr_socket.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define HEAD_BYTES 4
+#define FRAME_MAX (4u << 20)
+#define BACKLOG 512
+#define SILENT_MS 2000      /* unacknowledged bytes break a connection */
+#define CONNECT_MS 1000
+#define REDIAL_FIRST_MS 200
+#define REDIAL_MOST_MS 2000
+#define UNSENT_MAX (4u << 20) /* a peer that does not read is cut off */
+
+/* An address to which a connection is kept open. */
+typedef struct Target {
+    char *address;
+    QRPeerConn *peer; /* or NULL */
+    uint64_t next_ms;
+    uint32_t pause_ms;
+} Target;
+
+struct QRPeerConn {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    QRPeerNet *peers;
+    Target *target; /* or NULL: the other side dialled */
+    GByteArray *in;
+    uint64_t since_ms;
+    bool open, closing;
+    void *data;
+};
+
+struct QRPeerNet {
+    uv_tcp_t tcp;
+    uv_loop_t *loop;
+    const QRPeerHandlers *handlers;
+    void *owner;
+    GPtrArray *all;      /* QRPeerConn * */
+    GHashTable *targets; /* address -> Target */
+    uint64_t bytes;
+    bool closing;
+};
+
+static void target_free(void *p)
+{
+    Target *t = p;
+
+    g_free(t->address);
+    g_free(t);
+}
+
+static void peer_freed(uv_handle_t *h)
+{
+    QRPeerConn *peer = h->data;
+
+    g_byte_array_unref(peer->in);
+    g_free(peer);
+}
+
+void qr_peer_close(QRPeerConn *peer)
+{
+    QRPeerNet *p = peer->peers;
+
+    if (peer->closing)
+        return;
+    peer->closing = true;
+    g_ptr_array_remove_fast(p->all, peer);
+    if (peer->target) {
+        peer->target->peer = NULL;
+        peer->target->next_ms = uv_now(p->loop) + peer->target->pause_ms;
+        peer->target->pause_ms =
+            MIN(peer->target->pause_ms * 2, REDIAL_MOST_MS);
+    }
+    uv_close((uv_handle_t *)&peer->tcp, peer_freed);
+    if (peer->open && !p->closing)
+        p->handlers->closed(p->owner, peer);
+}
+
+static void peer_take(QRPeerConn *peer, const uint8_t *data, size_t len)
+{
+    QRPeerNet *p = peer->peers;
+    QRFrame *frame = qr__fleet__frame__unpack(NULL, len, data);
+
+    if (!frame || frame->body_case == QR__FLEET__FRAME__BODY__NOT_SET) {
+        if (frame)
+            qr__fleet__frame__free_unpacked(frame, NULL);
+        qr_peer_close(peer);
+        return;
+    }
+    p->handlers->frame(p->owner, peer, frame);
+    qr__fleet__frame__free_unpacked(frame, NULL);
+}
+
+static void peer_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    QRPeerConn *peer = stream->data;
+    size_t used = 0;
+
+    if (n < 0) {
+        qr_peer_close(peer);
+        return;
+    }
+    g_byte_array_append(peer->in, (const guint8 *)buf->base, (guint)n);
+    while (!peer->closing && peer->in->len - used >= HEAD_BYTES) {
+        uint32_t len;
+
+        memcpy(&len, peer->in->data + used, HEAD_BYTES);
+        len = ntohl(len);
+        if (len > FRAME_MAX) {
+            qr_peer_close(peer);
+            return;
+        }
+        if (peer->in->len - used < HEAD_BYTES + (size_t)len)
+            break;
+        peer_take(peer, peer->in->data + used + HEAD_BYTES, len);
+        used += HEAD_BYTES + (size_t)len;
+    }
+    if (!peer->closing && used > 0)
+        g_byte_array_remove_range(peer->in, 0, (guint)used);
+}
+
+static void peer_start(QRPeerConn *peer)
+{
+    QRPeerNet *p = peer->peers;
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
+
+    peer->open = true;
+    if (peer->target)
+        peer->target->pause_ms = REDIAL_FIRST_MS;
+    qr_socket_tune(&peer->tcp, SILENT_MS);
+    frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
+    frame.hello = &hello;
+    p->handlers->greet(p->owner, &frame, &hello);
+    qr_peer_send(peer, &frame);
+    if (!peer->closing)
+        uv_read_start((uv_stream_t *)&peer->tcp, qr_socket_buffer, peer_read);
+}
+
+static QRPeerConn *peer_new(QRPeerNet *p)
+{
+    QRPeerConn *peer = g_new0(QRPeerConn, 1);
+
+    peer->peers = p;
+    peer->in = g_byte_array_new();
+    peer->tcp.data = peer;
+    peer->connect.data = peer;
+    peer->since_ms = uv_now(p->loop);
+    uv_tcp_init(p->loop, &peer->tcp);
+    g_ptr_array_add(p->all, peer);
+    return peer;
+}
+
+static void peers_accept(uv_stream_t *stream, int status)
+{
+    QRPeerNet *p = stream->data;
+    QRPeerConn *peer;
+
+    if (status < 0)
+        return;
+    peer = peer_new(p);
+    if (uv_accept(stream, (uv_stream_t *)&peer->tcp) != 0)
+        qr_peer_close(peer);
+    else
+        peer_start(peer);
+}
+
+static void peer_opened(uv_connect_t *req, int status)
+{
+    QRPeerConn *peer = req->data;
+
+    if (peer->closing)
+        return;
+    if (status != 0)
+        qr_peer_close(peer);
+    else
+        peer_start(peer);
+}
+
+QRPeerNet *qr_peers_new(uv_loop_t *loop, const char *listen,
+                      const QRPeerHandlers *handlers, void *owner, GError **err)
+{
+    QRPeerNet *p = g_new0(QRPeerNet, 1);
+    struct sockaddr_in at;
+    int rc = qr_socket_address(listen, &at) ? 0 : UV_EINVAL;
+
+    p->loop = loop;
+    p->handlers = handlers;
+    p->owner = owner;
+    p->all = g_ptr_array_new();
+    p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       target_free);
+    p->tcp.data = p;
+    uv_tcp_init(loop, &p->tcp);
+    if (rc == 0)
+        rc = uv_tcp_bind(&p->tcp, (const struct sockaddr *)&at, 0);
+    if (rc == 0)
+        rc = uv_listen((uv_stream_t *)&p->tcp, BACKLOG, peers_accept);
+    if (rc != 0) {
+        g_set_error(err, QR_ERROR, QR_ERROR_IO, "cannot listen on %s: %s",
+                    listen, uv_strerror(rc));
+        qr_peers_close(p);
+        return NULL;
+    }
+    return p;
+}
+
+static void peers_freed(uv_handle_t *h)
+{
+    QRPeerNet *p = h->data;
+
+    g_ptr_array_unref(p->all);
+    g_hash_table_unref(p->targets);
+    g_free(p);
+}
+
+void qr_peers_close(QRPeerNet *p)
+{
+    p->closing = true;
+    while (p->all->len > 0)
+        qr_peer_close(p->all->pdata[0]);
+    uv_close((uv_handle_t *)&p->tcp, peers_freed);
+}
+
+static void target_dial(QRPeerNet *p, Target *t)
+{
+    struct sockaddr_in at;
+    QRPeerConn *peer = peer_new(p);
+    int rc = UV_EINVAL;
+
+    peer->target = t;
+    t->peer = peer;
+    if (qr_socket_address(t->address, &at))
+        rc = uv_tcp_connect(&peer->connect, &peer->tcp,
+                            (const struct sockaddr *)&at, peer_opened);
+    if (rc != 0)
+        qr_peer_close(peer);
+}
+
+void qr_peers_dial(QRPeerNet *p, const char *address)
+{
+    Target *t = g_hash_table_lookup(p->targets, address);
+
+    if (t)
+        return;
+    t = g_new0(Target, 1);
+    t->address = g_strdup(address);
+    t->pause_ms = REDIAL_FIRST_MS;
+    g_hash_table_insert(p->targets, t->address, t);
+    target_dial(p, t);
+}
+
+QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address)
+{
+    Target *t;
+
+    qr_peers_dial(p, address);
+    t = g_hash_table_lookup(p->targets, address);
+    return t->peer && t->peer->open ? t->peer : NULL;
+}
+
+void qr_peers_tick(QRPeerNet *p, uint64_t now_ms)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, p->targets);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Target *t = value;
+
+        if (!t->peer && now_ms >= t->next_ms)
+            target_dial(p, t);
+        else if (t->peer && !t->peer->open &&
+                 now_ms >= t->peer->since_ms + CONNECT_MS)
+            qr_peer_close(t->peer);
+    }
+}
+
+void qr_peer_send(QRPeerConn *peer, const QRFrame *frame)
+{
+    size_t len = qr__fleet__frame__get_packed_size(frame);
+    g_autofree uint8_t *buf = g_malloc(HEAD_BYTES + len);
+    uint32_t head = htonl((uint32_t)len);
+
+    if (!peer->open || peer->closing)
+        return;
+    memcpy(buf, &head, HEAD_BYTES);
+    qr__fleet__frame__pack(frame, buf + HEAD_BYTES);
+    peer->peers->bytes += HEAD_BYTES + len;
+    if (qr_socket_write(&peer->tcp, buf, HEAD_BYTES + len) < 0 ||
+        qr_peer_unsent(peer) > UNSENT_MAX)
+        qr_peer_close(peer);
+}
+
+void qr_peer_set_data(QRPeerConn *peer, void *data)
+{
+    peer->data = data;
+}
+
+void *qr_peer_data(const QRPeerConn *peer)
+{
+    return peer->data;
+}
+
+const char *qr_peer_dialled(const QRPeerConn *peer)
+{
+    return peer->target ? peer->target->address : NULL;
+}
+
+size_t qr_peer_unsent(const QRPeerConn *peer)
+{
+    if (peer->closing)
+        return 0;
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&peer->tcp);
+}
+
+uint64_t qr_peers_bytes(const QRPeerNet *p)
+{
+    return p->bytes;
+}
--- /dev/null
+++ b/src/net/qr_peer.h
@@ -0,0 +1,44 @@
+/*
+ * Connections between our own processes: protobuf-c frames over TCP, kept
+ * open, dialled again when they break.
+ */
+#ifndef QR_PEER_H
+#define QR_PEER_H
+
+#include "base/qr_base.h"
+#include "wire/fleet.pb-c.h"
+
+#include <uv.h>
+
+typedef Qr__Fleet__Frame QRFrame;
+
+typedef struct QRPeerNet QRPeerNet;
+typedef struct QRPeerConn QRPeerConn; /* one connection */
+
+typedef struct QRPeerHandlers {
+    /* Our greeting, sent first on every connection; packed at once. */
+    void (*greet)(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello);
+    void (*frame)(void *owner, QRPeerConn *peer, const QRFrame *frame);
+    void (*closed)(void *owner, QRPeerConn *peer);
+} QRPeerHandlers;
+
+QRPeerNet *qr_peers_new(uv_loop_t *loop, const char *listen,
+                      const QRPeerHandlers *handlers, void *owner,
+                      GError **err);
+void qr_peers_close(QRPeerNet *p);
+/* Sees to it that a connection to 'address' is open or being tried. */
+void qr_peers_dial(QRPeerNet *p, const char *address);
+/* As above; returns the connection if it is open by now, else NULL. */
+QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address);
+void qr_peers_tick(QRPeerNet *p, uint64_t now_ms);
+void qr_peer_send(QRPeerConn *peer, const QRFrame *frame);
+void qr_peer_close(QRPeerConn *peer);
+void qr_peer_set_data(QRPeerConn *peer, void *data);
+void *qr_peer_data(const QRPeerConn *peer);
+/* The address that was dialled, or NULL if the other side did. */
+const char *qr_peer_dialled(const QRPeerConn *peer);
+size_t qr_peer_unsent(const QRPeerConn *peer);
+/* Bytes sent over all connections so far. */
+uint64_t qr_peers_bytes(const QRPeerNet *p);
+
+#endif
--- /dev/null
+++ b/src/net/qr_server.c
@@ -0,0 +1,592 @@
+/*
+ * HTTP/1.1 server on a libuv loop: one exchange at a time on a connection.
+ */
+#include "qr_server.h"
+#include "qr_socket.h"
+
+#include <string.h>
+
+#define BACKLOG 1024
+#define SILENT_MS 10000          /* a caller that takes no byte for so long */
+#define PIPELINE_MAX (64u << 10) /* bytes read ahead of the answer */
+#define DEFAULT_HEAD_MAX 16384
+#define DEFAULT_BODY_MAX (1u << 20)
+#define DEFAULT_HEAD_MS 5000
+#define DEFAULT_IDLE_MS 15000
+#define DEFAULT_CONNECTIONS 1000
+#define LINGER_MS 1000 /* for what a refused caller is still sending */
+
+typedef enum ExchangeState {
+    EXCHANGE_NONE,      /* reading a request */
+    EXCHANGE_WAITING,   /* whole request handed on, no answer yet */
+    EXCHANGE_ANSWERING, /* head of a streamed answer is out */
+} ExchangeState;
+
+typedef struct Conn Conn;
+
+struct QRExchange {
+    Conn *conn;
+    ExchangeState state;
+    GByteArray *body;
+    uint64_t arrived_ms;
+    bool chunked, no_body;
+    void *data;
+};
+
+struct Conn {
+    uv_tcp_t tcp;
+    QRServer *server;
+    QRMessage message;
+    QRExchange exchange;
+    GByteArray *ahead;      /* read while an answer is under way */
+    uint64_t since_ms;      /* of the present state */
+    bool head_begun;        /* bytes of a request came */
+    bool closing, lingering;
+    bool pumping;           /* requests are being taken out of 'ahead' */
+    bool last;              /* no request after this one */
+    unsigned index;         /* in server->conns */
+};
+
+struct QRServer {
+    uv_tcp_t tcp;
+    uv_loop_t *loop;
+    GPtrArray *conns; /* Conn * */
+    QRServerLimits limits;
+    const QRServerHandlers *handlers;
+    void *owner;
+    bool listening, draining, closing;
+};
+
+static void conn_pump(Conn *c);
+
+static void conn_free(uv_handle_t *h)
+{
+    Conn *c = h->data;
+
+    qr_message_clear(&c->message);
+    g_byte_array_unref(c->exchange.body);
+    g_byte_array_unref(c->ahead);
+    g_free(c);
+}
+
+/* Takes the connection out of its server's list. */
+static void conn_detach(Conn *c)
+{
+    QRServer *s = c->server;
+    Conn *moved = s->conns->pdata[s->conns->len - 1];
+
+    c->closing = true;
+    s->conns->pdata[c->index] = moved;
+    moved->index = c->index;
+    g_ptr_array_set_size(s->conns, (int)s->conns->len - 1);
+}
+
+static void conn_close(Conn *c)
+{
+    if (c->closing)
+        return;
+    conn_detach(c);
+    uv_close((uv_handle_t *)&c->tcp, conn_free);
+}
+
+/* The exchange under way, if any, will not be answered. */
+static void conn_break(Conn *c)
+{
+    bool open = c->exchange.state != EXCHANGE_NONE;
+
+    if (c->closing)
+        return;
+    c->exchange.state = EXCHANGE_NONE;
+    if (open)
+        c->server->handlers->gone(c->server->owner, &c->exchange);
+    conn_close(c);
+}
+
+static void conn_write(Conn *c, const void *data, size_t len)
+{
+    if (!c->closing)
+        (void)qr_socket_write(&c->tcp, data, len);
+}
+
+static void conn_shut_done(uv_shutdown_t *req, int status)
+{
+    (void)status;
+    g_free(req);
+}
+
+/* Ends our side and reads on for a while: closing now would reset. */
+static void conn_linger(Conn *c)
+{
+    uv_shutdown_t *req;
+
+    if (c->closing || c->lingering)
+        return;
+    c->lingering = true;
+    c->since_ms = uv_now(c->server->loop);
+    req = g_new0(uv_shutdown_t, 1);
+    if (uv_shutdown(req, (uv_stream_t *)&c->tcp, conn_shut_done) != 0)
+        g_free(req);
+}
+
+static void append_status(GString *out, unsigned status)
+{
+    g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
+                           http_status_str((enum http_status)status));
+}
+
+static void append_headers(GString *out, const QRHeaders *headers)
+{
+    for (unsigned i = 0; headers && i < qr_headers_count(headers); i++) {
+        const char *name = qr_headers_name(headers, i);
+
+        if (qr_headers_is_hop(headers, name))
+            continue;
+        g_string_append(out, name);
+        g_string_append(out, ": ");
+        g_string_append(out, qr_headers_value(headers, i));
+        g_string_append(out, "\r\n");
+    }
+}
+
+static void append_connection(GString *out, const Conn *c)
+{
+    if (c->last)
+        g_string_append(out, "Connection: close\r\n");
+    else if (c->message.parser.http_minor == 0)
+        g_string_append(out, "Connection: keep-alive\r\n");
+}
+
+/* Answers what could not be read as a request, and ends the connection. */
+static void conn_refuse(Conn *c, unsigned status)
+{
+    g_autoptr(GString) out = g_string_new(NULL);
+
+    append_status(out, status);
+    g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+    conn_write(c, out->str, out->len);
+    conn_linger(c);
+}
+
+static bool message_head(QRMessage *m, void *owner)
+{
+    Conn *c = owner;
+    const char *expect = qr_headers_get(&m->headers, "Expect");
+
+    if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
+        conn_write(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+    return false;
+}
+
+static void message_body(QRMessage *m, void *owner, const char *data,
+                         size_t len)
+{
+    Conn *c = owner;
+
+    (void)m;
+    g_byte_array_append(c->exchange.body, (const guint8 *)data, (guint)len);
+}
+
+static bool request_ok(const QRMessage *m)
+{
+    if (m->target->len == 0 || m->target->str[0] != '/')
+        return false;
+    if (m->parser.http_major != 1 || m->parser.method == HTTP_CONNECT)
+        return false;
+    return qr_headers_times(&m->headers, "Host") == 1 ||
+           (m->parser.http_minor == 0 &&
+            qr_headers_times(&m->headers, "Host") == 0);
+}
+
+static void message_end(QRMessage *m, void *owner)
+{
+    Conn *c = owner;
+    QRServer *s = c->server;
+
+    if (!request_ok(m)) {
+        conn_refuse(c, 400);
+        return;
+    }
+    c->exchange.state = EXCHANGE_WAITING;
+    c->exchange.arrived_ms = uv_now(s->loop);
+    c->exchange.data = NULL;
+    c->since_ms = c->exchange.arrived_ms;
+    c->last = s->draining || !qr_message_keeps_open(m);
+    s->handlers->request(s->owner, &c->exchange);
+}
+
+static const QRMessageHandlers message_handlers = {message_head, message_body,
+                                                   message_end};
+
+static unsigned fault_status(QRMessageFault fault)
+{
+    if (fault == QR_MESSAGE_HEAD_TOO_LARGE)
+        return 431;
+    return fault == QR_MESSAGE_BODY_TOO_LARGE ? 413 : 400;
+}
+
+/* Takes requests out of what was read, one after the other. */
+static void conn_pump(Conn *c)
+{
+    if (c->pumping)
+        return;
+    c->pumping = true;
+    while (!c->closing && !c->lingering &&
+           c->exchange.state == EXCHANGE_NONE && c->ahead->len > 0) {
+        size_t used;
+
+        if (!c->head_begun) {
+            c->head_begun = true;
+            c->since_ms = uv_now(c->server->loop);
+        }
+        used = qr_message_read(&c->message, (const char *)c->ahead->data,
+                               c->ahead->len);
+        g_byte_array_remove_range(c->ahead, 0,
+                                  (guint)MIN(used, c->ahead->len));
+        if (c->message.fault != QR_MESSAGE_OK) {
+            conn_refuse(c, fault_status(c->message.fault));
+            break;
+        }
+    }
+    c->pumping = false;
+}
+
+static void conn_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    Conn *c = stream->data;
+
+    if (n < 0) {
+        conn_break(c);
+        return;
+    }
+    if (n == 0 || c->lingering || c->closing)
+        return;
+    if (c->exchange.state != EXCHANGE_NONE &&
+        c->ahead->len + (size_t)n > PIPELINE_MAX) {
+        conn_break(c);
+        return;
+    }
+    g_byte_array_append(c->ahead, (const guint8 *)buf->base, (guint)n);
+    conn_pump(c);
+}
+
+/* Makes room by closing the connection that has rested longest. */
+static void server_make_room(QRServer *s)
+{
+    Conn *oldest = NULL;
+
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        Conn *c = s->conns->pdata[i];
+
+        if (c->exchange.state == EXCHANGE_NONE &&
+            (!oldest || c->since_ms < oldest->since_ms))
+            oldest = c;
+    }
+    if (oldest)
+        conn_close(oldest);
+}
+
+static void server_accept(uv_stream_t *stream, int status)
+{
+    QRServer *s = stream->data;
+    Conn *c;
+
+    if (status < 0)
+        return;
+    c = g_new0(Conn, 1);
+    c->server = s;
+    c->tcp.data = c;
+    c->exchange.conn = c;
+    c->exchange.body = g_byte_array_new();
+    c->ahead = g_byte_array_new();
+    qr_message_init(&c->message, HTTP_REQUEST, &message_handlers, c);
+    c->message.head_max = s->limits.head_max;
+    c->message.body_max = s->limits.body_max;
+    c->since_ms = uv_now(s->loop);
+    uv_tcp_init(s->loop, &c->tcp);
+    if (s->conns->len >= s->limits.connections_max)
+        server_make_room(s);
+    c->index = s->conns->len;
+    g_ptr_array_add(s->conns, c);
+    if (uv_accept(stream, (uv_stream_t *)&c->tcp) != 0 ||
+        s->conns->len > s->limits.connections_max) {
+        conn_close(c);
+        return;
+    }
+    qr_socket_tune(&c->tcp, SILENT_MS);
+    uv_read_start((uv_stream_t *)&c->tcp, qr_socket_buffer, conn_read);
+}
+
+QRServer *qr_server_new(uv_loop_t *loop, const char *address,
+                        const QRServerHandlers *handlers, void *owner,
+                        GError **err)
+{
+    QRServer *s = g_new0(QRServer, 1);
+    struct sockaddr_in at;
+    int rc;
+
+    s->loop = loop;
+    s->handlers = handlers;
+    s->owner = owner;
+    s->conns = g_ptr_array_new();
+    s->limits = (QRServerLimits){DEFAULT_HEAD_MAX, DEFAULT_BODY_MAX,
+                                 DEFAULT_HEAD_MS, DEFAULT_IDLE_MS,
+                                 DEFAULT_CONNECTIONS};
+    uv_tcp_init(loop, &s->tcp);
+    s->tcp.data = s;
+    rc = qr_socket_address(address, &at) ? 0 : UV_EINVAL;
+    if (rc == 0)
+        rc = uv_tcp_bind(&s->tcp, (const struct sockaddr *)&at, 0);
+    if (rc == 0)
+        rc = uv_listen((uv_stream_t *)&s->tcp, BACKLOG, server_accept);
+    s->listening = rc == 0;
+    if (rc != 0) {
+        g_set_error(err, QR_ERROR, QR_ERROR_IO, "cannot listen on %s: %s",
+                    address, uv_strerror(rc));
+        qr_server_close(s);
+        return NULL;
+    }
+    return s;
+}
+
+void qr_server_limit(QRServer *s, const QRServerLimits *limits)
+{
+    s->limits = *limits;
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        Conn *c = s->conns->pdata[i];
+
+        c->message.head_max = limits->head_max;
+        c->message.body_max = limits->body_max;
+    }
+}
+
+static void server_stopped(uv_handle_t *h)
+{
+    QRServer *s = h->data;
+
+    if (!s->closing)
+        return;
+    g_ptr_array_unref(s->conns);
+    g_free(s);
+}
+
+void qr_server_stop_listening(QRServer *s)
+{
+    if (s->listening && !uv_is_closing((uv_handle_t *)&s->tcp))
+        uv_close((uv_handle_t *)&s->tcp, server_stopped);
+    s->listening = false;
+}
+
+void qr_server_drain(QRServer *s)
+{
+    s->draining = true;
+}
+
+unsigned qr_server_close_idle(QRServer *s)
+{
+    for (unsigned i = s->conns->len; i > 0; i--) {
+        Conn *c = s->conns->pdata[i - 1];
+
+        if (c->exchange.state == EXCHANGE_NONE && !c->head_begun)
+            conn_close(c);
+    }
+    return s->conns->len;
+}
+
+static void conn_tick(Conn *c, uint64_t now)
+{
+    const QRServerLimits *l = &c->server->limits;
+    uint64_t rested = now - MIN(now, c->since_ms);
+
+    if (c->lingering) {
+        if (rested > LINGER_MS)
+            conn_close(c);
+        return;
+    }
+    if (c->exchange.state != EXCHANGE_NONE)
+        return;
+    if (!c->head_begun) {
+        if (rested > l->idle_timeout_ms)
+            conn_close(c);
+        return;
+    }
+    if (!c->message.head_done && rested > l->head_timeout_ms)
+        conn_refuse(c, 408);
+    else if (rested > l->head_timeout_ms + l->idle_timeout_ms)
+        conn_refuse(c, 408);
+}
+
+void qr_server_tick(QRServer *s, uint64_t now_ms)
+{
+    for (unsigned i = s->conns->len; i > 0; i--)
+        conn_tick(s->conns->pdata[i - 1], now_ms);
+}
+
+unsigned qr_server_connections(const QRServer *s)
+{
+    return s->conns->len;
+}
+
+void qr_server_close(QRServer *s)
+{
+    while (s->conns->len > 0) {
+        Conn *c = s->conns->pdata[s->conns->len - 1];
+
+        c->exchange.state = EXCHANGE_NONE;
+        conn_close(c);
+    }
+    s->closing = true;
+    if (!uv_is_closing((uv_handle_t *)&s->tcp))
+        uv_close((uv_handle_t *)&s->tcp, server_stopped);
+}
+
+const char *qr_exchange_method(const QRExchange *x)
+{
+    return http_method_str((enum http_method)x->conn->message.parser.method);
+}
+
+const char *qr_exchange_target(const QRExchange *x)
+{
+    return x->conn->message.target->str;
+}
+
+const QRHeaders *qr_exchange_headers(const QRExchange *x)
+{
+    return &x->conn->message.headers;
+}
+
+const GByteArray *qr_exchange_body(const QRExchange *x)
+{
+    return x->body;
+}
+
+uint64_t qr_exchange_arrived_ms(const QRExchange *x)
+{
+    return x->arrived_ms;
+}
+
+void qr_exchange_set_data(QRExchange *x, void *data)
+{
+    x->data = data;
+}
+
+void *qr_exchange_data(const QRExchange *x)
+{
+    return x->data;
+}
+
+/* The answer is out: the connection is free for the next request. */
+static void exchange_done(QRExchange *x)
+{
+    Conn *c = x->conn;
+
+    x->state = EXCHANGE_NONE;
+    x->data = NULL;
+    if (c->closing)
+        return;
+    if (c->last) {
+        conn_linger(c);
+        return;
+    }
+    if (x->body->len > PIPELINE_MAX) {
+        g_byte_array_unref(x->body);
+        x->body = g_byte_array_new();
+    }
+    g_byte_array_set_size(x->body, 0);
+    qr_message_next(&c->message);
+    c->head_begun = false;
+    c->since_ms = uv_now(c->server->loop);
+    conn_pump(c);
+}
+
+static bool status_has_body(unsigned status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+void qr_exchange_reply(QRExchange *x, unsigned status, const QRHeaders *headers,
+                       const void *body, size_t len)
+{
+    Conn *c = x->conn;
+    g_autoptr(GString) out = g_string_sized_new(512 + len);
+    bool head_only = c->message.parser.method == HTTP_HEAD;
+
+    if (x->state != EXCHANGE_WAITING)
+        return;
+    c->last = c->last || c->server->draining;
+    append_status(out, status);
+    append_headers(out, headers);
+    if (status_has_body(status) && !head_only)
+        g_string_append_printf(out, "Content-Length: %zu\r\n", len);
+    append_connection(out, c);
+    g_string_append(out, "\r\n");
+    if (status_has_body(status) && !head_only)
+        g_string_append_len(out, body, (gssize)len);
+    conn_write(c, out->str, out->len);
+    exchange_done(x);
+}
+
+void qr_exchange_start(QRExchange *x, unsigned status, const QRHeaders *headers)
+{
+    Conn *c = x->conn;
+    g_autoptr(GString) out = g_string_sized_new(512);
+
+    if (x->state != EXCHANGE_WAITING)
+        return;
+    x->chunked = c->message.parser.http_minor > 0;
+    x->no_body = c->message.parser.method == HTTP_HEAD;
+    c->last = c->last || c->server->draining || !x->chunked;
+    append_status(out, status);
+    append_headers(out, headers);
+    if (x->chunked)
+        g_string_append(out, "Transfer-Encoding: chunked\r\n");
+    append_connection(out, c);
+    g_string_append(out, "\r\n");
+    conn_write(c, out->str, out->len);
+    x->state = EXCHANGE_ANSWERING;
+}
+
+void qr_exchange_write(QRExchange *x, const void *data, size_t len)
+{
+    g_autoptr(GString) out = NULL;
+
+    if (x->state != EXCHANGE_ANSWERING || x->no_body || len == 0)
+        return;
+    if (!x->chunked) {
+        conn_write(x->conn, data, len);
+        return;
+    }
+    out = g_string_sized_new(len + 16);
+    g_string_append_printf(out, "%zx\r\n", len);
+    g_string_append_len(out, data, (gssize)len);
+    g_string_append(out, "\r\n");
+    conn_write(x->conn, out->str, out->len);
+}
+
+void qr_exchange_end(QRExchange *x)
+{
+    if (x->state != EXCHANGE_ANSWERING)
+        return;
+    if (x->chunked && !x->no_body)
+        conn_write(x->conn, "0\r\n\r\n", 5);
+    exchange_done(x);
+}
+
+void qr_exchange_abort(QRExchange *x)
+{
+    Conn *c = x->conn;
+
+    x->state = EXCHANGE_NONE;
+    if (c->closing)
+        return;
+    conn_detach(c);
+    /* a reset, so that an answer without a length cannot look whole */
+    if (uv_tcp_close_reset(&c->tcp, conn_free) != 0)
+        uv_close((uv_handle_t *)&c->tcp, conn_free);
+}
+
+size_t qr_exchange_unsent(const QRExchange *x)
+{
+    if (x->conn->closing)
+        return 0;
+    return uv_stream_get_write_queue_size((uv_stream_t *)&x->conn->tcp);
+}
--- /dev/null
+++ b/src/net/qr_whole.c
@@ -0,0 +1,121 @@
+/*
+ * A request whose answer is kept until it is whole, and handed over at once.
+ */
+#include "qr_whole.h"
+
+#define ANSWER_MAX (8u << 20)
+
+struct QRWhole {
+    QRClientCall *call;
+    QRWholeDone done;
+    void *owner;
+    unsigned ref, status;
+    GByteArray *body;
+};
+
+static void whole_free(QRWhole *w)
+{
+    g_byte_array_unref(w->body);
+    g_free(w);
+}
+
+static void whole_head(void *owner, QRClientCall *call, unsigned status,
+                       const QRHeaders *headers)
+{
+    QRWhole *w = owner;
+
+    (void)call;
+    (void)headers;
+    w->status = status;
+}
+
+static void whole_over(QRWhole *w, const QRWholeAnswer *answer)
+{
+    QRWholeDone done = w->done;
+    void *owner = w->owner;
+    unsigned ref = w->ref;
+
+    w->call = NULL;
+    done(owner, ref, answer);
+    whole_free(w);
+}
+
+static void whole_body(void *owner, QRClientCall *call, const char *data,
+                       size_t len)
+{
+    QRWhole *w = owner;
+    QRWholeAnswer answer = {0, true, NULL, 0, "answer too large"};
+
+    g_byte_array_append(w->body, (const guint8 *)data, (guint)len);
+    if (w->body->len <= ANSWER_MAX)
+        return;
+    qr_client_cancel(call);
+    whole_over(w, &answer);
+}
+
+static void whole_end(void *owner, QRClientCall *call)
+{
+    QRWhole *w = owner;
+    QRWholeAnswer answer = {w->status, false, (const char *)w->body->data,
+                            w->body->len, NULL};
+
+    (void)call;
+    whole_over(w, &answer);
+}
+
+static void whole_failed(void *owner, QRClientCall *call, QRCallFault fault,
+                         const char *why)
+{
+    QRWhole *w = owner;
+    QRWholeAnswer answer = {0, fault != QR_CALL_FAULT_UNSENT, NULL, 0, why};
+
+    (void)call;
+    whole_over(w, &answer);
+}
+
+static const QRClientHandlers whole_handlers = {whole_head, whole_body,
+                                                whole_end, whole_failed};
+
+static GString *request_text(const QRWholeRequest *r)
+{
+    GString *text = g_string_sized_new(256 + r->body_len);
+
+    g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n", r->method,
+                           r->path, r->address);
+    if (r->content_type)
+        g_string_append_printf(text, "Content-Type: %s\r\n", r->content_type);
+    if (r->body)
+        g_string_append_printf(text, "Content-Length: %zu\r\n", r->body_len);
+    g_string_append(text, "\r\n");
+    if (r->body)
+        g_string_append_len(text, r->body, (gssize)r->body_len);
+    return text;
+}
+
+QRWhole *qr_whole_send(QRClient *client, const QRWholeRequest *request,
+                       QRWholeDone done, void *owner, unsigned ref)
+{
+    g_autoptr(GString) text = request_text(request);
+    QRWhole *w = g_new0(QRWhole, 1);
+    QRClientRequest r = {0};
+
+    w->done = done;
+    w->owner = owner;
+    w->ref = ref;
+    w->body = g_byte_array_new();
+    r.address = request->address;
+    r.data = text->str;
+    r.len = text->len;
+    r.connect_ms = request->connect_ms;
+    r.timeout_ms = request->timeout_ms;
+    w->call = qr_client_send(client, &r, &whole_handlers, w);
+    return w;
+}
+
+void qr_whole_cancel(QRWhole *w)
+{
+    if (!w)
+        return;
+    qr_client_cancel(w->call);
+    whole_free(w);
+}
--- /dev/null
+++ b/src/sidecar/qr_sidecar.c
@@ -0,0 +1,303 @@
+/*
+ * A sidecar's life: start, the passing of time, the engine's report, stop.
+ */
+#include "qr_sidecar.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 25
+#define SLOW_TICK_MS 100
+#define REPORT_MS 250         /* between two reports while nothing changes */
+#define REPORT_BUSY_MS 60     /* while the engine switches */
+#define REPORT_TIMEOUT_MS 800
+#define CONNECT_MS 400
+#define STORE_TIMEOUT_MS 1500
+#define STORE_WAIT_MS 3000
+
+uint64_t qr_sidecar_now(const QRSidecar *s)
+{
+    return uv_now(s->loop);
+}
+
+const QRService *qr_sidecar_service(const QRSidecar *s)
+{
+    return s->operator.policy
+               ? qr_policy_service(s->operator.policy, s->set->service)
+               : NULL;
+}
+
+GPtrArray *qr_sidecar_members(const QRSidecar *s)
+{
+    return qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
+}
+
+QRSourceInput qr_sidecar_source_input(const QRSidecar *s,
+                                      const GPtrArray *members)
+{
+    QRSourceInput in = {members, s->set->host, s->set->region, s->model,
+                        s->version};
+
+    return in;
+}
+
+bool qr_sidecar_serves_target(const QRSidecar *s)
+{
+    return s->model && s->report_ms && s->report.version == s->version &&
+           g_strcmp0(s->report.model, s->model) == 0;
+}
+
+static void report_taken(QRSidecar *s, QREngineReport *new, bool reachable)
+{
+    bool news = s->report_ms == 0 || reachable != s->reachable ||
+                new->version != s->report.version;
+
+    if (news)
+        qr_logf(QR_LEVEL_INFO, "engine",
+                "reports reachable=%d version=%" G_GUINT64_FORMAT
+                " busy=%d sequence=%" G_GUINT64_FORMAT " active=%u",
+                reachable, new->version, new->busy, new->sequence, new->active);
+    /* it started anew: what lies staged must be looked at again */
+    if (s->report_ms && new->sequence < s->report.sequence && s->pieces)
+        qr_stage_scan(s);
+    qr_engine_report_clear(&s->report);
+    s->report = *new;
+    s->reachable = reachable;
+    s->report_ms = MAX(qr_sidecar_now(s), 1);
+    if (qr_sidecar_serves_target(s) && s->switching) {
+        s->switching = false;
+        news = true;
+    }
+    if (news)
+        qr_sidecar_tell_state(s, true);
+}
+
+static void report_done(void *owner, unsigned ref, const QRWholeAnswer *a)
+{
+    QRSidecar *s = owner;
+    QREngineReport new = {0};
+
+    (void)ref;
+    s->report_call = NULL;
+    if (a->status == 0)
+        report_taken(s, &new, false);
+    else if (a->status == 200 &&
+             s->platform->parse_report(a->data, a->len, &new) == 0)
+        report_taken(s, &new, true);
+}
+
+static void report_ask(QRSidecar *s, uint64_t now)
+{
+    g_autofree char *path = s->platform->report_path();
+    QRWholeRequest r = {0};
+
+    r.address = s->set->engine;
+    r.method = "GET";
+    r.path = path;
+    r.connect_ms = CONNECT_MS;
+    r.timeout_ms = REPORT_TIMEOUT_MS;
+    s->report_next_ms = now + (s->switching ? REPORT_BUSY_MS : REPORT_MS);
+    s->report_call = qr_whole_send(s->to_engine, &r, report_done, s, 0);
+}
+
+static void operator_record(void *owner, const QRStoreRecord *r)
+{
+    QRSidecar *s = owner;
+    uint64_t age = s->operator.end == 0 ? QR_AGE_UNKNOWN_MS
+                                         : qr_follower_gap_ms(s->follow_operator);
+
+    if (qr_operator_take(&s->operator, r, age, qr_sidecar_now(s)))
+        qr_weights_retarget(s);
+}
+
+static void operator_listed(void *owner, GHashTable *keys)
+{
+    (void)owner;
+    (void)keys;
+}
+
+static void operator_reached(void *owner, bool reached, const char *why)
+{
+    (void)owner;
+    qr_logf(reached ? QR_LEVEL_INFO : QR_LEVEL_WARN, "store",
+            "%s topic=operator why=%s", reached ? "reached" : "lost", why);
+}
+
+static const QRFollowerHandlers operator_handlers = {
+    operator_record, operator_listed, operator_reached};
+
+static void sidecar_tick(uv_timer_t *timer)
+{
+    QRSidecar *s = timer->data;
+    uint64_t now = qr_sidecar_now(s);
+
+    qr_client_tick(s->to_engine, now);
+    qr_client_tick(s->to_origin, now);
+    qr_client_tick(s->to_store, now);
+    if (!s->report_call && now >= s->report_next_ms)
+        report_ask(s, now);
+    qr_weights_tick(s, now);
+    qr_stage_tick(s, now);
+    if (now < s->slow_tick_ms)
+        return;
+    s->slow_tick_ms = now + SLOW_TICK_MS;
+    qr_peers_tick(s->peers, now);
+    qr_sidecar_peers_tick(s);
+    qr_follower_pause(s->follow_operator,
+                      s->followed != NULL && s->operator.policy != NULL);
+    qr_follower_tick(s->follow_operator, now);
+    qr_sidecar_tell_state(s, false);
+    if (s->metrics)
+        qr_server_tick(s->metrics, now);
+    qr_log_flush();
+}
+
+static void sidecar_terminate(uv_signal_t *handle, int signum)
+{
+    QRSidecar *s = handle->data;
+
+    qr_logf(QR_LEVEL_INFO, "sidecar", "stopped signal=%d", signum);
+    s->stopped = true;
+    uv_stop(s->loop);
+}
+
+static void sidecar_reload(uv_signal_t *handle, int signum)
+{
+    (void)handle;
+    (void)signum;
+    qr_logf(QR_LEVEL_INFO, "sidecar", "reload: nothing here may change");
+}
+
+static void metrics_request(void *owner, QRExchange *x)
+{
+    QRSidecar *s = owner;
+    g_autofree char *text = g_strdup_printf(
+        "quayring_sidecar_origin_bytes_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_peer_pieces_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_orders_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_serving_version %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_target_version %" G_GUINT64_FORMAT "\n"
+        "quayring_peer_bytes_total %" G_GUINT64_FORMAT "\n",
+        s->origin_bytes, s->peer_pieces, s->orders, s->report.version,
+        s->version, qr_peers_bytes(s->peers));
+
+    qr_exchange_reply(x, 200, NULL, text, strlen(text));
+}
+
+static void metrics_gone(void *owner, QRExchange *x)
+{
+    (void)owner;
+    (void)x; /* answered at once */
+}
+
+static const QRServerHandlers metrics_handlers = {metrics_request,
+                                                  metrics_gone};
+
+/* This process stands among the members that sources are chosen from. */
+static void sidecar_add_self(QRSidecar *s)
+{
+    Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
+
+    qr_sidecar_peer_handlers.greet(s, NULL, &hello);
+    qr_members_hello(&s->members, &hello, true, 1);
+}
+
+static void sidecar_init(QRSidecar *s, const char *file, QRFleetSettings *set)
+{
+    memset(s, 0, sizeof(*s));
+    s->loop = uv_default_loop();
+    s->set = set;
+    s->settings_file = file;
+    s->platform = qr_platform_find(set->platform);
+    s->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
+    s->gateways = g_ptr_array_new();
+    s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
+    qr_operator_init(&s->operator, s->platform);
+    qr_members_init(&s->members);
+    sidecar_add_self(s);
+}
+
+static void sidecar_connect(QRSidecar *s)
+{
+    QRFollowerOptions operator = {
+        .topic = QR_TOPIC_OPERATOR,
+        .address = s->set->store,
+        .wait_ms = STORE_WAIT_MS,
+        .timeout_ms = STORE_TIMEOUT_MS,
+    };
+
+    s->to_engine = qr_client_new(s->loop, s->platform->headers.call_id);
+    s->to_origin = qr_client_new(s->loop, s->platform->headers.call_id);
+    s->to_store = qr_client_new(s->loop, s->platform->headers.call_id);
+    s->follow_operator = qr_follower_new(s->to_store, s->platform, &operator,
+                                         &operator_handlers, s);
+    for (unsigned i = 0; i < s->set->seeds->len; i++)
+        qr_peers_dial(s->peers, s->set->seeds->pdata[i]);
+}
+
+static void sidecar_signals(QRSidecar *s)
+{
+    uv_signal_init(s->loop, &s->sigterm);
+    uv_signal_init(s->loop, &s->sigint);
+    uv_signal_init(s->loop, &s->sighup);
+    s->sigterm.data = s->sigint.data = s->sighup.data = s;
+    uv_signal_start(&s->sigterm, sidecar_terminate, SIGTERM);
+    uv_signal_start(&s->sigint, sidecar_terminate, SIGINT);
+    uv_signal_start(&s->sighup, sidecar_reload, SIGHUP);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+static void sidecar_clear(QRSidecar *s)
+{
+    qr_weights_clear(s);
+    qr_whole_cancel(s->report_call);
+    qr_whole_cancel(s->order_call);
+    qr_follower_free(s->follow_operator);
+    qr_client_close(s->to_engine);
+    qr_client_close(s->to_origin);
+    qr_client_close(s->to_store);
+    qr_peers_close(s->peers);
+    if (s->metrics)
+        qr_server_close(s->metrics);
+    uv_close((uv_handle_t *)&s->timer, NULL);
+    uv_close((uv_handle_t *)&s->sigterm, NULL);
+    uv_close((uv_handle_t *)&s->sigint, NULL);
+    uv_close((uv_handle_t *)&s->sighup, NULL);
+    uv_run(s->loop, UV_RUN_DEFAULT);
+    uv_loop_close(s->loop);
+    qr_engine_report_clear(&s->report);
+    g_ptr_array_unref(s->gateways);
+    g_array_unref(s->waiters);
+    qr_operator_clear(&s->operator);
+    qr_members_clear(&s->members);
+}
+
+int qr_sidecar_run(const char *settings_file, QRFleetSettings *set)
+{
+    QRSidecar s;
+    g_autoptr(GError) err = NULL;
+
+    sidecar_init(&s, settings_file, set);
+    qr_log_start_bounded(set->host, (int)set->log_level);
+    s.peers = qr_peers_new(s.loop, set->peers, &qr_sidecar_peer_handlers, &s,
+                           &err);
+    if (s.peers && set->metrics)
+        s.metrics = qr_server_new(s.loop, set->metrics, &metrics_handlers, &s,
+                                  &err);
+    if (err) {
+        qr_logf(QR_LEVEL_ERROR, "sidecar", "cannot start why=%s", err->message);
+        qr_log_stop();
+        return EXIT_FAILURE;
+    }
+    sidecar_connect(&s);
+    sidecar_signals(&s);
+    uv_timer_init(s.loop, &s.timer);
+    s.timer.data = &s;
+    uv_timer_start(&s.timer, sidecar_tick, 0, TICK_MS);
+    qr_logf(QR_LEVEL_INFO, "sidecar", "started version=%s engine=%s zone=%s",
+            QR_VERSION, set->engine, set->availability_zone);
+    uv_run(s.loop, UV_RUN_DEFAULT);
+    sidecar_clear(&s);
+    qr_log_stop();
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -0,0 +1,195 @@
+/*
+ * What a sidecar says to gateways and to other sidecars, and hears from them.
+ */
+#include "qr_sidecar.h"
+
+#include <string.h>
+
+#define STATE_MS 1000 /* between two words on the engine that say no news */
+
+static void peer_greet(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
+{
+    QRSidecar *s = owner;
+
+    (void)frame;
+    hello->name = s->set->host;
+    hello->role = (char *)QR_ROLE_SIDECAR;
+    hello->address = s->set->peers;
+    hello->availability_zone = s->set->availability_zone;
+    hello->region = s->set->region;
+    hello->service_address = s->set->engine;
+    hello->service = s->set->service;
+    hello->incarnation = s->incarnation;
+    hello->control_offset = s->operator.end;
+    hello->follow = false;
+}
+
+/* Asks a gateway to tell us what it hears. */
+static void follow(QRSidecar *s, QRPeerConn *peer)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
+
+    peer_greet(s, &frame, &hello);
+    hello.follow = true;
+    frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
+    frame.hello = &hello;
+    s->followed = peer;
+    qr_peer_send(peer, &frame);
+}
+
+static void state_fill(const QRSidecar *s, Qr__Fleet__EngineState *state)
+{
+    state->engine_address = s->set->engine;
+    state->model = s->model ? s->model : (char *)"";
+    state->serving = s->report.version;
+    state->held = s->pieces && s->held == s->pieces->len ? s->version : 0;
+    /* the engine serves the target: its pieces lie there */
+    if (state->held == 0 && qr_sidecar_serves_target(s))
+        state->held = s->version;
+    state->switching = s->switching;
+    state->reachable = s->reachable;
+    state->name = s->set->host;
+}
+
+static void state_send(QRSidecar *s, QRPeerConn *peer)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__EngineState state = QR__FLEET__ENGINE_STATE__INIT;
+
+    state_fill(s, &state);
+    frame.body_case = QR__FLEET__FRAME__BODY_ENGINE_STATE;
+    frame.engine_state = &state;
+    qr_peer_send(peer, &frame);
+}
+
+void qr_sidecar_tell_state(QRSidecar *s, bool news)
+{
+    uint64_t now = qr_sidecar_now(s);
+
+    if (!s->report_ms || (!news && now < s->state_ms + STATE_MS))
+        return;
+    s->state_ms = now;
+    for (unsigned i = 0; i < s->gateways->len; i++)
+        state_send(s, s->gateways->pdata[i]);
+}
+
+static void heard_of(QRSidecar *s, const QRFleetMember *member)
+{
+    if (strcmp(member->role, QR_ROLE_GATEWAY) == 0)
+        qr_peers_dial(s->peers, member->address);
+}
+
+static void peer_hello(QRSidecar *s, QRPeerConn *peer, const Qr__Fleet__Hello *h)
+{
+    QRFleetMember *news = qr_members_hello(&s->members, h, true, qr_sidecar_now(s));
+    QRFleetMember *member = qr_members_get(&s->members, h->name);
+
+    qr_peer_set_data(peer, member);
+    if (news)
+        heard_of(s, news);
+    if (!member || strcmp(member->role, QR_ROLE_GATEWAY) != 0 ||
+        !qr_peer_dialled(peer) ||
+        g_ptr_array_find(s->gateways, peer, NULL))
+        return;
+    qr_logf(QR_LEVEL_INFO, "members", "gateway reached name=%s", member->name);
+    g_ptr_array_add(s->gateways, peer);
+    if (s->report_ms)
+        state_send(s, peer);
+}
+
+static void peer_members(QRSidecar *s, const Qr__Fleet__Members *list)
+{
+    for (size_t i = 0; i < list->n_members; i++) {
+        QRFleetMember *news = qr_members_hello(&s->members, list->members[i], false,
+                                          qr_sidecar_now(s));
+
+        if (news)
+            heard_of(s, news);
+    }
+}
+
+static void peer_engine_state(QRSidecar *s, const Qr__Fleet__EngineState *state)
+{
+    QRFleetMember *member = qr_members_get(&s->members, state->name);
+
+    if (!member)
+        return;
+    member->held = state->held;
+    g_free(member->model);
+    member->model = g_strdup(state->model);
+}
+
+static void peer_frame(void *owner, QRPeerConn *peer, const QRFrame *frame)
+{
+    QRSidecar *s = owner;
+    QRFleetMember *member = qr_peer_data(peer);
+
+    if (frame->body_case == QR__FLEET__FRAME__BODY_HELLO) {
+        peer_hello(s, peer, frame->hello);
+        return;
+    }
+    if (!member)
+        return;
+    qr_members_heard(member, qr_sidecar_now(s));
+    switch (frame->body_case) {
+    case QR__FLEET__FRAME__BODY_MEMBERS:
+        peer_members(s, frame->members);
+        break;
+    case QR__FLEET__FRAME__BODY_ENGINE_STATE:
+        peer_engine_state(s, frame->engine_state);
+        break;
+    case QR__FLEET__FRAME__BODY_RECORDS:
+        if (qr_operator_heard(&s->operator, frame->records,
+                              qr_sidecar_now(s)) > 0)
+            qr_weights_retarget(s);
+        break;
+    case QR__FLEET__FRAME__BODY_WANT:
+        qr_weights_want(s, peer, frame->want);
+        break;
+    case QR__FLEET__FRAME__BODY_PIECE:
+        qr_weights_piece(s, peer, frame->piece);
+        break;
+    default:
+        break;
+    }
+}
+
+static void peer_closed(void *owner, QRPeerConn *peer)
+{
+    QRSidecar *s = owner;
+    QRFleetMember *member = qr_peer_data(peer);
+
+    g_ptr_array_remove_fast(s->gateways, peer);
+    if (s->followed == peer)
+        s->followed = NULL;
+    if (member && strcmp(member->role, QR_ROLE_GATEWAY) == 0)
+        qr_logf(QR_LEVEL_INFO, "members", "gateway lost name=%s",
+                member->name);
+    qr_weights_peer_closed(s, peer);
+}
+
+const QRPeerHandlers qr_sidecar_peer_handlers = {peer_greet, peer_frame,
+                                                 peer_closed};
+
+/* One gateway is followed: of our own zone if there is one. */
+void qr_sidecar_peers_tick(QRSidecar *s)
+{
+    QRPeerConn *best = NULL;
+
+    if (s->followed)
+        return;
+    for (unsigned i = 0; i < s->gateways->len; i++) {
+        const QRFleetMember *m = qr_peer_data(s->gateways->pdata[i]);
+
+        if (!best || g_strcmp0(m->zone, s->set->availability_zone) == 0)
+            best = s->gateways->pdata[i];
+    }
+    if (best)
+        follow(s, best);
+}
+
+QRPeerConn *qr_sidecar_peer_at(QRSidecar *s, const char *address)
+{
+    return qr_peers_open_at(s->peers, address);
+}
