--- a/src/fleet/qr_fleet_settings.c
+++ b/src/fleet/qr_fleet_settings.c
@@ -42,7 +42,8 @@
 static const QRField sidecar_fields[] = {
     TEXT_BOTH TEXT(engine, QR_FIELD_ADDRESS, true),
     TEXT(service, QR_FIELD_NAME, true),
-    QR_FLEET_SETTINGS_BOTH{0},
+    NUMBER(link_mbit_s, 0, 1000000, 0),
+    QR_FLEET_SETTINGS_BOTH QR_FLEET_SETTINGS_SIDECAR{0},
 };
 #undef DEF
 #undef TEXT
--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -15,6 +15,10 @@
     DEF(lease_ms, 100, 600000, 1000)  /* a peer unheard so long is away */     \
     DEF(log_level, 0, 2, 2)           /* 0 errors, 1 warnings, 2 all */
 
+#define QR_FLEET_SETTINGS_SIDECAR                                              \
+    /* of the machine's link that weights may take while calls use it too */   \
+    DEF(weights_link_percent, 5, 100, 65)
+
 #define QR_FLEET_SETTINGS_GATEWAY                                              \
     DEF(address_valid_s, 1, 600, 2)    /* callers keep an address answer */    \
     DEF(engines_poll_ms, 50, 60000, 500) /* engines' records in the store */   \
@@ -37,8 +41,9 @@
     double retry_window_s;
     /* sidecar */
     char *engine, *service;
+    double link_mbit_s; /* of the machine, each way; 0: not known */
 #define DEF(name, min, max, fallback) int64_t name;
-    QR_FLEET_SETTINGS_BOTH QR_FLEET_SETTINGS_GATEWAY
+    QR_FLEET_SETTINGS_BOTH QR_FLEET_SETTINGS_GATEWAY QR_FLEET_SETTINGS_SIDECAR
 #undef DEF
         json_object *source;
 } QRFleetSettings;
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -15,9 +15,12 @@
     g_free(h);
 }
 
-void qr_operator_init(QROperator *o, const QRPlatform *platform)
+void qr_operator_init(QROperator *o, const QRPlatform *platform,
+                      QROperatorNews news, void *owner)
 {
     o->platform = platform;
+    o->news = news;
+    o->owner = owner;
     o->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
     o->versions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -117,6 +120,7 @@
     case QR_OPERATOR_OTHER:
         break;
     }
+    o->news(o->owner, r, age_ms);
     return true;
 }
 
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -22,8 +22,14 @@
     uint64_t since_ms; /* may lie before the clock's zero: signed use */
 } QRHeldRecord;
 
+/* A record that was not known before, from wherever it came. */
+typedef void (*QROperatorNews)(void *owner, const QRStoreRecord *r,
+                               uint64_t age_ms);
+
 typedef struct QROperator {
     const QRPlatform *platform;
+    QROperatorNews news;
+    void *owner;
     GHashTable *records;  /* key -> QRHeldRecord * */
     GHashTable *versions; /* model -> QRNamedVersion * */
     QRPolicy *policy;     /* NULL: none is known yet */
@@ -31,7 +37,8 @@
     uint64_t end;         /* offset behind the newest record */
 } QROperator;
 
-void qr_operator_init(QROperator *o, const QRPlatform *platform);
+void qr_operator_init(QROperator *o, const QRPlatform *platform,
+                      QROperatorNews news, void *owner);
 void qr_operator_clear(QROperator *o);
 /*
  * Takes a record; 'age_ms' is how long others have known it. Returns true if
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -65,6 +65,9 @@
 extern const QRServerHandlers qr_gateway_readiness_handlers;
 extern const QRServerHandlers qr_gateway_metrics_handlers;
 
+/* An operator's record that is news here goes on to those who follow us. */
+void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
+                              uint64_t age_ms);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /* Sends our word to every gateway: we leave, or still stay. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -13,9 +13,10 @@
     qr_peer_send(to, frame);
 }
 
-/* An operator's record that is news here is news to others. */
-static void pass_on(QRGateway *g, const QRStoreRecord *r, uint64_t age_ms)
+void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
+                              uint64_t age_ms)
 {
+    QRGateway *g = owner;
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
     Qr__Fleet__Record record = QR__FLEET__RECORD__INIT;
@@ -31,6 +32,7 @@
     records.n_records = 1;
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = &records;
+    qr_gateway_apply_limits(g);
     for (unsigned i = 0; i < g->followers->len; i++)
         qr_peer_send(g->followers->pdata[i], &frame);
 }
@@ -43,10 +45,7 @@
                        ? QR_AGE_UNKNOWN_MS
                        : qr_follower_gap_ms(g->follow_operator);
 
-    if (!qr_operator_take(&g->operator, r, age, qr_gateway_now(g)))
-        return;
-    qr_gateway_apply_limits(g);
-    pass_on(g, r, age);
+    qr_operator_take(&g->operator, r, age, qr_gateway_now(g));
 }
 
 static void operator_listed(void *owner, GHashTable *keys)
@@ -312,9 +311,7 @@
         peer_engine_state(g, member, frame->engine_state);
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
-        if (qr_operator_heard(&g->operator, frame->records,
-                              qr_gateway_now(g)) > 0)
-            qr_gateway_apply_limits(g);
+        qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
         break;
     default:
         break;
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -27,18 +27,13 @@
                : NULL;
 }
 
-GPtrArray *qr_sidecar_members(const QRSidecar *s)
+void qr_sidecar_plan(const QRSidecar *s, QRSourcePlan *plan)
 {
-    return qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
-}
-
-QRSourceInput qr_sidecar_source_input(const QRSidecar *s,
-                                      const GPtrArray *members)
-{
-    QRSourceInput in = {members, s->set->host, s->set->region, s->model,
-                        s->version};
+    g_autoptr(GPtrArray) members =
+        qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
 
-    return in;
+    qr_source_plan_init(plan, members, s->set->host, s->set->region, s->model,
+                        s->version);
 }
 
 bool qr_sidecar_serves_target(const QRSidecar *s)
@@ -106,8 +101,14 @@
     uint64_t age = s->operator.end == 0 ? QR_AGE_UNKNOWN_MS
                                          : qr_follower_gap_ms(s->follow_operator);
 
-    if (qr_operator_take(&s->operator, r, age, qr_sidecar_now(s)))
-        qr_weights_retarget(s);
+    qr_operator_take(&s->operator, r, age, qr_sidecar_now(s));
+}
+
+static void operator_news(void *owner, const QRStoreRecord *r, uint64_t age_ms)
+{
+    (void)r;
+    (void)age_ms;
+    qr_weights_retarget(owner);
 }
 
 static void operator_listed(void *owner, GHashTable *keys)
@@ -137,6 +138,7 @@
     if (!s->report_call && now >= s->report_next_ms)
         report_ask(s, now);
     qr_weights_tick(s, now);
+    qr_weights_upload(s, now);
     qr_stage_tick(s, now);
     if (now < s->slow_tick_ms)
         return;
@@ -211,8 +213,9 @@
     s->platform = qr_platform_find(set->platform);
     s->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     s->gateways = g_ptr_array_new();
+    g_queue_init(&s->uploads);
     s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
-    qr_operator_init(&s->operator, s->platform);
+    qr_operator_init(&s->operator, s->platform, operator_news, s);
     qr_members_init(&s->members);
     sidecar_add_self(s);
 }
@@ -268,6 +271,7 @@
     qr_engine_report_clear(&s->report);
     g_ptr_array_unref(s->gateways);
     g_array_unref(s->waiters);
+    g_queue_clear_full(&s->uploads, g_free);
     qr_operator_clear(&s->operator);
     qr_members_clear(&s->members);
 }
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -66,7 +66,10 @@
     QRWhole *manifest_call;
     uint64_t manifest_next_ms;
     GArray *pieces;       /* QRPiece */
-    GArray *waiters;      /* QRWaiter */
+    GArray *waiters;      /* QRWaiter: their pieces are not here yet */
+    GQueue uploads;       /* QRWaiter *: pieces to send, first asked first */
+    double upload_bytes;  /* that may be sent now; below 0: in debt */
+    uint64_t upload_ms;   /* when that was last looked at */
     unsigned held;        /* pieces here */
     bool stage_scanned;   /* what lay at the engine was looked at */
     uint64_t progress_ms; /* when a piece last came */
@@ -81,15 +84,15 @@
 
 uint64_t qr_sidecar_now(const QRSidecar *s);
 const QRService *qr_sidecar_service(const QRSidecar *s);
-/* Sidecars that count for sources and turns; the caller frees the array. */
-GPtrArray *qr_sidecar_members(const QRSidecar *s);
-QRSourceInput qr_sidecar_source_input(const QRSidecar *s,
-                                      const GPtrArray *members);
+/* The order of the sidecars for the target version. */
+void qr_sidecar_plan(const QRSidecar *s, QRSourcePlan *plan);
 bool qr_sidecar_serves_target(const QRSidecar *s);
 
 /* Weights: the target, its manifest, its pieces. */
 void qr_weights_retarget(QRSidecar *s);
 void qr_weights_tick(QRSidecar *s, uint64_t now_ms);
+/* Sends pieces that peers asked for, no faster than the link may carry. */
+void qr_weights_upload(QRSidecar *s, uint64_t now_ms);
 void qr_weights_want(QRSidecar *s, QRPeerConn *peer, const Qr__Fleet__Want *want);
 void qr_weights_piece(QRSidecar *s, QRPeerConn *peer,
                       const Qr__Fleet__Piece *piece);
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -7,115 +7,103 @@
 
 #define ATTEMPTS_BEFORE_ORIGIN 3
 
-static uint64_t weight(const QRSourceInput *in, const QRFleetMember *m,
-                       unsigned index)
-{
-    char key[QR_NAME_MAX + 48];
-
-    g_snprintf(key, sizeof(key), "%s/%" G_GUINT64_FORMAT "/%u", in->model,
-               in->version, index);
-    return qr_rendezvous(key, m->name);
-}
+typedef struct OrderKey {
+    char text[QR_NAME_MAX + 48];
+} OrderKey;
 
-static bool holds(const QRSourceInput *in, const QRFleetMember *m)
+static int by_weight(const void *a, const void *b, void *key)
 {
-    return m->held == in->version && g_strcmp0(m->model, in->model) == 0;
-}
+    const QRFleetMember *m = *(const QRFleetMember *const *)a;
+    const QRFleetMember *n = *(const QRFleetMember *const *)b;
+    uint64_t wm = qr_rendezvous(((OrderKey *)key)->text, m->name);
+    uint64_t wn = qr_rendezvous(((OrderKey *)key)->text, n->name);
 
-static bool in_region(const QRSourceInput *in, const QRFleetMember *m)
-{
-    return g_strcmp0(m->region, in->region) == 0;
+    return wm < wn ? -1 : wm > wn ? 1 : strcmp(m->name, n->name);
 }
 
-/*
- * The member of rank 'rank' for the piece, among those that pass. 'region'
- * and 'holder' narrow the choice.
- */
-static const QRFleetMember *ranked(const QRSourceInput *in, unsigned index,
-                              unsigned rank, bool region, bool holder)
+void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
+                         const char *self, const char *region,
+                         const char *model, uint64_t version)
 {
-    const QRFleetMember *found = NULL;
-    uint64_t below = UINT64_MAX;
-
-    for (unsigned r = 0; r <= rank; r++) {
-        uint64_t best = 0;
-
-        found = NULL;
-        for (unsigned i = 0; i < in->members->len; i++) {
-            const QRFleetMember *m = in->members->pdata[i];
-            uint64_t w = weight(in, m, index);
-
-            if ((region && !in_region(in, m)) || (holder && !holds(in, m)))
-                continue;
-            if (w < below && (!found || w > best)) {
-                found = m;
-                best = w;
-            }
-        }
-        if (!found)
-            return NULL;
-        below = best;
+    OrderKey key;
+
+    g_snprintf(key.text, sizeof(key.text), "%s/%" G_GUINT64_FORMAT, model,
+               version);
+    plan->self = self;
+    plan->region = region;
+    plan->all = g_ptr_array_new();
+    plan->near = g_ptr_array_new();
+    plan->holders = g_ptr_array_new();
+    plan->near_holders = g_ptr_array_new();
+    for (unsigned i = 0; i < members->len; i++)
+        g_ptr_array_add(plan->all, members->pdata[i]);
+    g_ptr_array_sort_with_data(plan->all, by_weight, &key);
+    for (unsigned i = 0; i < plan->all->len; i++) {
+        QRFleetMember *m = plan->all->pdata[i];
+        bool is_near = g_strcmp0(m->region, region) == 0;
+        bool holds = m->held == version && strcmp(m->name, self) != 0 &&
+                     g_strcmp0(m->model, model) == 0;
+
+        if (is_near)
+            g_ptr_array_add(plan->near, m);
+        if (holds)
+            g_ptr_array_add(plan->holders, m);
+        if (holds && is_near)
+            g_ptr_array_add(plan->near_holders, m);
     }
-    return found;
 }
 
-static bool is_self(const QRSourceInput *in, const QRFleetMember *m)
+void qr_source_plan_clear(QRSourcePlan *plan)
 {
-    return strcmp(m->name, in->self) == 0;
+    g_clear_pointer(&plan->all, g_ptr_array_unref);
+    g_clear_pointer(&plan->near, g_ptr_array_unref);
+    g_clear_pointer(&plan->holders, g_ptr_array_unref);
+    g_clear_pointer(&plan->near_holders, g_ptr_array_unref);
 }
 
-/* Holders spread their askers over themselves by the asker's name. */
-static const QRFleetMember *holder(const QRSourceInput *in, unsigned index,
-                              unsigned attempt, bool region)
+static const QRFleetMember *at_place(const GPtrArray *list, uint64_t place)
 {
-    unsigned holders = 0, rank;
-
-    for (unsigned i = 0; i < in->members->len; i++) {
-        const QRFleetMember *m = in->members->pdata[i];
+    return list->len > 0 ? list->pdata[place % list->len] : NULL;
+}
 
-        holders += holds(in, m) && !is_self(in, m) &&
-                   (!region || in_region(in, m));
-    }
-    if (holders == 0)
-        return NULL;
-    rank = (unsigned)((qr_hash_str(in->self, index) + attempt) % holders);
-    return ranked(in, index, rank, region, true);
+static bool is_self(const QRSourcePlan *plan, const QRFleetMember *m)
+{
+    return strcmp(m->name, plan->self) == 0;
 }
 
-const QRFleetMember *qr_source_choose(const QRSourceInput *in, unsigned index,
-                                 unsigned attempt)
+const QRFleetMember *qr_source_choose(const QRSourcePlan *plan, unsigned index,
+                                      unsigned attempt)
 {
+    /* holders are asked each by others, by the asker's name */
+    uint64_t turn = qr_hash_str(plan->self, 0) % 1024 + index + attempt;
     const QRFleetMember *first, *regional;
 
     if (attempt >= ATTEMPTS_BEFORE_ORIGIN)
         return NULL;
-    regional = holder(in, index, attempt, true);
-    if (regional && !is_self(in, regional))
-        return regional;
-    first = holder(in, index, attempt, false);
-    if (!first || is_self(in, first))
-        first = ranked(in, index, attempt, false, false);
-    if (!first || is_self(in, first))
+    if (plan->near_holders->len > 0)
+        return at_place(plan->near_holders, turn);
+    first = plan->holders->len > 0
+                ? at_place(plan->holders, (uint64_t)index + attempt)
+                : at_place(plan->all, (uint64_t)index + attempt);
+    if (!first || is_self(plan, first))
         return NULL;
-    regional = ranked(in, index, attempt, true, false);
-    if (!regional || is_self(in, regional) || in_region(in, first))
+    regional = at_place(plan->near, (uint64_t)index + attempt);
+    if (!regional || is_self(plan, regional) ||
+        g_strcmp0(first->region, plan->region) == 0)
         return first;
     return regional;
 }
 
-uint64_t qr_switch_at(const QRSourceInput *in, uint64_t first_ms,
+uint64_t qr_switch_at(const QRSourcePlan *plan, uint64_t first_ms,
                       uint64_t last_ms)
 {
-    unsigned rank = 0, n = in->members->len;
-    uint64_t own = 0;
+    unsigned n = plan->all->len, place = 0;
 
     for (unsigned i = 0; i < n; i++) {
-        if (is_self(in, in->members->pdata[i]))
-            own = weight(in, in->members->pdata[i], 0);
+        if (is_self(plan, plan->all->pdata[i]))
+            place = i;
     }
-    for (unsigned i = 0; i < n; i++)
-        rank += weight(in, in->members->pdata[i], 0) > own;
     if (n < 2 || last_ms <= first_ms)
         return first_ms;
-    return first_ms + (last_ms - first_ms) * rank / (n - 1);
+    return first_ms + (last_ms - first_ms) * place / (n - 1);
 }
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -13,7 +13,7 @@
 #define ORDER_AGAIN_MS 300
 #define VERIFY_FRESH_MS 1500  /* a check is good for so long */
 #define SWITCH_LEAD_MS 2600   /* from the naming: most have all pieces by then */
-#define SWITCH_MARGIN_MS 1800 /* before the bound, the last one is ordered */
+#define SWITCH_MARGIN_MS 2900 /* before the bound, the last one is ordered */
 
 static QRPiece *piece_at(const QRSidecar *s, unsigned index)
 {
@@ -170,13 +170,13 @@
 /* An engine that serves nothing is started at once; the others in turn. */
 static uint64_t start_due_ms(QRSidecar *s)
 {
-    g_autoptr(GPtrArray) members = qr_sidecar_members(s);
-    QRSourceInput in = qr_sidecar_source_input(s, members);
+    g_auto(QRSourcePlan) plan = {0};
     uint64_t bound = (uint64_t)s->set->version_ms;
 
     if (s->report.version == 0 || s->since_ms == 0)
         return 0;
-    return qr_switch_at(&in, s->since_ms + MIN(SWITCH_LEAD_MS, bound / 3),
+    qr_sidecar_plan(s, &plan);
+    return qr_switch_at(&plan, s->since_ms + MIN(SWITCH_LEAD_MS, bound / 3),
                         s->since_ms + bound - MIN(bound, SWITCH_MARGIN_MS));
 }
 
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -49,9 +49,41 @@
     qr_peer_send(peer, &frame);
 }
 
+/* Puts a piece in line for a peer. */
+static void upload_later(QRSidecar *s, QRPeerConn *peer, unsigned index)
+{
+    QRWaiter *w = g_new0(QRWaiter, 1);
+
+    w->peer = peer;
+    w->index = index;
+    g_queue_push_tail(&s->uploads, w);
+}
+
+void qr_weights_upload(QRSidecar *s, uint64_t now_ms)
+{
+    double rate = s->set->link_mbit_s * 1e6 / 8 / 1000 *
+                  (double)s->set->weights_link_percent / 100; /* bytes a ms */
+    double elapsed = (double)(now_ms - MIN(s->upload_ms, now_ms));
+
+    s->upload_ms = now_ms;
+    s->upload_bytes = MIN(s->upload_bytes + rate * elapsed, 0);
+    while (s->uploads.length > 0 && (rate <= 0 || s->upload_bytes >= 0)) {
+        g_autofree QRWaiter *w = g_queue_pop_head(&s->uploads);
+        GBytes *data = s->pieces && w->index < s->pieces->len
+                           ? piece_at(s, w->index)->data
+                           : NULL;
+
+        send_piece(s, w->peer, w->index, data);
+        if (data)
+            s->upload_bytes -= (double)g_bytes_get_size(data);
+    }
+}
+
+/* The target changes: whoever waits for the old one is told so. */
 static void refuse_waiters(QRSidecar *s)
 {
     g_autoptr(GArray) waiters = s->waiters;
+    QRWaiter *queued;
 
     s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
     for (unsigned i = 0; i < waiters->len; i++) {
@@ -59,6 +91,10 @@
 
         send_piece(s, w->peer, w->index, NULL);
     }
+    while ((queued = g_queue_pop_head(&s->uploads))) {
+        send_piece(s, queued->peer, queued->index, NULL);
+        g_free(queued);
+    }
 }
 
 void qr_weights_clear(QRSidecar *s)
@@ -186,7 +222,7 @@
         if (w.index != index)
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        send_piece(s, w.peer, index, p->data);
+        upload_later(s, w.peer, index);
     }
     if (s->held == s->pieces->len) {
         qr_logf(QR_LEVEL_INFO, "weights",
@@ -260,7 +296,7 @@
     p->source = g_strdup(from->name);
 }
 
-static void piece_tick(QRSidecar *s, unsigned index, const QRSourceInput *in,
+static void piece_tick(QRSidecar *s, unsigned index, const QRSourcePlan *plan,
                        uint64_t now)
 {
     QRPiece *p = piece_at(s, index);
@@ -278,7 +314,7 @@
     }
     if (p->asked)
         return;
-    from = qr_source_choose(in, index, p->attempt);
+    from = qr_source_choose(plan, index, p->attempt);
     if (from)
         piece_ask(s, index, from, now);
     else
@@ -293,8 +329,8 @@
 
 void qr_weights_tick(QRSidecar *s, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) members = NULL;
-    QRSourceInput in;
+    g_auto(QRSourcePlan) plan = {0};
+    unsigned turn;
 
     if (!s->model || !s->report_ms || !pieces_needed(s))
         return;
@@ -306,10 +342,12 @@
     }
     if (!s->stage_scanned || s->held == s->pieces->len)
         return;
-    members = qr_sidecar_members(s);
-    in = qr_sidecar_source_input(s, members);
+    qr_sidecar_plan(s, &plan);
+    /* each in an order of its own, so that not all ask one peer at once */
+    turn = (unsigned)qr_hash_str(s->set->host, s->version);
     for (unsigned i = 0; i < s->pieces->len; i++)
-        piece_tick(s, i, &in, now_ms);
+        piece_tick(s, (i + turn % s->pieces->len) % s->pieces->len, &plan,
+                   now_ms);
 }
 
 void qr_weights_want(QRSidecar *s, QRPeerConn *peer, const Qr__Fleet__Want *want)
@@ -332,7 +370,7 @@
         return;
     }
     if (s->pieces && piece_at(s, want->index)->data)
-        send_piece(s, peer, want->index, piece_at(s, want->index)->data);
+        upload_later(s, peer, want->index);
     else
         g_array_append_val(s->waiters, w);
 }
@@ -367,6 +405,15 @@
         if (g_array_index(s->waiters, QRWaiter, i - 1).peer == peer)
             g_array_remove_index_fast(s->waiters, i - 1);
     }
+    for (GList *l = s->uploads.head; l;) {
+        GList *next = l->next;
+
+        if (((QRWaiter *)l->data)->peer == peer) {
+            g_free(l->data);
+            g_queue_delete_link(&s->uploads, l);
+        }
+        l = next;
+    }
     for (unsigned i = 0; member && s->pieces && i < s->pieces->len; i++) {
         QRPiece *p = piece_at(s, i);
 
