--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -59,7 +59,9 @@
     s->report = *new;
     s->reachable = reachable;
     s->report_ms = MAX(qr_sidecar_now(s), 1);
-    if (qr_sidecar_serves_target(s) && s->switching) {
+    /* a report from before the order says nothing of it */
+    if (s->switching && !s->order_call && !new->busy &&
+        s->report_asked_ms > s->order_answered_ms) {
         s->switching = false;
         news = true;
     }
@@ -92,6 +94,7 @@
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = REPORT_TIMEOUT_MS;
     s->report_next_ms = now + (s->switching ? REPORT_BUSY_MS : REPORT_MS);
+    s->report_asked_ms = now;
     s->report_call = qr_whole_send(s->to_engine, &r, report_done, s, 0);
 }
 
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -57,7 +57,7 @@
     /* the engine */
     QREngineReport report;
     bool reachable;       /* the engine answered its last report */
-    uint64_t report_ms, report_next_ms;
+    uint64_t report_ms, report_next_ms, report_asked_ms;
     QRWhole *report_call;
     /* the target */
     char *model;
@@ -76,8 +76,8 @@
     uint64_t verified_ms; /* when all pieces were last read back and right */
     /* the order */
     QRWhole *order_call;
-    uint64_t order_next_ms;
-    bool switching;
+    uint64_t order_next_ms, order_answered_ms;
+    bool switching;       /* an order is out, or the engine is at work on it */
     uint64_t origin_bytes, peer_pieces, orders;
     bool stopped;
 } QRSidecar;
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -133,6 +133,7 @@
 
     (void)ref;
     s->order_call = NULL;
+    s->order_answered_ms = qr_sidecar_now(s);
     s->orders++;
     s->order_next_ms = qr_sidecar_now(s) + ORDER_AGAIN_MS;
     s->report_next_ms = 0;
@@ -193,10 +194,8 @@
 
     if (!s->pieces || !s->reachable)
         return;
-    if (qr_sidecar_serves_target(s) && s->stage_scanned) {
-        s->switching = false;
+    if (qr_sidecar_serves_target(s) && s->stage_scanned)
         return;
-    }
     right = stage_pieces(s);
     if (!s->stage_scanned) {
         s->stage_scanned = scan_done(s);
@@ -206,7 +205,7 @@
         return;
     if (s->verified_ms == 0)
         s->verified_ms = now_ms;
-    if (s->order_call || s->report.busy || now_ms < s->order_next_ms ||
+    if (s->order_call || s->switching || s->report.busy || now_ms < s->order_next_ms ||
         now_ms < start_due_ms(s))
         return;
     if (now_ms > s->verified_ms + VERIFY_FRESH_MS)
