A reset right behind data is no end of an answer; each named version keeps its bound

Ruled out: a clean end by the engine (the error is still pending on the socket). Each named version now has its own.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#define VERSIONS_KEPT 16 /* of a model; older ones are long in force */
+
 static void held_free(void *p)
 {
     QRHeldRecord *h = p;
@@ -23,7 +25,8 @@
     o->owner = owner;
     o->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
     o->versions =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                              (GDestroyNotify)g_array_unref);
 }
 
 void qr_operator_clear(QROperator *o)
@@ -71,26 +74,31 @@
                          uint64_t now_ms)
 {
     g_autofree char *model = NULL;
-    uint64_t version;
-    QRNamedVersion *known;
+    const QRNamedVersion *known;
+    QRNamedVersion new = {0, since(now_ms, age_ms)};
+    GArray *list;
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
 
-    if (o->platform->parse_weights(data, len, &model, &version) != 0) {
+    if (o->platform->parse_weights(data, len, &model, &new.version) != 0) {
         qr_logf(QR_LEVEL_WARN, "weights", "unreadable record key=%s", r->key);
         return;
     }
-    known = g_hash_table_lookup(o->versions, model);
-    if (known && version <= known->version)
+    known = qr_operator_version(o, model);
+    if (known && new.version <= known->version)
         return;
     qr_logf(QR_LEVEL_INFO, "weights",
             "named model=%s version=%" G_GUINT64_FORMAT
             " age_ms=%" G_GUINT64_FORMAT,
-            model, version, age_ms);
-    known = g_new0(QRNamedVersion, 1);
-    known->version = version;
-    known->since_ms = since(now_ms, age_ms);
-    g_hash_table_replace(o->versions, g_steal_pointer(&model), known);
+            model, new.version, age_ms);
+    list = g_hash_table_lookup(o->versions, model);
+    if (!list) {
+        list = g_array_new(FALSE, FALSE, sizeof(QRNamedVersion));
+        g_hash_table_insert(o->versions, g_strdup(model), list);
+    }
+    if (list->len >= VERSIONS_KEPT)
+        g_array_remove_index(list, 0);
+    g_array_append_val(list, new);
 }
 
 bool qr_operator_take(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
@@ -127,7 +135,24 @@
 const QRNamedVersion *qr_operator_version(const QROperator *o,
                                           const char *model)
 {
-    return model ? g_hash_table_lookup(o->versions, model) : NULL;
+    GArray *list = model ? g_hash_table_lookup(o->versions, model) : NULL;
+
+    return list ? &g_array_index(list, QRNamedVersion, list->len - 1) : NULL;
+}
+
+uint64_t qr_operator_version_due(const QROperator *o, const char *model,
+                                 uint64_t bound_ms, uint64_t now_ms)
+{
+    GArray *list = model ? g_hash_table_lookup(o->versions, model) : NULL;
+    uint64_t due = 0;
+
+    for (unsigned i = 0; list && i < list->len; i++) {
+        const QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
+
+        if (v->since_ms == 0 || now_ms >= v->since_ms + bound_ms)
+            due = v->version;
+    }
+    return due;
 }
 
 void qr_operator_tell(const QROperator *o, uint64_t offset, uint64_t now_ms,
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -31,7 +31,7 @@
     QROperatorNews news;
     void *owner;
     GHashTable *records;  /* key -> QRHeldRecord * */
-    GHashTable *versions; /* model -> QRNamedVersion * */
+    GHashTable *versions; /* model -> GArray of QRNamedVersion, rising */
     QRPolicy *policy;     /* NULL: none is known yet */
     uint64_t policy_since_ms;
     uint64_t end;         /* offset behind the newest record */
@@ -46,8 +46,15 @@
  */
 bool qr_operator_take(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
                       uint64_t now_ms);
+/* The newest version named, or NULL. */
 const QRNamedVersion *qr_operator_version(const QROperator *o,
                                           const char *model);
+/*
+ * The newest version that was named 'bound_ms' ago or earlier; 0: none. Each
+ * named version has its own bound, whatever was named after it.
+ */
+uint64_t qr_operator_version_due(const QROperator *o, const char *model,
+                                 uint64_t bound_ms, uint64_t now_ms);
 /* Sends all records behind 'offset' by 'send'. */
 void qr_operator_tell(const QROperator *o, uint64_t offset, uint64_t now_ms,
                       void (*send)(void *to, const Qr__Fleet__Frame *frame),
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -72,7 +72,7 @@
 void qr_gateway_tell_leaving(QRGateway *g);
 /* Gateways heard from lately, and this one. */
 unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms);
-/* The version that calls for 'service' must begin on; 0: any. */
+/* The oldest version that calls for 'service' may begin on; 0: any. */
 uint64_t qr_gateway_version_in_force(const QRGateway *g,
                                      const QRService *service, uint64_t now_ms);
 bool qr_gateway_is_ready(const QRGateway *g);
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define VERSION_MARGIN_MS 1200 /* before the bound, only the new one serves */
+#define VERSION_MARGIN_MS 900 /* before the bound, only the new one serves */
 #define HEARTBEAT_REST 4       /* heartbeats between two that say nothing new */
 
 static void tell_follower(void *to, const QRFrame *frame)
@@ -116,17 +116,13 @@
 uint64_t qr_gateway_version_in_force(const QRGateway *g,
                                      const QRService *service, uint64_t now_ms)
 {
-    const QRNamedVersion *named =
-        service ? qr_operator_version(&g->operator, service->engine.model)
-                : NULL;
     uint64_t bound = (uint64_t)g->set->version_ms;
 
-    if (!named)
-        return 0;
     bound -= MIN(bound, (uint64_t)VERSION_MARGIN_MS);
-    if (named->since_ms && now_ms < named->since_ms + bound)
-        return 0;
-    return named->version;
+    return service ? qr_operator_version_due(&g->operator,
+                                             service->engine.model, bound,
+                                             now_ms)
+                   : 0;
 }
 
 static void peer_greet(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -183,8 +183,8 @@
 {
     QRClientCall *call = l->call;
 
-    /* an answer without a length ends here */
-    if (call && call->answered && l->message.head_done &&
+    /* an answer without a length ends here, if it was not a reset */
+    if (call && call->answered && qr_socket_ended(&l->tcp) && l->message.head_done &&
         qr_message_end_of_file(&l->message))
         return;
     if (!l->closing)
--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -56,6 +56,15 @@
                    sizeof(silent_ms));
 }
 
+bool qr_socket_ended(const uv_tcp_t *tcp)
+{
+    uv_os_fd_t fd;
+    char byte;
+
+    return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void qr_socket_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
     static __thread char data[READ_BYTES];
--- a/src/net/qr_socket.h
+++ b/src/net/qr_socket.h
@@ -15,6 +15,11 @@
 int qr_socket_write(uv_tcp_t *tcp, const void *data, size_t len);
 /* No delay; a peer that is silent for 'silent_ms' breaks the connection. */
 void qr_socket_tune(uv_tcp_t *tcp, unsigned silent_ms);
+/*
+ * Whether the peer ended the connection in order. libuv reports a reset that
+ * comes right behind data as an end of file.
+ */
+bool qr_socket_ended(const uv_tcp_t *tcp);
 /* One buffer for all reads of a thread: data is consumed before the next. */
 void qr_socket_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf);
 /* "ip:port" as a socket address; false if it is none. */
