A window of pieces on their way to a sidecar; sources tell when they have a piece

Now few pieces are on their way at once, more while each comes in under 130 ms, fewer when one takes over 260 ms; a source without a piece says so and tells when it has it; a sender waits while its peers' connections are full. Ruled out: cutting such requests by a reset (bytes in the link's queue still arrive).

--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -33,6 +33,7 @@
     Target *target; /* or NULL: the other side dialled */
     GByteArray *in;
     uint64_t since_ms;
+    uint64_t frame_since_ms; /* when the frame being read began to come */
     bool open, closing;
     void *data;
 };
@@ -107,6 +108,8 @@
         qr_peer_close(peer);
         return;
     }
+    if (peer->in->len == 0)
+        peer->frame_since_ms = uv_now(peer->peers->loop);
     g_byte_array_append(peer->in, (const guint8 *)buf->base, (guint)n);
     while (!peer->closing && peer->in->len - used >= HEAD_BYTES) {
         uint32_t len;
@@ -121,6 +124,7 @@
             break;
         peer_take(peer, peer->in->data + used + HEAD_BYTES, len);
         used += HEAD_BYTES + (size_t)len;
+        peer->frame_since_ms = uv_now(peer->peers->loop);
     }
     if (!peer->closing && used > 0)
         g_byte_array_remove_range(peer->in, 0, (guint)used);
@@ -342,6 +346,22 @@
     return uv_stream_get_write_queue_size((const uv_stream_t *)&peer->tcp);
 }
 
+uint64_t qr_peer_frame_ms(const QRPeerConn *peer)
+{
+    uint64_t now = uv_now(peer->peers->loop);
+
+    return now - MIN(peer->frame_since_ms, now);
+}
+
+size_t qr_peers_unsent(const QRPeerNet *p)
+{
+    size_t bytes = 0;
+
+    for (unsigned i = 0; i < p->all->len; i++)
+        bytes += qr_peer_unsent(p->all->pdata[i]);
+    return bytes;
+}
+
 uint64_t qr_peers_bytes(const QRPeerNet *p)
 {
     return p->bytes;
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -25,6 +25,7 @@
     bool verified;      /* read back since, and found right */
     unsigned attempt;   /* sources that were tried and gave nothing */
     bool asked;         /* a peer was asked, at 'asked_ms' */
+    bool pending;       /* it has none yet, and will tell */
     uint64_t asked_ms;
     char *source;       /* name of the peer asked */
     QRWhole *fetch; /* from the origin */
@@ -71,6 +72,7 @@
     double upload_bytes;  /* that may be sent now; below 0: in debt */
     uint64_t upload_ms;   /* when that was last looked at */
     unsigned held;        /* pieces here */
+    double window;        /* pieces that may be on their way to us at once */
     bool stage_scanned;   /* what lay at the engine was looked at */
     uint64_t progress_ms; /* when a piece last came */
     uint64_t verified_ms; /* when all pieces were last read back and right */
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -12,6 +12,11 @@
 #define ORIGIN_AT_ONCE 1     /* so that the first pieces come early */
 #define STALL_MS 900           /* no piece from anybody: ask others */
 #define ASKED_MOST_MS 2500     /* a peer is given so long in any case */
+#define WINDOW_FIRST 3
+#define WINDOW_LEAST 1
+#define WINDOW_MOST 8
+#define PIECE_FAST_MS 130      /* from its first byte to its last */
+#define PIECE_SLOW_MS 260
 
 static void piece_clear(void *p)
 {
@@ -30,7 +35,7 @@
 }
 
 static void send_piece(const QRSidecar *s, QRPeerConn *peer, unsigned index,
-                       GBytes *data)
+                       Qr__Fleet__Piece__State state, GBytes *data)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Piece piece = QR__FLEET__PIECE__INIT;
@@ -39,7 +44,7 @@
     piece.model = s->model;
     piece.version = s->version;
     piece.index = index;
-    piece.absent = data == NULL;
+    piece.state = state;
     if (data) {
         piece.data.data = (uint8_t *)g_bytes_get_data(data, &len);
         piece.data.len = len;
@@ -49,6 +54,12 @@
     qr_peer_send(peer, &frame);
 }
 
+/* Whether a peer has not taken what we sent it: our link, or its, is full. */
+static bool upload_blocked(const QRSidecar *s)
+{
+    return qr_peers_unsent(s->peers) > 0;
+}
+
 /*
  * Puts a piece in line for a peer. Other regions go first: the peer there
  * passes it on to all of its region.
@@ -74,13 +85,17 @@
 
     s->upload_ms = now_ms;
     s->upload_bytes = MIN(s->upload_bytes + rate * elapsed, 0);
-    while (s->uploads.length > 0 && (rate <= 0 || s->upload_bytes >= 0)) {
+    while (s->uploads.length > 0 && !upload_blocked(s) &&
+           (rate <= 0 || s->upload_bytes >= 0)) {
         g_autofree QRWaiter *w = g_queue_pop_head(&s->uploads);
         GBytes *data = s->pieces && w->index < s->pieces->len
                            ? piece_at(s, w->index)->data
                            : NULL;
 
-        send_piece(s, w->peer, w->index, data);
+        send_piece(s, w->peer, w->index,
+                   data ? QR__FLEET__PIECE__STATE__DATA
+                        : QR__FLEET__PIECE__STATE__ABSENT,
+                   data);
         if (data)
             s->upload_bytes -= (double)g_bytes_get_size(data);
     }
@@ -96,10 +111,12 @@
     for (unsigned i = 0; i < waiters->len; i++) {
         QRWaiter *w = &g_array_index(waiters, QRWaiter, i);
 
-        send_piece(s, w->peer, w->index, NULL);
+        send_piece(s, w->peer, w->index, QR__FLEET__PIECE__STATE__ABSENT,
+                   NULL);
     }
     while ((queued = g_queue_pop_head(&s->uploads))) {
-        send_piece(s, queued->peer, queued->index, NULL);
+        send_piece(s, queued->peer, queued->index,
+                   QR__FLEET__PIECE__STATE__ABSENT, NULL);
         g_free(queued);
     }
 }
@@ -134,6 +151,7 @@
     s->stage_scanned = false;
     s->verified_ms = 0;
     s->progress_ms = qr_sidecar_now(s);
+    s->window = s->window > 0 ? s->window : WINDOW_FIRST;
     s->manifest_next_ms = 0;
     qr_logf(QR_LEVEL_INFO, "weights",
             "target model=%s version=%" G_GUINT64_FORMAT
@@ -229,7 +247,7 @@
         if (w.index != index)
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        upload_later(s, w.peer, index);
+        send_piece(s, w.peer, index, QR__FLEET__PIECE__STATE__READY, NULL);
     }
     if (s->held == s->pieces->len) {
         qr_logf(QR_LEVEL_INFO, "weights",
@@ -298,11 +316,37 @@
     frame.want = &want;
     qr_peer_send(peer, &frame);
     p->asked = true;
+    p->pending = false;
     p->asked_ms = now;
     g_free(p->source);
     p->source = g_strdup(from->name);
 }
 
+/* Pieces on their way to us: asked for where they are, or may be. */
+static unsigned on_their_way(const QRSidecar *s)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < s->pieces->len; i++) {
+        const QRPiece *p = piece_at(s, i);
+
+        n += !p->data && ((p->asked && !p->pending) || p->fetch);
+    }
+    return n;
+}
+
+/*
+ * A piece came in 'ms'. The window grows while pieces come fast, and shrinks
+ * when they fill the link: calls to the engine wait behind them.
+ */
+static void window_learn(QRSidecar *s, uint64_t ms)
+{
+    if (ms > PIECE_SLOW_MS)
+        s->window = MAX(s->window / 2, WINDOW_LEAST);
+    else if (ms < PIECE_FAST_MS)
+        s->window = MIN(s->window + 1, WINDOW_MOST);
+}
+
 static void piece_tick(QRSidecar *s, unsigned index, const QRSourcePlan *plan,
                        uint64_t now)
 {
@@ -319,7 +363,7 @@
         p->asked_ms = now;
         p->attempt++;
     }
-    if (p->asked)
+    if (p->asked || on_their_way(s) >= (unsigned)s->window)
         return;
     from = qr_source_choose(plan, index, p->attempt);
     if (from)
@@ -371,7 +415,7 @@
         absent.model = want->model;
         absent.version = want->version;
         absent.index = want->index;
-        absent.absent = true;
+        absent.state = QR__FLEET__PIECE__STATE__ABSENT;
         frame.body_case = QR__FLEET__FRAME__BODY_PIECE;
         frame.piece = &absent;
         qr_peer_send(peer, &frame);
@@ -379,8 +423,11 @@
     }
     if (s->pieces && piece_at(s, want->index)->data)
         upload_later(s, peer, want->index);
-    else
+    else {
         g_array_append_val(s->waiters, w);
+        send_piece(s, peer, want->index, QR__FLEET__PIECE__STATE__PENDING,
+                   NULL);
+    }
 }
 
 void qr_weights_piece(QRSidecar *s, QRPeerConn *peer, const Qr__Fleet__Piece *piece)
@@ -392,17 +439,25 @@
         piece->version != s->version || piece->index >= s->pieces->len)
         return;
     p = piece_at(s, piece->index);
-    if (!piece->absent &&
-        piece_take(s, piece->index, piece->data.data, piece->data.len,
-                   from ? from->name : "peer")) {
-        s->peer_pieces++;
-        return;
+    if (piece->state == QR__FLEET__PIECE__STATE__DATA) {
+        window_learn(s, qr_peer_frame_ms(peer));
+        if (piece_take(s, piece->index, piece->data.data, piece->data.len,
+                       from ? from->name : "peer")) {
+            s->peer_pieces++;
+            qr_weights_tick(s, qr_sidecar_now(s));
+            return;
+        }
     }
-    if (!p->data && from && g_strcmp0(p->source, from->name) == 0) {
-        p->asked = false;
-        p->asked_ms = qr_sidecar_now(s);
+    if (p->data || !from || g_strcmp0(p->source, from->name) != 0)
+        return;
+    p->asked_ms = qr_sidecar_now(s);
+    p->pending = piece->state == QR__FLEET__PIECE__STATE__PENDING;
+    if (p->pending)
+        return;
+    p->asked = false;
+    if (piece->state != QR__FLEET__PIECE__STATE__READY)
         p->attempt++;
-    }
+    qr_weights_tick(s, qr_sidecar_now(s));
 }
 
 void qr_weights_peer_closed(QRSidecar *s, const QRPeerConn *peer)
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1112,6 +1112,38 @@
   (ProtobufCMessageInit) qr__fleet__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue qr__fleet__piece__state__enum_values_by_number[4] =
+{
+  { "DATA", "QR__FLEET__PIECE__STATE__DATA", 0 },
+  { "ABSENT", "QR__FLEET__PIECE__STATE__ABSENT", 1 },
+  { "PENDING", "QR__FLEET__PIECE__STATE__PENDING", 2 },
+  { "READY", "QR__FLEET__PIECE__STATE__READY", 3 },
+};
+static const ProtobufCIntRange qr__fleet__piece__state__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex qr__fleet__piece__state__enum_values_by_name[4] =
+{
+  { "ABSENT", 1 },
+  { "DATA", 0 },
+  { "PENDING", 2 },
+  { "READY", 3 },
+};
+const ProtobufCEnumDescriptor qr__fleet__piece__state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "qr.fleet.Piece.State",
+  "State",
+  "Qr__Fleet__Piece__State",
+  "qr.fleet",
+  4,
+  qr__fleet__piece__state__enum_values_by_number,
+  4,
+  qr__fleet__piece__state__enum_values_by_name,
+  1,
+  qr__fleet__piece__state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCFieldDescriptor qr__fleet__piece__field_descriptors[5] =
 {
   {
@@ -1163,23 +1195,23 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "absent",
+    "state",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Piece, absent),
-    NULL,
+    offsetof(Qr__Fleet__Piece, state),
+    &qr__fleet__piece__state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned qr__fleet__piece__field_indices_by_name[] = {
-  4,   /* field[4] = absent */
   3,   /* field[3] = data */
   2,   /* field[2] = index */
   0,   /* field[0] = model */
+  4,   /* field[4] = state */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange qr__fleet__piece__number_ranges[1 + 1] =
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -29,6 +29,22 @@
 
 /* --- enums --- */
 
+typedef enum _Qr__Fleet__Piece__State {
+  QR__FLEET__PIECE__STATE__DATA = 0,
+  /*
+   * not to be had here
+   */
+  QR__FLEET__PIECE__STATE__ABSENT = 1,
+  /*
+   * not here yet; READY will follow
+   */
+  QR__FLEET__PIECE__STATE__PENDING = 2,
+  /*
+   * here now: ask again
+   */
+  QR__FLEET__PIECE__STATE__READY = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__PIECE__STATE)
+} Qr__Fleet__Piece__State;
 
 /* --- messages --- */
 
@@ -211,12 +227,15 @@
   char *model;
   uint64_t version;
   uint32_t index;
+  /*
+   * in state DATA
+   */
   ProtobufCBinaryData data;
-  protobuf_c_boolean absent;
+  Qr__Fleet__Piece__State state;
 };
 #define QR__FLEET__PIECE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__piece__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, QR__FLEET__PIECE__STATE__DATA }
 
 
 typedef enum {
@@ -487,6 +506,7 @@
 extern const ProtobufCMessageDescriptor qr__fleet__records__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__want__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__piece__descriptor;
+extern const ProtobufCEnumDescriptor    qr__fleet__piece__state__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
