An order to switch waits until what was sent to the engine has begun

Gateways are now told first, and the order goes out once a later report shows an empty queue, 0.7 s later at most. Ruled out: the cut by a reset (it was sent at the deadline, while the machine stood still).

--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -60,7 +60,7 @@
     s->reachable = reachable;
     s->report_ms = MAX(qr_sidecar_now(s), 1);
     /* a report from before the order says nothing of it */
-    if (s->switching && !s->order_call && !new->busy &&
+    if (s->switching && !s->announced_ms && !s->order_call && !new->busy &&
         s->report_asked_ms > s->order_answered_ms) {
         s->switching = false;
         news = true;
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -79,7 +79,9 @@
     /* the order */
     QRWhole *order_call;
     uint64_t order_next_ms, order_answered_ms;
-    bool switching;       /* an order is out, or the engine is at work on it */
+    bool switching;       /* gateways were told that an order is coming, it is
+                             out, or the engine is at work on it */
+    uint64_t announced_ms; /* when gateways were told; 0: no order is coming */
     uint64_t origin_bytes, peer_pieces, orders;
     bool stopped;
 } QRSidecar;
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -12,6 +12,8 @@
 #define ORDER_TIMEOUT_MS 1500
 #define ORDER_AGAIN_MS 300
 #define VERIFY_FRESH_MS 1500  /* a check is good for so long */
+#define ANNOUNCED_MS 80       /* for the word to reach gateways, and calls us */
+#define SETTLE_MOST_MS 700    /* a queue is waited for no longer */
 #define SWITCH_LEAD_MS 2600   /* from the naming: most have all pieces by then */
 #define SWITCH_MARGIN_MS 2900 /* before the bound, the last one is ordered */
 
@@ -148,6 +150,27 @@
     qr_sidecar_tell_state(s, true);
 }
 
+/*
+ * Gateways are told first, and the order waits until what they had sent has
+ * begun: nothing may lie queued at the engine that would begin on the old
+ * version after a long stop of the machine.
+ */
+static void order_announce(QRSidecar *s, uint64_t now_ms)
+{
+    s->switching = true;
+    s->announced_ms = now_ms;
+    s->report_next_ms = MIN(s->report_next_ms, now_ms + ANNOUNCED_MS);
+    qr_sidecar_tell_state(s, true);
+}
+
+static bool order_may_go(const QRSidecar *s, uint64_t now_ms)
+{
+    if (now_ms > s->announced_ms + SETTLE_MOST_MS || s->report.version == 0)
+        return true;
+    return s->report_asked_ms >= s->announced_ms + ANNOUNCED_MS &&
+           !s->report_call && s->report.queued == 0;
+}
+
 static void order_start(QRSidecar *s)
 {
     g_autofree char *path = s->platform->order_path();
@@ -163,8 +186,7 @@
     r.body_len = strlen(body);
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = ORDER_TIMEOUT_MS;
-    s->switching = true;
-    qr_sidecar_tell_state(s, true);
+    s->announced_ms = 0;
     s->order_call = qr_whole_send(s->to_engine, &r, order_done, s, 0);
 }
 
@@ -205,11 +227,13 @@
         return;
     if (s->verified_ms == 0)
         s->verified_ms = now_ms;
-    if (s->order_call || s->switching || s->report.busy || now_ms < s->order_next_ms ||
+    if (s->order_call || s->report.busy || (s->switching && !s->announced_ms) || now_ms < s->order_next_ms ||
         now_ms < start_due_ms(s))
         return;
     if (now_ms > s->verified_ms + VERIFY_FRESH_MS)
         check_again(s);
-    else
+    else if (!s->announced_ms)
+        order_announce(s, now_ms);
+    else if (order_may_go(s, now_ms))
         order_start(s);
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -149,6 +149,9 @@
     s->since_ms = named->since_ms;
     s->held = 0;
     s->stage_scanned = false;
+    if (s->announced_ms) /* the order that was to come is off */
+        s->switching = false;
+    s->announced_ms = 0;
     s->verified_ms = 0;
     s->progress_ms = qr_sidecar_now(s);
     s->window = s->window > 0 ? s->window : WINDOW_FIRST;
