--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -15,6 +15,7 @@
 #define ANNOUNCED_MS 80       /* for the word to reach gateways, and calls us */
 #define SETTLE_MOST_MS 700    /* a queue is waited for no longer */
 #define SWITCH_LEAD_MS 2600   /* from the naming: most have all pieces by then */
+#define OUT_OF_USE_MS 1000    /* before a bound, gateways ask for the new one */
 #define SWITCH_MARGIN_MS 2900 /* before the bound, the last one is ordered */
 
 static QRPiece *piece_at(const QRSidecar *s, unsigned index)
@@ -190,13 +191,23 @@
     s->order_call = qr_whole_send(s->to_engine, &r, order_done, s, 0);
 }
 
-/* An engine that serves nothing is started at once; the others in turn. */
-static uint64_t start_due_ms(QRSidecar *s)
+/* Whether gateways still send calls to the engine, for the version it has. */
+static bool is_in_use(const QRSidecar *s, uint64_t now_ms)
+{
+    uint64_t bound = (uint64_t)s->set->version_ms;
+    uint64_t due = qr_operator_version_due(
+        &s->operator, s->model, bound - MIN(bound, OUT_OF_USE_MS), now_ms);
+
+    return s->report.version > 0 && s->report.version >= due;
+}
+
+/* An engine that is of no use as it is starts at once; the others in turn. */
+static uint64_t start_due_ms(QRSidecar *s, uint64_t now_ms)
 {
     g_auto(QRSourcePlan) plan = {0};
     uint64_t bound = (uint64_t)s->set->version_ms;
 
-    if (s->report.version == 0 || s->since_ms == 0)
+    if (!is_in_use(s, now_ms) || s->since_ms == 0)
         return 0;
     qr_sidecar_plan(s, &plan);
     return qr_switch_at(&plan, s->since_ms + MIN(SWITCH_LEAD_MS, bound / 3),
@@ -228,7 +239,7 @@
     if (s->verified_ms == 0)
         s->verified_ms = now_ms;
     if (s->order_call || s->report.busy || (s->switching && !s->announced_ms) || now_ms < s->order_next_ms ||
-        now_ms < start_due_ms(s))
+        now_ms < start_due_ms(s, now_ms))
         return;
     if (now_ms > s->verified_ms + VERIFY_FRESH_MS)
         check_again(s);
