Dead sidecars own no pieces, the next in order takes over; what is not allowed is not drawn

Gateways now drop sidecars unheard for 2.5 s and tell the others; a want carries the asker's attempt, and the asked takes the piece over; an older version is dropped once a newer one is in force. Ruled out: the origin's rate.

--- a/src/fleet/qr_members.c
+++ b/src/fleet/qr_members.c
@@ -82,6 +82,11 @@
     return news ? member : NULL;
 }
 
+bool qr_members_remove(QRFleetMembers *m, const char *name)
+{
+    return g_hash_table_remove(m->by_name, name);
+}
+
 QRFleetMember *qr_members_get(const QRFleetMembers *m, const char *name)
 {
     return g_hash_table_lookup(m->by_name, name);
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -14,6 +14,7 @@
     char *name, *role, *address, *zone, *region, *service_address, *service;
     uint64_t incarnation;
     uint64_t heard_ms; /* from itself; 0: only from others */
+    const void *conn; /* connection on which it greeted us last; not owned */
     uint64_t told_ms; /* when we last told it what it lacked */
     bool leaving;
     /* sidecars, as told */
@@ -33,6 +34,8 @@
  */
 QRFleetMember *qr_members_hello(QRFleetMembers *m, const Qr__Fleet__Hello *hello,
                            bool direct, uint64_t now_ms);
+/* Forgets a member. Returns false if it was not known. */
+bool qr_members_remove(QRFleetMembers *m, const char *name);
 QRFleetMember *qr_members_get(const QRFleetMembers *m, const char *name);
 QRFleetMember *qr_members_at(const QRFleetMembers *m, const char *address);
 void qr_members_heard(QRFleetMember *member, uint64_t now_ms);
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -97,6 +97,7 @@
     if (g->metrics)
         qr_server_tick(g->metrics, now);
     qr_peers_tick(g->peers, now);
+    qr_gateway_check_sidecars(g, now);
     qr_gateway_heartbeat(g, now);
     if (now >= g->sweep_ms) {
         g->sweep_ms = now + SWEEP_MS;
@@ -231,6 +232,7 @@
     g->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         stats_free);
     g->followers = g_ptr_array_new();
+    g->sidecars = g_ptr_array_new();
     g->relays = g_ptr_array_new();
     g->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     g->random = g->incarnation;
@@ -284,6 +286,7 @@
     uv_run(g->loop, UV_RUN_DEFAULT);
     uv_loop_close(g->loop);
     g_ptr_array_unref(g->followers);
+    g_ptr_array_unref(g->sidecars);
     g_ptr_array_unref(g->relays);
     g_hash_table_unref(g->services);
     g_hash_table_unref(g->regions);
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -42,6 +42,7 @@
     QRFollower *follow_operator, *follow_engines;
     QRPeerNet *peers;
     GPtrArray *followers; /* QRPeerConn *: sidecars that asked to be told */
+    GPtrArray *sidecars;  /* QRPeerConn *: all that dialled us */
     GPtrArray *relays;    /* QRRelay *: calls under way */
     QRCounters counters;
     uv_timer_t timer;
@@ -69,6 +70,8 @@
                               uint64_t age_ms);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
+/* Drops sidecars that have been silent for too long. */
+void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms);
 /* Sends our word to every gateway: we leave, or still stay. */
 void qr_gateway_tell_leaving(QRGateway *g);
 /* Gateways heard from lately, and this one. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define VERSION_MARGIN_MS 900 /* before the bound, only the new one serves */
+#define SIDECAR_LEASE_MS 2500  /* it tells its state once a second */
 #define BEHIND_MS 300          /* a peer may take so long to hear of news */
 #define HEARTBEAT_REST 4       /* heartbeats between two that say nothing new */
 
@@ -148,13 +149,15 @@
     hello->leaving = g->stopping_ms > 0;
 }
 
-static void send_member(QRPeerConn *peer, const QRFleetMember *member)
+static void send_member(QRPeerConn *peer, const QRFleetMember *member,
+                        bool gone)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
     Qr__Fleet__Hello hello, *one[1] = {&hello};
 
     qr_member_describe(member, &hello);
+    hello.gone = gone;
     list.members = one;
     list.n_members = 1;
     frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
@@ -186,7 +189,7 @@
 
     g_hash_table_iter_init(&it, g->members.by_name);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        send_member(peer, value);
+        send_member(peer, value, false);
         send_held(peer, value);
     }
     qr_operator_tell(&g->operator, known, qr_gateway_now(g), tell_follower,
@@ -201,7 +204,7 @@
         qr_peers_dial(g->peers, member->address);
     for (unsigned i = 0; i < g->followers->len; i++) {
         if (g->followers->pdata[i] != from)
-            send_member(g->followers->pdata[i], member);
+            send_member(g->followers->pdata[i], member, false);
     }
 }
 
@@ -222,6 +225,11 @@
                              peer);
         return;
     }
+    if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
+        ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
+        if (!g_ptr_array_find(g->sidecars, peer, NULL))
+            g_ptr_array_add(g->sidecars, peer);
+    }
     if (!g_ptr_array_find(g->followers, peer, NULL) &&
         (h->follow || strcmp(h->role, QR_ROLE_GATEWAY) == 0)) {
         g_ptr_array_add(g->followers, peer);
@@ -347,12 +355,34 @@
     }
 }
 
+/* A sidecar is lost: others must not wait for pieces from it. */
+static void sidecar_lost(QRGateway *g, QRFleetMember *member)
+{
+    qr_logf(QR_LEVEL_INFO, "members", "sidecar lost name=%s heard_ms=%"
+            G_GUINT64_FORMAT, member->name,
+            qr_gateway_now(g) - MIN(member->heard_ms, qr_gateway_now(g)));
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (to && to != member && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+            send_member(g->followers->pdata[i], member, true);
+    }
+    qr_peers_clear_data(g->peers, member);
+    qr_members_remove(&g->members, member->name);
+}
+
 static void peer_closed(void *owner, QRPeerConn *peer)
 {
     QRGateway *g = owner;
     QRFleetMember *member = qr_peer_data(peer);
 
     g_ptr_array_remove_fast(g->followers, peer);
+    g_ptr_array_remove_fast(g->sidecars, peer);
+    if (member && strcmp(member->role, QR_ROLE_SIDECAR) == 0 &&
+        member->conn == peer) {
+        sidecar_lost(g, member);
+        return;
+    }
     /* a gateway tells its load on the connection that we dialled */
     if (!member || !qr_peer_dialled(peer))
         return;
@@ -363,6 +393,17 @@
 const QRPeerHandlers qr_gateway_peer_handlers = {peer_greet, peer_frame,
                                                  peer_closed};
 
+void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms)
+{
+    for (unsigned i = g->sidecars->len; i > 0; i--) {
+        QRPeerConn *peer = g->sidecars->pdata[i - 1];
+        const QRFleetMember *m = qr_peer_data(peer);
+
+        if (m && now_ms > m->heard_ms + SIDECAR_LEASE_MS)
+            qr_peer_close(peer);
+    }
+}
+
 unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms)
 {
     g_autoptr(GPtrArray) list =
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -279,6 +279,21 @@
     target_dial(p, t);
 }
 
+void qr_peers_forget(QRPeerNet *p, const char *address)
+{
+    Target *t = g_hash_table_lookup(p->targets, address);
+    QRPeerConn *peer;
+
+    if (!t)
+        return;
+    peer = t->peer;
+    if (peer)
+        qr_peer_close(peer);
+    g_hash_table_remove(p->targets, address);
+    if (peer)
+        peer->target = NULL;
+}
+
 QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address)
 {
     Target *t;
@@ -334,6 +349,16 @@
     return peer->data;
 }
 
+void qr_peers_clear_data(QRPeerNet *p, const void *data)
+{
+    for (unsigned i = 0; i < p->all->len; i++) {
+        QRPeerConn *peer = p->all->pdata[i];
+
+        if (peer->data == data)
+            peer->data = NULL;
+    }
+}
+
 const char *qr_peer_dialled(const QRPeerConn *peer)
 {
     return peer->target ? peer->target->address : NULL;
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -31,13 +31,17 @@
  * it was resting after a failure.
  */
 void qr_peers_dial(QRPeerNet *p, const char *address);
-/* As above; returns the connection if it is open by now, else NULL. */
+/* Closes connections to 'address' and no longer dials it. */
+void qr_peers_forget(QRPeerNet *p, const char *address);
+/* As qr_peers_dial(); returns the connection if it is open by now, else NULL. */
 QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address);
 void qr_peers_tick(QRPeerNet *p, uint64_t now_ms);
 void qr_peer_send(QRPeerConn *peer, const QRFrame *frame);
 void qr_peer_close(QRPeerConn *peer);
 void qr_peer_set_data(QRPeerConn *peer, void *data);
 void *qr_peer_data(const QRPeerConn *peer);
+/* 'data' is about to go: no connection may name it any more. */
+void qr_peers_clear_data(QRPeerNet *p, const void *data);
 /* The address that was dialled, or NULL if the other side did. */
 const char *qr_peer_dialled(const QRPeerConn *peer);
 size_t qr_peer_unsent(const QRPeerConn *peer);
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -95,12 +95,31 @@
         state_send(s, peer);
 }
 
+/* A gateway lost a sidecar; this run of it, or an older one. */
+static void member_gone(QRSidecar *s, const Qr__Fleet__Hello *h)
+{
+    QRFleetMember *m = qr_members_get(&s->members, h->name);
+
+    if (!m || m->incarnation != h->incarnation ||
+        strcmp(h->name, s->set->host) == 0)
+        return;
+    qr_logf(QR_LEVEL_INFO, "members", "sidecar gone name=%s", h->name);
+    qr_peers_forget(s->peers, m->address);
+    qr_peers_clear_data(s->peers, m);
+    qr_members_remove(&s->members, h->name);
+}
+
 static void peer_members(QRSidecar *s, const Qr__Fleet__Members *list)
 {
     for (size_t i = 0; i < list->n_members; i++) {
-        QRFleetMember *news = qr_members_hello(&s->members, list->members[i], false,
-                                          qr_sidecar_now(s));
+        QRFleetMember *news;
 
+        if (list->members[i]->gone) {
+            member_gone(s, list->members[i]);
+            continue;
+        }
+        news = qr_members_hello(&s->members, list->members[i], false,
+                                          qr_sidecar_now(s));
         if (news)
             heard_of(s, news);
     }
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define ATTEMPTS_BEFORE_ORIGIN 3
+#define ATTEMPTS_BEFORE_ORIGIN 5
 
 typedef struct OrderKey {
     char text[QR_NAME_MAX + 48];
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -9,10 +9,11 @@
 #define MANIFEST_TIMEOUT_MS 1500
 #define MANIFEST_AGAIN_MS 250
 #define PIECE_TIMEOUT_MS 2500  /* from the origin */
-#define ORIGIN_AT_ONCE 1     /* so that the first pieces come early */
+#define ORIGIN_AT_ONCE 1 /* its connections are few; first pieces come early */
 #define STALL_MS 900           /* no piece from anybody: ask others */
 #define ASKED_MOST_MS 2500     /* a peer is given so long in any case */
-#define PENDING_MOST_MS 3000   /* ... that says it will have it */
+#define PENDING_MOST_MS 1500   /* ... that says it will have it */
+#define DIAL_MOST_MS 300
 #define WINDOW_FIRST 3
 #define WINDOW_LEAST 1
 #define WINDOW_MOST 8
@@ -159,14 +160,19 @@
     g_ptr_array_remove(s->targets, t);
 }
 
-/* An older version goes once a newer one is whole, or served. */
+/* An older version goes once a newer one is whole, served, or in force. */
 static void drop_overtaken(QRSidecar *s)
 {
+    uint64_t due = qr_operator_version_due(&s->operator, s->model,
+                                           (uint64_t)s->set->version_ms,
+                                           qr_sidecar_now(s));
+
     while (s->targets->len > 1) {
         QRTarget *older = s->targets->pdata[0];
         QRTarget *newer = s->targets->pdata[1];
 
-        if (!qr_target_whole(newer) && !qr_sidecar_serves(s, newer->version))
+        if (!qr_target_whole(newer) && !qr_sidecar_serves(s, newer->version) &&
+            older->version >= due)
             return;
         target_drop(s, older);
     }
@@ -320,8 +326,10 @@
 
     p->fetch = NULL;
     t->sidecar->origin_bytes += a->len;
-    if (a->status == 200 && piece_take(t, index, a->data, a->len, "origin"))
+    if (a->status == 200 && piece_take(t, index, a->data, a->len, "origin")) {
+        qr_weights_tick(t->sidecar, t->progress_ms);
         return;
+    }
     qr_logf(QR_LEVEL_WARN, "weights",
             "origin failed index=%u status=%u why=%s version=%" G_GUINT64_FORMAT,
             index, a->status, a->why ? a->why : "-", t->version);
@@ -367,8 +375,14 @@
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Want want = QR__FLEET__WANT__INIT;
 
-    if (!peer)
-        return; /* being dialled; the next tick sees it */
+    if (!peer) { /* being dialled; the next tick sees it */
+        if (now > p->asked_ms + DIAL_MOST_MS) {
+            p->asked_ms = now;
+            p->attempt++;
+        }
+        return;
+    }
+    want.attempt = p->attempt;
     want.model = s->model;
     want.version = t->version;
     want.index = index;
@@ -528,6 +542,18 @@
         target_tick(s->targets->pdata[i], now_ms);
 }
 
+/*
+ * Who is asked at a later attempt is next in the order for the piece: earlier
+ * ones gave nothing, so it draws the piece as if they were not there.
+ */
+static void take_over(QRPiece *p, unsigned attempt)
+{
+    if (attempt <= p->attempt || p->fetch)
+        return;
+    p->attempt = attempt;
+    p->asked = p->pending = false;
+}
+
 void qr_weights_want(QRSidecar *s, QRPeerConn *peer,
                      const Qr__Fleet__Want *want)
 {
@@ -542,6 +568,8 @@
         upload_later(s, &w);
         return;
     }
+    if (w.target->pieces)
+        take_over(qr_piece(w.target, w.index), want->attempt);
     g_array_append_val(s->waiters, w);
     tell_waiter(&w, QR__FLEET__PIECE__STATE__PENDING);
 }
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -457,7 +457,7 @@
   assert(message->base.descriptor == &qr__fleet__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[11] =
+static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[12] =
 {
   {
     "name",
@@ -591,12 +591,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = availability_zone */
   7,   /* field[7] = control_offset */
   9,   /* field[9] = follow */
+  11,   /* field[11] = gone */
   5,   /* field[5] = incarnation */
   10,   /* field[10] = leaving */
   0,   /* field[0] = name */
@@ -608,7 +621,7 @@
 static const ProtobufCIntRange qr__fleet__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qr__fleet__hello__descriptor =
 {
@@ -618,7 +631,7 @@
   "Qr__Fleet__Hello",
   "qr.fleet",
   sizeof(Qr__Fleet__Hello),
-  11,
+  12,
   qr__fleet__hello__field_descriptors,
   qr__fleet__hello__field_indices_by_name,
   1,  qr__fleet__hello__number_ranges,
@@ -1048,7 +1061,7 @@
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[4] =
 {
   {
     "model",
@@ -1086,8 +1099,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Want, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__want__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
   2,   /* field[2] = index */
   0,   /* field[0] = model */
   1,   /* field[1] = version */
@@ -1095,7 +1121,7 @@
 static const ProtobufCIntRange qr__fleet__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor qr__fleet__want__descriptor =
 {
@@ -1105,7 +1131,7 @@
   "Qr__Fleet__Want",
   "qr.fleet",
   sizeof(Qr__Fleet__Want),
-  3,
+  4,
   qr__fleet__want__field_descriptors,
   qr__fleet__want__field_indices_by_name,
   1,  qr__fleet__want__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -86,10 +86,14 @@
    */
   protobuf_c_boolean follow;
   protobuf_c_boolean leaving;
+  /*
+   * the sender lost it
+   */
+  protobuf_c_boolean gone;
 };
 #define QR__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -215,10 +219,14 @@
   char *model;
   uint64_t version;
   uint32_t index;
+  /*
+   * sources that gave the asker nothing before
+   */
+  uint32_t attempt;
 };
 #define QR__FLEET__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__want__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qr__Fleet__Piece
