--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -24,7 +24,8 @@
 ]
 
 
-def policy(version, origin, routes=ROUTES, timeout_ms=3000):
+def policy(version, origin, routes=ROUTES, timeout_ms=3000,
+           body_max=20000):
     filled = [dict(r, hostname=HOST, priority=1, public=False)
               | {"timeout-ms": timeout_ms, "target-latency-ms": 400}
               for r in routes]
@@ -38,14 +39,16 @@
                           "engine": engine},
                          {"name": "store", "origin": origin,
                           "max-connections": 48}],
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 20000,
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": body_max,
                        "header-timeout-ms": 700, "idle-timeout-ms": 5000},
             "tenants": [{"name": "team-1", "api-keys": [KEY],
                          "priority": 1}]}
 
 
 class Fleet:
-    def __init__(self, gateways=1, plain=2, dark_stores=()):
+    def __init__(self, gateways=1, plain=2, dark_stores=(),
+                 version_ms=4000):
+        self.version_ms = version_ms
         self.dir = tempfile.mkdtemp(prefix="quayring-fleet-")
         self.store, self.origin = Store(), Origin()
         self.procs, self.logs = {}, {}
@@ -69,7 +72,7 @@
              "availability_zone": "z1", "region": "r1",
              "regions": {"z1": "r1", "z2": "r2"},
              "store": self.store.address, "peers": peers,
-             "seeds": self.peers, "grace_s": 3, "version_ms": 4000}
+             "seeds": self.peers, "grace_s": 3, "version_ms": self.version_ms}
         s.update(more)
         path = os.path.join(self.dir, name + ".json")
         with open(path, "w", encoding="utf-8") as f:
@@ -107,7 +110,8 @@
                        "region": "r1", "store": self.store.address,
                        "peers": peers, "seeds": self.peers,
                        "metrics": metrics, "engine": engine.address,
-                       "service": service, "version_ms": 4000}, f)
+                       "service": service,
+                       "version_ms": self.version_ms}, f)
         self.start(name, "sidecar", path)
 
     def ready(self, i=0):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -108,6 +108,65 @@
     ("snapshot-forgets-removals", 7, "core/qr_config.c",
      "state_read_list(c, x.removed, \"removed\", state_read_removed, f);", "",
      "fuzz_config"),
+    # gateways and sidecars
+    ("reset-is-an-end", 2, "net/qr_client.c",
+     "call && call->answered && qr_socket_ended(&l->tcp) &&",
+     "call && call->answered &&", "gateway::reset_behind_data"),
+    ("any-answer-is-ours", 2, "net/qr_client.c",
+     "l->skipping = strcmp(id, call->id) != 0;", "l->skipping = false;",
+     "gateway::surplus_answers"),
+    ("early-answer-keeps-connection", 2, "net/qr_client.c",
+     "if (uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp) > 0)",
+     "if (false)", "gateway::before_the_body"),
+    ("partial-events-passed", 2, "gateway/qr_sse.c",
+     "g_string_erase(s->partial, 0, (gssize)at);",
+     "g_string_append(out, s->partial->str + at);"
+     " g_string_truncate(s->partial, 0);", "unit"),
+    ("broken-stream-ends-in-order", 2, "gateway/qr_relay.c",
+     "    qr_exchange_abort(x);", "    qr_exchange_end(x);",
+     "gateway::does_not_look_whole"),
+    ("refused-though-it-may-have-run", 3, "gateway/qr_attempt.c",
+     "return may_have_run ? QR_STEP_FAIL : QR_STEP_REFUSE;",
+     "return QR_STEP_REFUSE;", "unit"),
+    ("an-engines-503-is-passed-on", 3, "gateway/qr_relay.c",
+     "r->failure_own = status == 503 || status == 429 || status == 408;",
+     "r->failure_own = false;", "gateway::503_of_an_engine"),
+    ("unsafe-sent-again", 4, "gateway/qr_attempt.c",
+     "if (facts->runs > 0 && !facts->repeatable)", "if (false)", "unit"),
+    ("draining-engine-chosen", 5, "gateway/qr_balance.c",
+     "if (e->gone || e->record->draining)", "if (e->gone)", "unit"),
+    ("stop-forgets-calls", 6, "gateway/qr_gateway.c",
+     "if (g->relays->len == 0 && qr_server_close_idle(g->callers) == 0)",
+     "if (true)", "gateway::planned_stop"),
+    ("stop-closes-at-once", 6, "gateway/qr_gateway.c",
+     "g->stopping_ms = MAX(qr_gateway_now(g), 1);", "gateway_stop_now(g);",
+     "gateway::planned_stop"),
+    ("older-configuration-taken", 7, "fleet/qr_operator.c",
+     "if (o->policy && p->version <= o->policy->version) {", "if (false) {",
+     "gateway::only_go_forward"),
+    ("news-of-peers-is-no-news", 7, "fleet/qr_operator.c",
+     "news += qr_operator_take(o, &r, told->age_ms, now_ms);", "news += 0;",
+     "unit"),
+    ("newest-version-moves-the-bound", 7, "fleet/qr_operator.c",
+     "for (unsigned i = 0; list && i < list->len; i++) {\n"
+     "        const QRNamedVersion *v",
+     "for (unsigned i = list ? list->len - 1 : 0; list && i < list->len; i++)"
+     " {\n        const QRNamedVersion *v", "unit"),
+    ("bad-piece-kept", 1, "sidecar/qr_weights.c",
+     "if (strcmp(digest, t->manifest->digests->pdata[index]) != 0) {",
+     "if (false) {", "sidecar::spoilt_pieces"),
+    ("staged-pieces-not-read-again", 1, "sidecar/qr_stage.c",
+     "if (now_ms > oldest_check_ms(t) + VERIFY_FRESH_MS)", "if (false)",
+     "sidecar::turns_bad"),
+    ("dead-sidecars-own-pieces", 1, "sidecar/qr_sources.c",
+     "if (attempt >= ATTEMPTS_BEFORE_ORIGIN)", "if (false)", "unit"),
+    ("older-version-is-dropped", 1, "sidecar/qr_weights.c",
+     "older->version >= due)\n            return;",
+     "older->version >= due)\n            (void)0;",
+     "sidecar::goes_on_though"),
+    ("retry-budget-does-not-slide", 4, "gateway/qr_budget.c",
+     "if (b->slices[i].slice + QR_BUDGET_SLICES <= newest)", "if (false)",
+     "unit"),
 ]
 
 
@@ -121,8 +180,23 @@
     return True
 
 
+def build_and_command(test):
+    """What to build for a test, and the command that runs it. A test is a
+    fuzzer's name, "unit", or "file::test" on real processes."""
+    if test == "unit":
+        return "build-san/unit", ["build-san/unit"]
+    pytest = ["/usr/bin/python3", "-m", "pytest", "-q", "-x", "-p",
+              "no:cacheprovider"]
+    if "::" in test:
+        name, one = test.split("::")
+        return "build-san/quayring", pytest + [f"tests/test_{name}.py", "-k",
+                                               one]
+    return "build-san/drive", pytest + [f"tests/test_{test}.py"]
+
+
 def run_mutant(mutant):
     name, point, path, old, new, test = mutant
+    target, command = build_and_command(test)
     with tempfile.TemporaryDirectory(prefix="quayring-mutant-") as scratch:
         top = os.path.join(scratch, "t")
         shutil.copytree(ROOT, top, symlinks=True, copy_function=shutil.copy2,
@@ -136,20 +210,20 @@
         built = subprocess.run(
             ["make", "-s", "B=build-san", "SAN=-fsanitize=address,undefined "
              "-fno-sanitize-recover=all", "CFLAGS=-O1 -g -Wno-error",
-             "build-san/drive"], cwd=top, capture_output=True, text=True,
+             target], cwd=top, capture_output=True, text=True,
             check=False)
         if built.returncode != 0:
             return name, point, test, "BROKEN: " + built.stderr[-200:]
-        env = dict(os.environ)
+        env = dict(os.environ, QUAYRING=os.path.join(top, "build-san",
+                                                     "quayring"))
         env.pop("QUAYRING_DRIVE", None)
-        ran = subprocess.run(
-            ["/usr/bin/python3", "-m", "pytest", "-q", "-x", "-p",
-             "no:cacheprovider", f"tests/test_{test}.py"], cwd=top, env=env,
-            capture_output=True, text=True, check=False)
+        ran = subprocess.run(command, cwd=top, env=env, capture_output=True,
+                             text=True, check=False)
         if ran.returncode == 0:
             return name, point, test, "GREEN: nobody noticed"
         why = [line[4:] for line in ran.stdout.splitlines()
                if line.startswith("E  ") and "Error" in line]
+        why += [line for line in ran.stdout.splitlines() if ":F:" in line]
         return name, point, test, "red: " + (why[-1].strip() if why
                                              else "the reducer died")
 
@@ -161,7 +235,7 @@
     with ThreadPoolExecutor(4) as pool:
         for name, point, test, verdict in pool.map(run_mutant, todo):
             bad += not verdict.startswith("red")
-            print(f"{point}  {name:<34} {test:<12} {verdict[:100]}",
+            print(f"{point}  {name:<34} {test[:24]:<24} {verdict[:90]}",
                   flush=True)
     print(f"{len(todo) - bad} of {len(todo)} went red with their mechanism "
           "switched off")
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -13,7 +13,7 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-def read_message(conn, rest):
+def read_message(conn, rest, body_too=True):
     """(head lines, body, rest) of one request, or None at the end."""
     while b"\r\n\r\n" not in rest:
         got = conn.recv(65536)
@@ -25,7 +25,7 @@
     length = 0
     for line in lines[1:]:
         if line.lower().startswith("content-length:"):
-            length = int(line.split(":", 1)[1])
+            length = int(line.split(":", 1)[1]) if body_too else 0
     while len(rest) < length:
         got = conn.recv(65536)
         if not got:
@@ -50,10 +50,13 @@
 class Server:
     """A server of raw HTTP; subclasses answer in handle()."""
 
+    reads_bodies = True  # before it answers
+
     def __init__(self):
         self.lock = threading.Lock()
         self.open = set()
         self.down = False
+        self.confused = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -75,7 +78,7 @@
         rest = b""
         try:
             while True:
-                message = read_message(conn, rest)
+                message = read_message(conn, rest, self.reads_bodies)
                 if message is None:
                     break
                 lines, body, rest = message
@@ -83,6 +86,8 @@
                     break
         except OSError:
             pass
+        except ValueError:  # bytes where a request was due
+            self.confused += 1
         finally:
             self.open.discard(conn)
             conn.close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -207,10 +207,16 @@
         answer(conn, 400, b"early", engine.head(request))
         return True
 
+    fleet.store.put("keyed.op", "config",
+                    policy(2, fleet.origin.address, body_max=1 << 24))
+    wait_for("version 2", lambda: "in force version=2" in fleet.log("g0"))
     behave(fleet, early)
-    assert fleet.call("/unsafe/x", "j1", body=b"b" * 15000)[0] == 400
-    behave(fleet, None)
-    assert fleet.call("/unsafe/x", "j2")[2] == b"done hello"
+    for e in fleet.plain:
+        e.reads_bodies = False
+    for i in range(4):
+        assert fleet.call("/unsafe/x", f"j{i}", body=b"b" * 9000000)[0] == 400
+        assert fleet.call("/unsafe/x", f"k{i}", body=b"")[0] == 400
+    assert all(r.method == "POST" for e in fleet.plain for r in e.seen)
 
 
 def test_a_stream_goes_on_at_its_last_whole_event(fleet):
@@ -381,7 +387,7 @@
 
 def test_a_planned_stop_cuts_nothing(fleet):
     def slow(engine, conn, request):
-        time.sleep(1.0)
+        time.sleep(1.8)
         return engine.work(conn, request)
 
     behave(fleet, slow)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,8 +25,8 @@
 
 
 @pytest.fixture
-def fleet():
-    with Fleet(plain=0) as f:
+def fleet(request):
+    with Fleet(plain=0, version_ms=getattr(request, "param", 4000)) as f:
         f.models = [f.add_engine("m%d" % i, "engines", MODEL, 1)
                     for i in range(3)]
         for i, e in enumerate(f.models):
@@ -56,10 +56,12 @@
     assert "bad piece" in "".join(fleet.log(f"s{i}") for i in range(3))
 
 
+@pytest.mark.parametrize("fleet", [12000], indirect=True)
 def test_a_piece_that_turns_bad_while_it_lies_is_put_again(fleet):
     victim = fleet.models[0]
     name_version(fleet, 2)
     wait_for("all pieces staged", lambda: victim.stage == whole(2), 10)
+    time.sleep(0.6)  # by now they have been read back
     victim.stage[1] = b"rotten" + victim.stage[1]
     wait_for("version 2", lambda: serving(fleet, 2), 15)
     check_orders(fleet.models)
