--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 
 $(B)/%.o: %.c VERSION
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -MMD -c -o $@ $<
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
 
 -include $(LIB_OBJ:.o=.d) $(CMD_OBJ:.o=.d) $(TEST_OBJ:.o=.d)
 
--- a/src/cmd/qr_cmd.h
+++ b/src/cmd/qr_cmd.h
@@ -16,6 +16,7 @@
     DEF(gateway, "-c FILE", "relay calls straight to engines")                 \
     DEF(sidecar, "-c FILE", "bring weights to the engine on this machine")     \
     DEF(check, "FILE...", "check settings and print every finding")            \
+    DEF(explain, "ID [FILE...]", "gather what logs say of one call")           \
     DEF(plan, "-e ADDRESS [-o PLAN] DECLARATION",                              \
         "show what a declaration would change")                                \
     DEF(confirm, "-e ADDRESS PLAN", "take a plan into force")                  \
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -97,7 +97,6 @@
         qr_server_tick(g->metrics, now);
     qr_peers_tick(g->peers, now);
     qr_gateway_check_sidecars(g, now);
-    qr_gateway_heartbeat(g, now);
     if (now >= g->sweep_ms) {
         g->sweep_ms = now + SWEEP_MS;
         qr_engines_sweep(&g->engines);
@@ -117,6 +116,10 @@
     qr_follower_tick(g->follow_operator, now);
     qr_follower_tick(g->follow_engines, now);
     qr_relay_tick(g, now);
+    if (now >= g->heartbeat_ms) {
+        g->heartbeat_ms = now + (uint64_t)g->set->heartbeat_ms;
+        qr_gateway_heartbeat(g, now);
+    }
     if (now >= g->slow_tick_ms) {
         g->slow_tick_ms = now + SLOW_TICK_MS;
         gateway_slow_tick(g, now);
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -49,7 +49,7 @@
     uv_signal_t sigterm, sigint, sighup;
     uint64_t incarnation, random;
     uint64_t stopping_ms; /* when SIGTERM came; 0: it did not */
-    uint64_t slow_tick_ms, sweep_ms;
+    uint64_t heartbeat_ms, slow_tick_ms, sweep_ms; /* when due next */
     uint64_t news_ms;           /* when the operator's last record came */
     unsigned heartbeats_rested; /* since the last whole load message */
     unsigned gateways_most;     /* seen at once, this one too */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -8,7 +8,7 @@
 #define VERSION_MARGIN_MS 900 /* before the bound, only the new one serves */
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
 #define BEHIND_MS 300         /* a peer may take so long to hear of news */
-#define HEARTBEAT_REST 4      /* heartbeats between two that say nothing new */
+#define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
 
 static void tell_follower(void *to, const QRFrame *frame)
 {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,13 +1,15 @@
 """Gateways as real processes: what a caller gets, whatever engines do."""
 import http.client
+import json
 import signal
 import socket
+import subprocess
 import threading
 import time
 
 import pytest
 
-from bench import ask, wait_for
+from bench import BINARY, ask, wait_for
 from fleet import HOST, KEY, ROUTES, Fleet, policy
 from standin_platform import (answer, events, send_chunk, start_stream,
                               stream_from)
@@ -371,7 +373,6 @@
         def addresses():
             _, _, body = ask(f.gateways[0]["directory"], "GET",
                              "/resolution?name=x&zone=z1&region=r1")
-            import json
             return sorted(json.loads(body)["addresses"])
 
         callers = sorted(g["callers"] for g in f.gateways)
@@ -467,3 +468,10 @@
         [line] = [l for l in lines if f"id={ident} " in l]
         assert f"call: {outcome}" in line and f"why={why}" in line
         assert "policy=1" in line
+        told = subprocess.run(
+            [BINARY, "explain", ident, fleet.logs["g0"]],
+            capture_output=True, text=True, check=True).stdout.splitlines()
+        assert line in told and told[-1].endswith(".")
+    none = subprocess.run([BINARY, "explain", "y", fleet.logs["g0"]],
+                          capture_output=True, text=True, check=False)
+    assert none.returncode == 4 and "No line" in none.stdout
