--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -70,6 +70,8 @@
                               uint64_t age_ms);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
+/* An engine leaves: the sidecar beside it will soon be no source of weights. */
+void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address);
 /* Drops sidecars that have been silent for too long. */
 void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms);
 /* Sends our word to every gateway: we leave, or still stay. */
--- /dev/null
+++ b/src/gateway/qr_gateway_peers.c
@@ -0,0 +1,426 @@
+/*
+ * What a gateway hears from peers, and tells them.
+ */
+#include "qr_gateway.h"
+
+#include <string.h>
+
+#define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
+#define BEHIND_MS 300         /* a peer may take so long to hear of news */
+#define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
+
+static void tell_follower(void *to, const QRFrame *frame)
+{
+    qr_peer_send(to, frame);
+}
+
+void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
+                              uint64_t age_ms)
+{
+    QRGateway *g = owner;
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
+    Qr__Fleet__Record record = QR__FLEET__RECORD__INIT;
+    Qr__Fleet__Record *list[1] = {&record};
+    gsize len;
+
+    record.key = r->key;
+    record.value.data = (uint8_t *)g_bytes_get_data(r->value, &len);
+    record.value.len = len;
+    record.offset = r->offset;
+    record.age_ms = age_ms;
+    records.records = list;
+    records.n_records = 1;
+    frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
+    frame.records = &records;
+    qr_gateway_apply_limits(g);
+    g->news_ms = qr_gateway_now(g);
+    /* gateways hear it from the store; who does not is told by heartbeat */
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (to && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+            qr_peer_send(g->followers->pdata[i], &frame);
+    }
+}
+
+static void peer_greet(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
+{
+    QRGateway *g = owner;
+
+    (void)frame;
+    hello->name = g->set->host;
+    hello->role = (char *)QR_ROLE_GATEWAY;
+    hello->address = g->set->peers;
+    hello->availability_zone = g->set->availability_zone;
+    hello->region = g->set->region;
+    hello->service_address = g->set->callers;
+    hello->incarnation = g->incarnation;
+    hello->control_offset = g->operator.end;
+    hello->leaving = g->stopping_ms > 0;
+}
+
+static void send_member(QRPeerConn *peer, const QRFleetMember *member,
+                        bool gone)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
+    Qr__Fleet__Hello hello, *one[1] = {&hello};
+
+    qr_member_describe(member, &hello);
+    hello.gone = gone;
+    list.members = one;
+    list.n_members = 1;
+    frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
+    frame.members = &list;
+    qr_peer_send(peer, &frame);
+}
+
+static void send_held(QRPeerConn *peer, const QRFleetMember *member)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__EngineState state = QR__FLEET__ENGINE_STATE__INIT;
+
+    if (member->held == 0)
+        return;
+    state.name = member->name;
+    state.model = member->model;
+    state.held = member->held;
+    state.engine_address = member->service_address;
+    frame.body_case = QR__FLEET__FRAME__BODY_ENGINE_STATE;
+    frame.engine_state = &state;
+    qr_peer_send(peer, &frame);
+}
+
+/* All that a process needs to know that has just come. */
+static void welcome(QRGateway *g, QRPeerConn *peer, uint64_t known)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->members.by_name);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (((QRFleetMember *)value)->leaving)
+            continue;
+        send_member(peer, value, false);
+        send_held(peer, value);
+    }
+    qr_operator_tell(&g->operator, known, qr_gateway_now(g), tell_follower,
+                     peer);
+}
+
+static void heard_of(QRGateway *g, const QRFleetMember *member,
+                     QRPeerConn *from)
+{
+    qr_logf(QR_LEVEL_INFO, "members", "new name=%s role=%s address=%s zone=%s",
+            member->name, member->role, member->address, member->zone);
+    if (strcmp(member->role, QR_ROLE_GATEWAY) == 0)
+        qr_peers_dial(g->peers, member->address);
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        if (g->followers->pdata[i] != from)
+            send_member(g->followers->pdata[i], member, false);
+    }
+}
+
+static void peer_hello(QRGateway *g, QRPeerConn *peer,
+                       const Qr__Fleet__Hello *h)
+{
+    uint64_t now = qr_gateway_now(g);
+    QRFleetMember *news;
+
+    if (strcmp(h->name, g->set->host) == 0)
+        return;
+    news = qr_members_hello(&g->members, h, true, now);
+    qr_peer_set_data(peer, qr_members_get(&g->members, h->name));
+    if (news)
+        heard_of(g, news, peer);
+    if (qr_peer_dialled(peer)) { /* the other side welcomes us */
+        if (h->control_offset < g->operator.end)
+            qr_operator_tell(&g->operator, h->control_offset, now,
+                             tell_follower, peer);
+        return;
+    }
+    if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
+        ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
+        if (!g_ptr_array_find(g->sidecars, peer, NULL))
+            g_ptr_array_add(g->sidecars, peer);
+    }
+    if (!g_ptr_array_find(g->followers, peer, NULL) &&
+        (h->follow || strcmp(h->role, QR_ROLE_GATEWAY) == 0)) {
+        g_ptr_array_add(g->followers, peer);
+        welcome(g, peer, h->control_offset);
+    }
+}
+
+static void peer_members(QRGateway *g, QRPeerConn *peer,
+                         const Qr__Fleet__Members *list)
+{
+    for (size_t i = 0; i < list->n_members; i++) {
+        QRFleetMember *news;
+
+        if (strcmp(list->members[i]->name, g->set->host) == 0)
+            continue;
+        news = qr_members_hello(&g->members, list->members[i], false,
+                                qr_gateway_now(g));
+        if (news)
+            heard_of(g, news, peer);
+    }
+}
+
+/* A gateway that has been behind for a while is told what it lacks. */
+static void tell_behind(QRGateway *g, QRPeerConn *peer, QRFleetMember *member,
+                        uint64_t offset)
+{
+    uint64_t now = qr_gateway_now(g);
+
+    if (offset >= g->operator.end || now<g->news_ms + BEHIND_MS ||
+                  now<member->told_ms + BEHIND_MS)
+        return;
+    member->told_ms = now;
+    qr_logf(QR_LEVEL_INFO, "members",
+            "behind name=%s offset=%" G_GUINT64_FORMAT
+            " own=%" G_GUINT64_FORMAT,
+            member->name, offset, g->operator.end);
+    qr_operator_tell(&g->operator, offset, now, tell_follower, peer);
+}
+
+static void peer_load(QRGateway *g, QRPeerConn *peer, QRFleetMember *member,
+                      const Qr__Fleet__Load *load)
+{
+    tell_behind(g, peer, member, load->control_offset);
+    if (load->whole)
+        qr_engines_forget_gateway(&g->engines, member->name);
+    for (size_t i = 0; i < load->n_engines; i++) {
+        QRToldLoad told = {load->engines[i]->open, load->engines[i]->reading,
+                           qr_gateway_now(g)};
+
+        qr_engines_told_load(&g->engines, load->engines[i]->engine,
+                             member->name, &told);
+    }
+    if (member->leaving != load->leaving)
+        qr_logf(QR_LEVEL_INFO, "members", "%s name=%s",
+                load->leaving ? "leaving" : "staying", member->name);
+    member->leaving = load->leaving;
+}
+
+static void engine_told(QRGateway *g, const Qr__Fleet__EngineState *state)
+{
+    QREngine *e = qr_engines_at(&g->engines, state->engine_address);
+
+    if (!e)
+        return;
+    if (!e->told || e->told_version != state->serving ||
+        e->told_switching != state->switching)
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "told engine=%s version=%" G_GUINT64_FORMAT
+                " switching=%d reachable=%d",
+                e->record->id, state->serving, state->switching,
+                state->reachable);
+    e->told = true;
+    e->told_ms = qr_gateway_now(g);
+    e->told_version = state->serving;
+    e->told_switching = state->switching;
+    e->told_unreachable = !state->reachable;
+}
+
+static void peer_engine_state(QRGateway *g, QRFleetMember *member,
+                              const Qr__Fleet__EngineState *state)
+{
+    engine_told(g, state);
+    if (member->held == state->held)
+        return;
+    member->held = state->held;
+    g_free(member->model);
+    member->model = g_strdup(state->model);
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (to && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+            send_held(g->followers->pdata[i], member);
+    }
+}
+
+static void peer_frame(void *owner, QRPeerConn *peer, const QRFrame *frame)
+{
+    QRGateway *g = owner;
+    QRFleetMember *member = qr_peer_data(peer);
+
+    if (frame->body_case == QR__FLEET__FRAME__BODY_HELLO) {
+        peer_hello(g, peer, frame->hello);
+        return;
+    }
+    if (!member)
+        return;
+    qr_members_heard(member, qr_gateway_now(g));
+    switch (frame->body_case) {
+    case QR__FLEET__FRAME__BODY_MEMBERS:
+        peer_members(g, peer, frame->members);
+        break;
+    case QR__FLEET__FRAME__BODY_LOAD:
+        peer_load(g, peer, member, frame->load);
+        break;
+    case QR__FLEET__FRAME__BODY_ENGINE_STATE:
+        peer_engine_state(g, member, frame->engine_state);
+        break;
+    case QR__FLEET__FRAME__BODY_RECORDS:
+        qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
+        break;
+    default:
+        break;
+    }
+}
+
+static void tell_sidecars_gone(QRGateway *g, const QRFleetMember *member)
+{
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (to && to != member && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+            send_member(g->followers->pdata[i], member, true);
+    }
+}
+
+void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_SIDECAR, NULL);
+
+    for (unsigned i = 0; i < list->len; i++) {
+        QRFleetMember *m = list->pdata[i];
+
+        if (m->leaving || strcmp(m->service_address, engine_address) != 0)
+            continue;
+        m->leaving = true;
+        tell_sidecars_gone(g, m);
+    }
+}
+
+/* A sidecar is lost: others must not wait for pieces from it. */
+static void sidecar_lost(QRGateway *g, QRFleetMember *member)
+{
+    qr_logf(QR_LEVEL_INFO, "members",
+            "sidecar lost name=%s heard_ms=%" G_GUINT64_FORMAT, member->name,
+            qr_gateway_now(g) - MIN(member->heard_ms, qr_gateway_now(g)));
+    tell_sidecars_gone(g, member);
+    qr_peers_clear_data(g->peers, member);
+    qr_members_remove(&g->members, member->name);
+}
+
+static void peer_closed(void *owner, QRPeerConn *peer)
+{
+    QRGateway *g = owner;
+    QRFleetMember *member = qr_peer_data(peer);
+
+    g_ptr_array_remove_fast(g->followers, peer);
+    g_ptr_array_remove_fast(g->sidecars, peer);
+    if (member && strcmp(member->role, QR_ROLE_SIDECAR) == 0 &&
+        member->conn == peer) {
+        sidecar_lost(g, member);
+        return;
+    }
+    /* a gateway tells its load on the connection that we dialled */
+    if (!member || !qr_peer_dialled(peer))
+        return;
+    qr_logf(QR_LEVEL_INFO, "members", "connection lost name=%s", member->name);
+    qr_engines_forget_gateway(&g->engines, member->name);
+}
+
+const QRPeerHandlers qr_gateway_peer_handlers = {peer_greet, peer_frame,
+                                                 peer_closed};
+
+void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms)
+{
+    for (unsigned i = g->sidecars->len; i > 0; i--) {
+        QRPeerConn *peer = g->sidecars->pdata[i - 1];
+        const QRFleetMember *m = qr_peer_data(peer);
+
+        if (m && now_ms > m->heard_ms + SIDECAR_LEASE_MS)
+            qr_peer_close(peer);
+    }
+}
+
+unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    unsigned alive = 1;
+
+    for (unsigned i = 0; i < list->len; i++)
+        alive +=
+            qr_member_alive(list->pdata[i], (uint64_t)g->set->lease_ms, now_ms);
+    return alive;
+}
+
+/* The load message: engines whose open calls changed since it was last told. */
+static void load_collect(QRGateway *g, GArray *rows, bool whole)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, g->engines.by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QREngine *e = value;
+        Qr__Fleet__EngineLoad row = QR__FLEET__ENGINE_LOAD__INIT;
+
+        bool changed = e->own != e->own_told || e->reading != e->reading_told;
+
+        e->own_told = e->own;
+        e->reading_told = e->reading;
+        if (whole ? e->own == 0 : !changed)
+            continue;
+        row.engine = e->record->id;
+        row.open = e->own;
+        row.reading = e->reading;
+        g_array_append_val(rows, row);
+    }
+}
+
+static void load_send(QRGateway *g, GArray *rows, bool whole)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
+    g_autofree Qr__Fleet__EngineLoad **list =
+        g_new0(Qr__Fleet__EngineLoad *, rows->len + 1);
+
+    for (unsigned i = 0; i < rows->len; i++)
+        list[i] = &g_array_index(rows, Qr__Fleet__EngineLoad, i);
+    load.engines = list;
+    load.n_engines = rows->len;
+    load.whole = whole;
+    load.leaving = g->stopping_ms > 0;
+    load.control_offset = g->operator.end;
+    frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
+    frame.load = &load;
+    /* gateways that dialled us hear us on that connection */
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (to && strcmp(to->role, QR_ROLE_GATEWAY) == 0)
+            qr_peer_send(g->followers->pdata[i], &frame);
+    }
+}
+
+void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GArray) rows = NULL;
+    unsigned alive = qr_gateway_peers_alive(g, now_ms);
+    bool whole;
+
+    g->gateways_most = MAX(g->gateways_most, alive);
+    rows = g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
+    whole = ++g->heartbeats_rested >= HEARTBEAT_REST;
+    load_collect(g, rows, whole);
+    if (rows->len == 0 && !whole)
+        return;
+    if (whole)
+        g->heartbeats_rested = 0;
+    load_send(g, rows, whole);
+}
+
+void qr_gateway_tell_leaving(QRGateway *g)
+{
+    g_autoptr(GArray) rows =
+        g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
+
+    load_send(g, rows, false);
+}
--- /dev/null
+++ b/src/gateway/qr_relay_end.c
@@ -0,0 +1,197 @@
+/*
+ * How a call of a caller ends: its last answer, its last log line.
+ */
+#include "qr_relay_parts.h"
+
+#include <string.h>
+
+#define BACK_LEAST_MS 300 /* when to come back, spread over BACK_SPREAD_MS */
+#define BACK_SPREAD_MS 900
+
+void qr_kept_init(KeptAnswer *a)
+{
+    qr_headers_init(&a->headers);
+    a->body = g_byte_array_new();
+    a->status = 0;
+}
+
+void qr_kept_clear(KeptAnswer *a)
+{
+    qr_headers_clear(&a->headers);
+    if (a->body)
+        g_byte_array_unref(a->body);
+    a->body = NULL;
+}
+
+void qr_kept_reset(KeptAnswer *a)
+{
+    qr_headers_reset(&a->headers);
+    g_byte_array_set_size(a->body, 0);
+    a->status = 0;
+}
+
+void qr_relay_count(QRGateway *g, QRCounter c)
+{
+    g->counters.counts[c]++;
+}
+
+QREngine *qr_relay_engine(const QRRelay *r)
+{
+    return r->engine ? qr_engines_get(&r->g->engines, r->engine) : NULL;
+}
+
+void qr_relay_read(QRRelay *r)
+{
+    QREngine *e = qr_relay_engine(r);
+
+    if (!e || !r->awaiting)
+        return;
+    r->awaiting = false;
+    e->reading -= MIN(e->reading, r->reading);
+    qr_engine_heard(e, r->sent_ms);
+}
+
+void qr_relay_leave_engine(QRRelay *r)
+{
+    QREngine *e = qr_relay_engine(r);
+
+    qr_relay_read(r);
+    if (e && e->own > 0)
+        e->own--;
+    g_clear_pointer(&r->engine, g_free);
+}
+
+void qr_relay_unwait(QRRelay *r)
+{
+    if (!r->waiting)
+        return;
+    r->waiting = false;
+    g_queue_remove(&qr_gateway_stats(r->g, r->service)->waiting, r);
+}
+
+void qr_relay_free(QRRelay *r)
+{
+    GPtrArray *all = r->g->relays;
+    QRRelay *moved = all->pdata[all->len - 1];
+
+    all->pdata[r->index] = moved;
+    moved->index = r->index;
+    g_ptr_array_set_size(all, (int)all->len - 1);
+    qr_relay_unwait(r);
+    qr_relay_leave_engine(r);
+    if (r->call)
+        qr_client_cancel(r->call);
+    qr_kept_clear(&r->answer);
+    qr_kept_clear(&r->failure);
+    qr_sse_clear(&r->events);
+    g_ptr_array_unref(r->tried);
+    g_free(r->id);
+    g_free(r->team);
+    g_free(r->service);
+    g_free(r->route);
+    g_free(r);
+}
+
+void qr_relay_log(const QRRelay *r, const char *outcome, unsigned status,
+                  const char *why)
+{
+    const QRGateway *g = r->g;
+
+    qr_logf(QR_LEVEL_INFO, "call",
+            "%s id=%s status=%u route=%s service=%s team=%s ms=%" G_GUINT64_FORMAT
+            " sendings=%u runs=%u prompt=%u first_ms=%" G_GUINT64_FORMAT
+            " start_ms=%" G_GUINT64_FORMAT " gap_ms=%" G_GUINT64_FORMAT
+            " engine=%s policy=%" G_GUINT64_FORMAT " why=%s",
+            outcome, r->id, status, r->route, r->service, r->team,
+            qr_gateway_now(g) - r->arrived_ms, r->sendings, r->runs, r->prompt,
+            r->first_ms, r->start_ms, r->gap_ms, r->tried->len > 0
+                ? (const char *)r->tried->pdata[r->tried->len - 1]
+                : "-",
+            g->operator.policy ? g->operator.policy->version : 0, why);
+}
+
+void qr_relay_own_answer(QRExchange *x, unsigned status, unsigned retry_ms)
+{
+    QRHeaders headers;
+    char seconds[32];
+
+    qr_headers_init(&headers);
+    if (retry_ms > 0) {
+        g_snprintf(seconds, sizeof(seconds), "%u.%03u", retry_ms / 1000,
+                   retry_ms % 1000);
+        qr_headers_add(&headers, "Retry-After", seconds);
+    }
+    qr_exchange_reply(x, status, &headers, "", 0);
+    qr_headers_clear(&headers);
+}
+
+/* Spread, so that those who are refused together do not come back together. */
+static unsigned come_back_ms(QRGateway *g)
+{
+    g->random = qr_hash64(&g->random, sizeof(g->random), 1);
+    return BACK_LEAST_MS + (unsigned)(g->random % BACK_SPREAD_MS);
+}
+
+void qr_relay_finish_own(QRRelay *r, unsigned status, QRCounter counter,
+                         const char *why)
+{
+    QRExchange *x = r->x;
+    unsigned back = status == 503 ? come_back_ms(r->g) : 0;
+
+    qr_relay_count(r->g, counter);
+    qr_relay_log(r, status == 503 ? "refused" : "failed", status, why);
+    qr_relay_free(r);
+    qr_relay_own_answer(x, status, back);
+}
+
+void qr_relay_cut(QRRelay *r, const char *why)
+{
+    QRExchange *x = r->x;
+
+    qr_relay_count(r->g, QR_COUNTER_cut);
+    qr_relay_log(r, "cut", 0, why);
+    qr_relay_free(r);
+    qr_exchange_abort(x);
+}
+
+void qr_relay_pass(QRRelay *r, KeptAnswer *a)
+{
+    QRExchange *x = r->x;
+    QRHeaders headers = a->headers;
+    GByteArray *body = a->body;
+    unsigned status = a->status;
+
+    memset(&a->headers, 0, sizeof(a->headers));
+    a->body = NULL;
+    qr_relay_count(r->g, QR_COUNTER_answered);
+    qr_latency_add(&r->g->counters.whole, qr_gateway_now(r->g) - r->arrived_ms);
+    qr_relay_log(r, "answered", status, "whole");
+    qr_relay_free(r);
+    qr_exchange_reply(x, status, &headers, body->data, body->len);
+    qr_headers_clear(&headers);
+    g_byte_array_unref(body);
+}
+
+void qr_relay_outcome(QRRelay *r, QREngineOutcome outcome)
+{
+    QREngine *e = qr_relay_engine(r);
+
+    if (!e)
+        return;
+    /* an engine that switches cuts what still runs: that is no fault */
+    if (outcome == QR_OUTCOME_FAILURE && e->told && e->told_switching)
+        return;
+    if (qr_engine_outcome(e, outcome, (double)r->first_ms,
+                          qr_gateway_now(r->g))) {
+        qr_relay_count(r->g, QR_COUNTER_ejections);
+        qr_logf(QR_LEVEL_WARN, "engines",
+                "ejected engine=%s address=%s ejections=%u", e->record->id,
+                e->record->address, e->ejections);
+    }
+}
+
+void qr_relay_sending_over(QRRelay *r)
+{
+    r->call = NULL;
+    qr_relay_leave_engine(r);
+}
--- /dev/null
+++ b/src/gateway/qr_relay_parts.h
@@ -0,0 +1,108 @@
+/*
+ * What the parts of a relay share: the call's state, and the steps that one
+ * part takes for another. Included by qr_relay*.c only.
+ */
+#ifndef QR_RELAY_PARTS_H
+#define QR_RELAY_PARTS_H
+
+#include "qr_attempt.h"
+#include "qr_balance.h"
+#include "qr_relay.h"
+#include "qr_sse.h"
+
+typedef enum AnswerMode {
+    ANSWER_NONE,   /* no head yet */
+    ANSWER_DROP,   /* surely not run, or not an engine's: read and dropped */
+    ANSWER_KEEP,   /* kept until it is whole */
+    ANSWER_PASS,   /* too large to keep: passed on as it comes */
+    ANSWER_EVENTS, /* a stream, passed on event by event */
+} AnswerMode;
+
+/* A whole answer that may still be passed on. */
+typedef struct KeptAnswer {
+    unsigned status;
+    QRHeaders headers;
+    GByteArray *body;
+} KeptAnswer;
+
+struct QRRelay {
+    QRGateway *g;
+    QRExchange *x;
+    unsigned index; /* in g->relays */
+    /* the call */
+    char *id, *team, *service, *route;
+    QRRouteKind kind;
+    bool repeatable;
+    unsigned runs_max;
+    uint32_t objective_ms, gap_objective_ms;
+    uint64_t arrived_ms, final_ms, wait_until_ms;
+    bool waiting;
+    /* sendings */
+    QRClientCall *call; /* under way, or NULL */
+    char *engine;       /* id, of the sending under way */
+    GPtrArray *tried;   /* ids */
+    unsigned runs, sendings;
+    uint64_t sent_ms, progress_ms;
+    unsigned reading;  /* our tokens at the engine, to be read */
+    uint64_t version;  /* of weights there, as believed when it was sent */
+    bool awaiting;     /* the first byte of the sending under way */
+    uint64_t first_ms; /* from sending to the first byte */
+    uint64_t passed_ms, gap_ms; /* last event passed on; longest pause */
+    uint64_t start_ms;          /* from arrival to the first event passed on */
+    unsigned prompt;            /* tokens, as the caller states */
+    /* the answer */
+    AnswerMode mode;
+    KeptAnswer answer;  /* of the sending under way */
+    KeptAnswer failure; /* an engine's failure, if nothing better comes */
+    bool failure_kept, failure_own; /* own: its status must not be passed on */
+    bool started;                   /* part of an answer went to the caller */
+    QRSse events;
+};
+
+/* A kept answer: made ready, freed, emptied for the next one. */
+void qr_kept_init(KeptAnswer *a);
+void qr_kept_clear(KeptAnswer *a);
+void qr_kept_reset(KeptAnswer *a);
+/* One more of a counter. */
+void qr_relay_count(QRGateway *g, QRCounter c);
+/* Where the sending under way went; NULL: none, or the engine is forgotten. */
+QREngine *qr_relay_engine(const QRRelay *r);
+/* The engine has read the prompt: the answer begins, or is given up. */
+void qr_relay_read(QRRelay *r);
+/* The sending under way is over: its place at the engine is free. */
+void qr_relay_leave_engine(QRRelay *r);
+/* Leaves the line of calls that wait for an engine. */
+void qr_relay_unwait(QRRelay *r);
+/* Ends the relay: what is under way is cut. The exchange stays. */
+void qr_relay_free(QRRelay *r);
+/* The last line of every call: what became of it, and on what grounds. */
+void qr_relay_log(const QRRelay *r, const char *outcome, unsigned status,
+                  const char *why);
+/* An answer of our own; 503 says when to come back. */
+void qr_relay_finish_own(QRRelay *r, unsigned status, QRCounter counter,
+                         const char *why);
+/* Breaks an answer that has begun. */
+void qr_relay_cut(QRRelay *r, const char *why);
+/* Passes a kept answer on, headers and all. */
+void qr_relay_pass(QRRelay *r, KeptAnswer *a);
+/* What the sending says of its engine. */
+void qr_relay_outcome(QRRelay *r, QREngineOutcome outcome);
+/* The request to the engine is over, with or without an answer. */
+void qr_relay_sending_over(QRRelay *r);
+/* A status by which an engine that ran a call says that it failed. */
+bool qr_relay_is_failure(unsigned status);
+extern const QRClientHandlers qr_relay_answer_handlers;
+/* The oldest version of weights that the call may begin on; 0: any. */
+uint64_t qr_relay_version_least(const QRRelay *r, uint64_t margin_ms);
+/* Sends the call to the engine that was chosen. */
+void qr_relay_send(QRRelay *r, const QRBalanceChoice *c);
+/* The engine for the next sending, if any should take it. */
+QRBalanceChoice qr_relay_choose(const QRRelay *r);
+/* Sends if an engine has room, else waits or refuses. */
+void qr_relay_try(QRRelay *r);
+/* Takes calls that wait for an engine of 'service', first come first. */
+void qr_relay_pump(QRGateway *g, const char *service);
+/* A sending has ended: sends again, passes on, refuses, fails or cuts. */
+void qr_relay_next(QRRelay *r, QRAttemptEnd end, const char *why);
+
+#endif
--- /dev/null
+++ b/src/gateway/qr_relay_send.c
@@ -0,0 +1,221 @@
+/*
+ * Choosing an engine for a call, and sending it there.
+ */
+#include "qr_relay_parts.h"
+
+#include <string.h>
+
+#define CONNECT_MS 400
+/* Before the bound of a version: no sending to engines with an older one. */
+#define SEND_MARGIN_MS 1000
+
+static bool header_is_ours(const QRGateway *g, const char *name)
+{
+    const QRHeaderNames *n = &g->platform->headers;
+    const char *const ours[] = {n->deadline_ms,    n->key,
+                                n->team,           n->expect_engine,
+                                n->expect_version, n->priority};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(ours); i++) {
+        if (g_ascii_strcasecmp(ours[i], name) == 0)
+            return true;
+    }
+    return false;
+}
+
+static void append_header(GString *out, const char *name, const char *value)
+{
+    g_string_append(out, name);
+    g_string_append(out, ": ");
+    g_string_append(out, value);
+    g_string_append(out, "\r\n");
+}
+
+static void append_callers_headers(const QRRelay *r, GString *out)
+{
+    const QRHeaders *h = qr_exchange_headers(r->x);
+    const char *resume = r->g->platform->headers.last_event;
+    bool going_on = r->events.last_id != NULL;
+
+    for (unsigned i = 0; i < qr_headers_count(h); i++) {
+        const char *name = qr_headers_name(h, i);
+
+        if (qr_headers_is_hop(h, name) || header_is_ours(r->g, name))
+            continue;
+        if (going_on && g_ascii_strcasecmp(name, resume) == 0)
+            continue;
+        append_header(out, name, qr_headers_value(h, i));
+    }
+    if (going_on)
+        append_header(out, resume, r->events.last_id);
+}
+
+uint64_t qr_relay_version_least(const QRRelay *r, uint64_t margin_ms)
+{
+    const QRGateway *g = r->g;
+    const QRService *service =
+        g->operator.policy ? qr_policy_service(g->operator.policy, r->service)
+                           : NULL;
+
+    return qr_gateway_version_in_force(g, service, margin_ms,
+                                       qr_gateway_now(g));
+}
+
+static GString *relay_request(const QRRelay *r, const QREngine *e)
+{
+    uint64_t version =
+        qr_relay_version_least(r, SEND_MARGIN_MS) ? qr_engine_version(e) : 0;
+    const QRHeaderNames *names = &r->g->platform->headers;
+    const GByteArray *body = qr_exchange_body(r->x);
+    const char *method = qr_exchange_method(r->x);
+    uint64_t now = qr_gateway_now(r->g);
+    GString *out = g_string_sized_new(1024 + body->len);
+
+    g_string_append_printf(out, "%s %s HTTP/1.1\r\n", method,
+                           qr_exchange_target(r->x));
+    append_callers_headers(r, out);
+    g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n",
+                           names->deadline_ms,
+                           r->final_ms > now ? r->final_ms - now : 1);
+    append_header(out, names->expect_engine, e->record->id);
+    if (*r->team)
+        append_header(out, names->team, r->team);
+    if (version)
+        g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n",
+                               names->expect_version, version);
+    if (body->len > 0 || strcmp(method, "POST") == 0 ||
+        strcmp(method, "PUT") == 0 || strcmp(method, "PATCH") == 0)
+        g_string_append_printf(out, "Content-Length: %u\r\n", body->len);
+    g_string_append(out, "\r\n");
+    g_string_append_len(out, (const char *)body->data, body->len);
+    return out;
+}
+
+void qr_relay_send(QRRelay *r, const QRBalanceChoice *c)
+{
+    QREngine *e = c->engine;
+    g_autoptr(GString) text = relay_request(r, e);
+    QRClientRequest request = {0};
+
+    qr_relay_unwait(r);
+    r->engine = g_strdup(e->record->id);
+    g_ptr_array_add(r->tried, g_strdup(e->record->id));
+    e->own++;
+    r->reading = r->prompt;
+    e->reading += r->reading;
+    r->awaiting = true;
+    r->version = qr_engine_version(e);
+    if (e->ejections > 0)
+        e->trial = true;
+    r->sendings++;
+    r->runs++;
+    r->sent_ms = r->progress_ms = qr_gateway_now(r->g);
+    qr_engine_sent(e, r->sent_ms);
+    r->mode = ANSWER_NONE;
+    qr_sse_break(&r->events);
+    qr_relay_count(r->g, QR_COUNTER_sendings);
+    request.address = e->record->address;
+    request.data = text->str;
+    request.len = text->len;
+    request.id = r->id;
+    request.head_only = strcmp(qr_exchange_method(r->x), "HEAD") == 0;
+    request.connect_ms = CONNECT_MS;
+    r->call = qr_client_send(r->g->to_engines, &request,
+                             &qr_relay_answer_handlers, r);
+}
+
+/*
+ * Calls of all routes to a service are let in up to the same predicted first
+ * byte, that of the tightest: else, with too many calls, those of the looser
+ * ones fill the engines until the tighter ones are never let in.
+ */
+static uint32_t admission_objective(const QRRelay *r, const QRService *service)
+{
+    return service && service->objective_ms
+               ? MIN(service->objective_ms, r->objective_ms)
+               : r->objective_ms;
+}
+
+QRBalanceChoice qr_relay_choose(const QRRelay *r)
+{
+    QRGateway *g = r->g;
+    const QRServiceStats *stats = qr_gateway_stats(g, r->service);
+    const QRService *service =
+        g->operator.policy ? qr_policy_service(g->operator.policy, r->service)
+                           : NULL;
+    uint64_t now = qr_gateway_now(g);
+    QRBalanceInput in = {0};
+
+    in.service = r->service;
+    in.zone = g->set->availability_zone;
+    in.region = g->set->region;
+    in.regions = g->regions;
+    in.model = service ? &service->engine : NULL;
+    in.version_least = qr_relay_version_least(r, SEND_MARGIN_MS);
+    in.prompt = r->prompt;
+    in.hold_ms = stats->hold_ms;
+    in.objective_ms = r->started ? 0 : admission_objective(r, service);
+    in.gap_ms = r->gap_objective_ms;
+    in.waited_ms = (uint32_t)(now - r->arrived_ms);
+    in.tried = r->tried;
+    in.now_ms = now;
+    g->random = qr_hash64(&g->random, sizeof(g->random), 2);
+    in.random = g->random;
+    return qr_balance_choose(&g->engines, &in);
+}
+
+/* No engine has room: waits for a moment, then is told to come back. */
+static void relay_wait(QRRelay *r, const QRBalanceChoice *c)
+{
+    QRServiceStats *stats = qr_gateway_stats(r->g, r->service);
+    uint64_t now = qr_gateway_now(r->g);
+    char why[96];
+
+    if (now < r->wait_until_ms) {
+        if (!r->waiting) {
+            r->waiting = true;
+            qr_relay_count(r->g, QR_COUNTER_waited);
+            g_queue_push_tail(&stats->waiting, r);
+        }
+        return;
+    }
+    qr_relay_unwait(r);
+    g_snprintf(why, sizeof(why),
+               "no room usable=%u open=%u places=%u "
+               "hold_ms=%.0f",
+               c->usable, c->open, c->places, stats->hold_ms);
+    if (r->runs > 0)
+        qr_relay_finish_own(r, 502, QR_COUNTER_failed, why);
+    else
+        qr_relay_finish_own(r, 503,
+                            c->usable > 0 ? QR_COUNTER_refused_busy
+                                          : QR_COUNTER_refused_unready,
+                            why);
+}
+
+void qr_relay_try(QRRelay *r)
+{
+    QRBalanceChoice c = qr_relay_choose(r);
+
+    if (c.engine)
+        qr_relay_send(r, &c);
+    else
+        relay_wait(r, &c);
+}
+
+void qr_relay_pump(QRGateway *g, const char *service)
+{
+    QRServiceStats *s = qr_gateway_stats(g, service);
+    unsigned n = g_queue_get_length(&s->waiting);
+
+    while (n-- > 0) {
+        QRRelay *r = g_queue_peek_head(&s->waiting);
+        unsigned before = g_queue_get_length(&s->waiting);
+
+        if (!r)
+            return;
+        qr_relay_try(r);
+        if (g_queue_get_length(&s->waiting) >= before)
+            return; /* no room yet */
+    }
+}
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -138,6 +138,14 @@
     return t->pieces && t->held == t->pieces->len;
 }
 
+/* The target of that version, or NULL. */
+QRTarget *qr_target_of(const QRSidecar *s, const char *model, uint64_t version);
+/* Tells a peer how it stands with the piece that it wants. */
+void qr_upload_tell(const QRWaiter *w, Qr__Fleet__Piece__State state);
+/* Forgets waiters of 'target' or 'peer'; those of a target are told so. */
+void qr_upload_drop(QRSidecar *s, const QRTarget *target,
+                    const QRPeerConn *peer);
+
 /* Staging at the engine, and the order to start. */
 void qr_stage_tick(QRSidecar *s, uint64_t now_ms);
 /* The engine started anew: what lies there is not known. */
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -45,132 +45,13 @@
     g_free(t);
 }
 
-static QRTarget *target_of(const QRSidecar *s, const char *model,
-                           uint64_t version)
-{
-    for (unsigned i = 0; s->model && i < s->targets->len; i++) {
-        QRTarget *t = s->targets->pdata[i];
-
-        if (t->version == version && strcmp(model, s->model) == 0)
-            return t;
-    }
-    return NULL;
-}
-
-static void send_piece(QRPeerConn *peer, const char *model, uint64_t version,
-                       unsigned index, Qr__Fleet__Piece__State state,
-                       GBytes *data)
-{
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Piece piece = QR__FLEET__PIECE__INIT;
-    gsize len = 0;
-
-    piece.model = (char *)model;
-    piece.version = version;
-    piece.index = index;
-    piece.state = state;
-    if (data) {
-        piece.data.data = (uint8_t *)g_bytes_get_data(data, &len);
-        piece.data.len = len;
-    }
-    frame.body_case = QR__FLEET__FRAME__BODY_PIECE;
-    frame.piece = &piece;
-    qr_peer_send(peer, &frame);
-}
-
-static void tell_waiter(const QRWaiter *w, Qr__Fleet__Piece__State state)
-{
-    send_piece(w->peer, w->target->sidecar->model, w->target->version, w->index,
-               state, NULL);
-}
-
-/* Whether a peer has not taken what we sent it: our link, or its, is full. */
-static bool upload_blocked(const QRSidecar *s)
-{
-    return qr_peers_unsent(s->peers) > 0;
-}
-
-/* Whose piece goes first: the lesser. */
-static unsigned upload_order(const QRSidecar *s, const QRWaiter *w)
-{
-    const QRFleetMember *to = qr_peer_data(w->peer);
-    g_auto(QRSourcePlan) plan = {0};
-
-    /* it passes the piece on to all of its region */
-    if (to && g_strcmp0(to->region, s->set->region) != 0)
-        return 0;
-    qr_sidecar_plan(s, w->target->version, &plan);
-    return 1 + (to ? qr_source_place(&plan, to->name) : plan.all->len);
-}
-
-/*
- * Puts a piece in line for a peer: other regions first, then those that are to
- * switch first. So the first engines switch while others still draw.
- */
-static void upload_later(QRSidecar *s, const QRWaiter *waiter)
-{
-    QRWaiter *w = g_memdup2(waiter, sizeof(*waiter));
-    GList *at = s->uploads.head;
-
-    w->order = upload_order(s, w);
-    while (at && ((QRWaiter *)at->data)->order <= w->order)
-        at = at->next;
-    g_queue_insert_before(&s->uploads, at, w);
-}
-
-void qr_weights_upload(QRSidecar *s, uint64_t now_ms)
-{
-    double rate = s->set->link_mbit_s * 1e6 / 8 / 1000 *
-                  (double)s->set->weights_link_percent / 100; /* bytes a ms */
-    double elapsed = (double)(now_ms - MIN(s->upload_ms, now_ms));
-
-    s->upload_ms = now_ms;
-    s->upload_bytes = MIN(s->upload_bytes + rate * elapsed, 0);
-    while (s->uploads.length > 0 && !upload_blocked(s) &&
-           (rate <= 0 || s->upload_bytes >= 0)) {
-        g_autofree QRWaiter *w = g_queue_pop_head(&s->uploads);
-        GBytes *data = qr_piece(w->target, w->index)->data;
-
-        send_piece(w->peer, s->model, w->target->version, w->index,
-                   QR__FLEET__PIECE__STATE__DATA, data);
-        s->upload_bytes -= (double)g_bytes_get_size(data);
-    }
-}
-
-/* Forgets waiters of 'target' or 'peer'; those of a target are told so. */
-static void drop_waiters(QRSidecar *s, const QRTarget *target,
-                         const QRPeerConn *peer)
-{
-    for (unsigned i = s->waiters->len; i > 0; i--) {
-        QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
-
-        if (w.target != target && w.peer != peer)
-            continue;
-        g_array_remove_index_fast(s->waiters, i - 1);
-        if (target && w.target == target)
-            tell_waiter(&w, QR__FLEET__PIECE__STATE__ABSENT);
-    }
-    for (GList *l = s->uploads.head; l;) {
-        GList *next = l->next;
-        QRWaiter *w = l->data;
-
-        if (w->target == target || w->peer == peer) {
-            if (target && w->target == target)
-                tell_waiter(w, QR__FLEET__PIECE__STATE__ABSENT);
-            g_free(w);
-            g_queue_delete_link(&s->uploads, l);
-        }
-        l = next;
-    }
-}
-
 static void target_drop(QRSidecar *s, QRTarget *t)
 {
     qr_logf(QR_LEVEL_INFO, "weights",
             "dropped version=%" G_GUINT64_FORMAT
             " held=%u serving=%" G_GUINT64_FORMAT,
             t->version, t->held, s->report.version);
-    drop_waiters(s, t, NULL);
+    qr_upload_drop(s, t, NULL);
     g_ptr_array_remove(s->targets, t);
 }
 
@@ -320,7 +201,7 @@
         if (w.target != t || w.index != index)
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        tell_waiter(&w, QR__FLEET__PIECE__STATE__READY);
+        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__READY);
     }
     if (qr_target_whole(t)) {
         qr_logf(QR_LEVEL_INFO, "weights",
@@ -559,45 +440,11 @@
         target_tick(s->targets->pdata[i], now_ms);
 }
 
-/*
- * Who is asked at a later attempt is next in the order for the piece: earlier
- * ones gave nothing, so it draws the piece as if they were not there.
- */
-static void take_over(QRPiece *p, unsigned attempt)
-{
-    if (attempt <= p->attempt || p->fetch)
-        return;
-    p->attempt = attempt;
-    p->asked = p->pending = false;
-}
-
-void qr_weights_want(QRSidecar *s, QRPeerConn *peer,
-                     const Qr__Fleet__Want *want)
-{
-    QRWaiter w = {peer, target_of(s, want->model, want->version), want->index,
-                  0};
-
-    if (!w.target || (w.target->pieces && w.index >= w.target->pieces->len)) {
-        send_piece(peer, want->model, want->version, want->index,
-                   QR__FLEET__PIECE__STATE__ABSENT, NULL);
-        return;
-    }
-    if (w.target->pieces && qr_piece(w.target, w.index)->data) {
-        upload_later(s, &w);
-        tell_waiter(&w, QR__FLEET__PIECE__STATE__QUEUED);
-        return;
-    }
-    if (w.target->pieces)
-        take_over(qr_piece(w.target, w.index), want->attempt);
-    g_array_append_val(s->waiters, w);
-    tell_waiter(&w, QR__FLEET__PIECE__STATE__PENDING);
-}
-
 void qr_weights_piece(QRSidecar *s, QRPeerConn *peer,
                       const Qr__Fleet__Piece *piece)
 {
     const QRFleetMember *from = qr_peer_data(peer);
-    QRTarget *t = target_of(s, piece->model, piece->version);
+    QRTarget *t = qr_target_of(s, piece->model, piece->version);
     QRPiece *p;
 
     if (!t || !t->pieces || piece->index >= t->pieces->len)
@@ -643,7 +490,7 @@
 {
     const QRFleetMember *member = qr_peer_data(peer);
 
-    drop_waiters(s, NULL, peer);
+    qr_upload_drop(s, NULL, peer);
     for (unsigned i = 0; member && s->targets && i < s->targets->len; i++)
         target_peer_closed(s->targets->pdata[i], member->name);
 }
