Which sidecars are sources is for the gateway to say; a lost connection may come back

Now a lost connection has 0.7 s to come back, and a sidecar counts the sources that its gateway lists. Ruled out: the origin's rate (all 48 pieces had left it by 2.9 s).

--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -14,6 +14,8 @@
     char *name, *role, *address, *zone, *region, *service_address, *service;
     uint64_t incarnation;
     uint64_t heard_ms; /* from itself; 0: only from others */
+    bool listed;       /* a gateway counts it among the sidecars */
+    uint64_t lost_ms;  /* since when it has no connection; 0: it has */
     const void *conn;  /* connection on which it greeted us last; not owned */
     uint64_t told_ms;  /* when we last told it what it lacked */
     bool leaving;
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
+#define REDIAL_MS 700         /* for a lost connection to come back */
 #define BEHIND_MS 300         /* a peer may take so long to hear of news */
 #define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
 
@@ -142,6 +143,7 @@
     }
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
         ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
+        ((QRFleetMember *)qr_peer_data(peer))->lost_ms = 0;
         if (!g_ptr_array_find(g->sidecars, peer, NULL))
             g_ptr_array_add(g->sidecars, peer);
     }
@@ -315,7 +317,9 @@
     g_ptr_array_remove_fast(g->sidecars, peer);
     if (member && strcmp(member->role, QR_ROLE_SIDECAR) == 0 &&
         member->conn == peer) {
-        sidecar_lost(g, member);
+        /* it may only have to dial again; see qr_gateway_check_sidecars() */
+        member->conn = NULL;
+        member->lost_ms = MAX(qr_gateway_now(g), 1);
         return;
     }
     /* a gateway tells its load on the connection that we dialled */
@@ -328,6 +332,20 @@
 const QRPeerHandlers qr_gateway_peer_handlers = {peer_greet, peer_frame,
                                                  peer_closed};
 
+/* Sidecars that did not dial again. */
+static void check_lost(QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_SIDECAR, NULL);
+
+    for (unsigned i = 0; i < list->len; i++) {
+        QRFleetMember *m = list->pdata[i];
+
+        if (m->lost_ms && now_ms > m->lost_ms + REDIAL_MS)
+            sidecar_lost(g, m);
+    }
+}
+
 void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms)
 {
     for (unsigned i = g->sidecars->len; i > 0; i--) {
@@ -337,6 +355,7 @@
         if (m && now_ms > m->heard_ms + SIDECAR_LEASE_MS)
             qr_peer_close(peer);
     }
+    check_lost(g, now_ms);
 }
 
 unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms)
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -32,6 +32,12 @@
     g_autoptr(GPtrArray) members =
         qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
 
+    for (unsigned i = members->len; i > 0; i--) {
+        const QRFleetMember *m = members->pdata[i - 1];
+
+        if (!m->listed && strcmp(m->name, s->set->host) != 0)
+            g_ptr_array_remove_index(members, i - 1);
+    }
     qr_source_plan_init(plan, members, s->set->host, s->set->region, s->model,
                         version);
 }
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -24,6 +24,16 @@
     hello->follow = false;
 }
 
+static void unlist_all(QRSidecar *s)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, s->members.by_name);
+    while (g_hash_table_iter_next(&it, NULL, &value))
+        ((QRFleetMember *)value)->listed = false;
+}
+
 /* Asks a gateway to tell us what it hears. */
 static void follow(QRSidecar *s, QRPeerConn *peer)
 {
@@ -35,6 +45,7 @@
     frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
     frame.hello = &hello;
     s->followed = peer;
+    unlist_all(s); /* it will say who is there */
     qr_peer_send(peer, &frame);
 }
 
@@ -96,33 +107,33 @@
         state_send(s, peer);
 }
 
-/* A gateway lost a sidecar; this run of it, or an older one. */
-static void member_gone(QRSidecar *s, const Qr__Fleet__Hello *h)
+/*
+ * Which sidecars count is for the gateway that we follow to say, not for our
+ * own connections: so all sidecars see the same ones, and agree on the order.
+ */
+static void member_listed(QRSidecar *s, const Qr__Fleet__Hello *h)
 {
     QRFleetMember *m = qr_members_get(&s->members, h->name);
 
-    if (!m || m->incarnation != h->incarnation ||
-        strcmp(h->name, s->set->host) == 0)
+    if (!m || strcmp(h->name, s->set->host) == 0)
         return;
-    qr_logf(QR_LEVEL_INFO, "members", "sidecar gone name=%s", h->name);
-    qr_peers_forget(s->peers, m->address);
-    qr_peers_clear_data(s->peers, m);
-    qr_members_remove(&s->members, h->name);
+    if (m->listed == h->gone)
+        qr_logf(QR_LEVEL_INFO, "members", "%s name=%s role=%s",
+                h->gone ? "gone" : "listed", m->name, m->role);
+    m->listed = !h->gone;
+    if (h->gone)
+        m->held = 0;
 }
 
 static void peer_members(QRSidecar *s, const Qr__Fleet__Members *list)
 {
     for (size_t i = 0; i < list->n_members; i++) {
-        QRFleetMember *news;
-
-        if (list->members[i]->gone) {
-            member_gone(s, list->members[i]);
-            continue;
-        }
-        news = qr_members_hello(&s->members, list->members[i], false,
-                                qr_sidecar_now(s));
+        QRFleetMember *news = qr_members_hello(&s->members, list->members[i],
+                                               false, qr_sidecar_now(s));
+
         if (news)
             heard_of(s, news);
+        member_listed(s, list->members[i]);
     }
 }
 
