Wants for versions not heard of yet wait; dialling a source has a time of its own

So pieces were drawn from the origin by two and three sidecars and the last ones not in time. Now such a want waits until the version is named here too, gateways tell who is behind after 100 ms, and dialling is timed from its start.

--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -7,7 +7,7 @@
 
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
 #define REDIAL_MS 700         /* for a lost connection to come back */
-#define BEHIND_MS 300         /* a peer may take so long to hear of news */
+#define BEHIND_MS 100         /* a peer may take so long to hear of news */
 #define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
 
 static void tell_follower(void *to, const QRFrame *frame)
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -31,10 +31,11 @@
     bool heard;           /* it answered, with whatever */
     bool pending;         /* it has none yet, and will tell */
     uint64_t asked_ms;
-    char *source;   /* name of the peer asked */
-    QRWhole *fetch; /* from the origin */
-    QRWhole *stage; /* put or read back */
-    bool reading;   /* 'stage' reads */
+    uint64_t dial_ms; /* since when the peer is dialled for it; 0: not */
+    char *source;     /* name of the peer asked */
+    QRWhole *fetch;   /* from the origin */
+    QRWhole *stage;   /* put or read back */
+    bool reading;     /* 'stage' reads */
 } QRPiece;
 
 /*
@@ -59,7 +60,8 @@
 /* A peer that waits for a piece. */
 typedef struct QRWaiter {
     QRPeerConn *peer;
-    QRTarget *target;
+    QRTarget *target; /* NULL: its version has not been heard of here yet */
+    uint64_t version;
     unsigned index;
     unsigned order; /* among those whose pieces are to be sent */
 } QRWaiter;
@@ -140,6 +142,8 @@
 
 /* The target of that version, or NULL. */
 QRTarget *qr_target_of(const QRSidecar *s, const char *model, uint64_t version);
+/* A target is new: some may wait for it already. */
+void qr_upload_target_came(QRSidecar *s, QRTarget *t);
 /* Tells a peer how it stands with the piece that it wants. */
 void qr_upload_tell(const QRWaiter *w, Qr__Fleet__Piece__State state);
 /* Forgets waiters of 'target' or 'peer'; those of a target are told so. */
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -102,7 +102,7 @@
     for (unsigned i = s->waiters->len; i > 0; i--) {
         QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
 
-        if (w.target != target && w.peer != peer)
+        if (!(target && w.target == target) && w.peer != peer)
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
         if (target && w.target == target)
@@ -112,7 +112,7 @@
         GList *next = l->next;
         QRWaiter *w = l->data;
 
-        if (w->target == target || w->peer == peer) {
+        if ((target && w->target == target) || w->peer == peer) {
             if (target && w->target == target)
                 qr_upload_tell(w, QR__FLEET__PIECE__STATE__ABSENT);
             g_free(w);
@@ -134,12 +134,35 @@
     p->asked = p->pending = false;
 }
 
+/* A version that we have not heard of yet: its operator's record will come. */
+static bool is_news(const QRSidecar *s, const Qr__Fleet__Want *want)
+{
+    return s->model && strcmp(want->model, s->model) == 0 &&
+           want->version > qr_sidecar_newest(s);
+}
+
+void qr_upload_target_came(QRSidecar *s, QRTarget *t)
+{
+    for (unsigned i = 0; i < s->waiters->len; i++) {
+        QRWaiter *w = &g_array_index(s->waiters, QRWaiter, i);
+
+        if (!w->target && w->version == t->version)
+            w->target = t;
+    }
+}
+
 void qr_weights_want(QRSidecar *s, QRPeerConn *peer,
                      const Qr__Fleet__Want *want)
 {
     QRWaiter w = {peer, qr_target_of(s, want->model, want->version),
-                  want->index, 0};
+                  want->version, want->index, 0};
 
+    if (is_news(s, want)) {
+        g_array_append_val(s->waiters, w);
+        send_piece(peer, want->model, want->version, want->index,
+                   QR__FLEET__PIECE__STATE__PENDING, NULL);
+        return;
+    }
     if (!w.target || (w.target->pieces && w.index >= w.target->pieces->len)) {
         send_piece(peer, want->model, want->version, want->index,
                    QR__FLEET__PIECE__STATE__ABSENT, NULL);
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -101,6 +101,7 @@
     t->since_ms = named->since_ms;
     t->progress_ms = qr_sidecar_now(s);
     g_ptr_array_add(s->targets, t);
+    qr_upload_target_came(s, t);
     if (s->window <= 0)
         s->window = WINDOW_FIRST;
     qr_logf(QR_LEVEL_INFO, "weights",
@@ -273,12 +274,15 @@
     Qr__Fleet__Want want = QR__FLEET__WANT__INIT;
 
     if (!peer) { /* being dialled; the next tick sees it */
-        if (now > p->asked_ms + DIAL_MOST_MS) {
-            p->asked_ms = now;
-            p->attempt++;
-        }
+        if (p->dial_ms == 0)
+            p->dial_ms = now;
+        if (now <= p->dial_ms + DIAL_MOST_MS)
+            return;
+        p->dial_ms = 0;
+        p->attempt++;
         return;
     }
+    p->dial_ms = 0;
     want.attempt = p->attempt;
     want.model = s->model;
     want.version = t->version;
