--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,8 @@
 # Needed only when src/wire/quayring.proto changes.
 generate:
 	cd src/wire && protoc-c --c_out=. quayring.proto fleet.proto
-	protoc --python_out=tests/gen -Isrc/wire src/wire/quayring.proto
+	protoc --python_out=tests/gen -Isrc/wire src/wire/quayring.proto \
+	    src/wire/fleet.proto
 
 install: all
 	install -D -m 755 $(B)/quayring $(DESTDIR)$(PREFIX)/bin/quayring
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -164,6 +164,8 @@
      "older->version >= due)\n            return;",
      "older->version >= due)\n            (void)0;",
      "sidecar::goes_on_though"),
+    ("unheard-versions-are-absent", 1, "sidecar/qr_uploads.c",
+     "if (is_news(s, want)) {", "if (false) {", "sidecar::not_heard"),
     ("retry-budget-does-not-slide", 4, "gateway/qr_budget.c",
      "if (b->slices[i].slice + QR_BUDGET_SLICES <= newest)", "if (false)",
      "unit"),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,9 +1,13 @@
 """Sidecars as real processes: weights reach engines whole, and in turn."""
+import json
+import socket
+import struct
 import time
 
 import pytest
 
 from bench import wait_for
+from gen import fleet_pb2
 from fleet import MODEL, Fleet
 from standin_platform import CHUNKS, chunk_of
 
@@ -128,3 +132,74 @@
     assert not fleet.models[0].seen
     asked = [r for e in fleet.models for r in e.seen]
     assert asked and all("x-expect-version" in r.headers for r in asked[-5:])
+
+
+class Peer:
+    """Another sidecar, as one sidecar sees it."""
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.conn = socket.create_connection((host, int(port)))
+        self.conn.settimeout(5)
+        self.send(hello=fleet_pb2.Hello(
+            name="peer", role="sidecar", address="127.0.0.1:9",
+            availability_zone="z1", region="r1", incarnation=7,
+            service="engines", service_address="127.0.0.1:9"))
+
+    def send(self, **body):
+        data = fleet_pb2.Frame(**body).SerializeToString()
+        self.conn.sendall(struct.pack(">I", len(data)) + data)
+
+    def take(self, size):
+        data = b""
+        while len(data) < size:
+            part = self.conn.recv(size - len(data))
+            assert part, "the sidecar closed the connection"
+            data += part
+        return data
+
+    def piece(self):
+        while True:
+            [size] = struct.unpack(">I", self.take(4))
+            frame = fleet_pb2.Frame.FromString(self.take(size))
+            if frame.HasField("piece"):
+                return frame.piece
+
+    def want(self, version, index=1):
+        self.send(want=fleet_pb2.Want(model=MODEL, version=version,
+                                      index=index))
+        return self.piece()
+
+
+def peer_of(fleet, name):
+    with open(f"{fleet.dir}/{name}.json", encoding="utf-8") as f:
+        return Peer(json.load(f)["peers"])
+
+
+def test_a_want_for_a_version_not_heard_of_waits(fleet):
+    """Bench: who was told 'absent' went on to the next in order, and pieces
+    were drawn from the origin several times."""
+    peer = peer_of(fleet, "s0")
+    states = fleet_pb2.Piece
+    assert peer.want(2).state == states.PENDING
+    name_version(fleet, 2)
+    assert peer.piece().state == states.READY
+    assert peer.want(2).state == states.QUEUED
+    piece = peer.piece()
+    assert piece.state == states.DATA and piece.data == chunk_of(2, 1)
+    assert peer.want(0).state == states.ABSENT
+    assert peer.want(2, index=99).state == states.ABSENT
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    check_orders(fleet.models)
+
+
+def test_bad_frames_close_the_connection(fleet):
+    for bad in (struct.pack(">I", 1 << 30), struct.pack(">I", 3) + b"abc",
+                struct.pack(">I", 0)):
+        peer = peer_of(fleet, "s0")
+        peer.conn.sendall(bad)
+        with pytest.raises((AssertionError, ConnectionError)):
+            while True:
+                peer.piece()
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
