Engines behind a slow link get no calls while weights come over it

A sidecar to which a piece takes over 260 ms while two or fewer are on their way tells gateways so, for 1.5 s after the last one. Ruled out: the cut 0.9 s before the bound (the bytes are in the link's queue by then).

--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -36,7 +36,7 @@
     unsigned own_told, reading_told; /* what the other gateways know of it */
     GHashTable *others;              /* gateway's name -> QRToldLoad * */
     /* told by the sidecar; newer than the record */
-    bool told, told_switching, told_unreachable;
+    bool told, told_switching, told_unreachable, told_slow_link;
     uint64_t told_version, told_ms;
     /* from our own calls */
     unsigned failures; /* in a row, by weight */
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -54,7 +54,9 @@
         version = qr_engine_version(e);
         if (version == 0 || version < in->version_least)
             return false;
-        if (e->told && (e->told_switching || e->told_unreachable))
+        /* over a slow link a call may begin behind a version's bound */
+        if (e->told &&
+            (e->told_switching || e->told_unreachable || e->told_slow_link))
             return false;
     }
     return in->now_ms >= e->ejected_until_ms && !e->trial;
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -223,6 +223,7 @@
     e->told_version = state->serving;
     e->told_switching = state->switching;
     e->told_unreachable = !state->reachable;
+    e->told_slow_link = state->slow_link;
 }
 
 static void peer_engine_state(QRGateway *g, QRFleetMember *member,
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -96,6 +96,7 @@
     GQueue uploads;          /* QRWaiter *: pieces to send, first asked first */
     double upload_bytes;     /* that may be sent now; below 0: in debt */
     uint64_t upload_ms;      /* when that was last looked at */
+    uint64_t slow_until_ms;  /* the link to this machine is slow */
     uint64_t origin_next_ms; /* the origin failed: not asked before */
     double window;           /* pieces that may be on their way to us at once */
     /* the order */
@@ -106,6 +107,7 @@
                               out, or the engine is at work on it */
     uint64_t announced_ms; /* when gateways were told; 0: no order is coming */
     uint64_t origin_bytes, peer_pieces, orders;
+    bool slow_told; /* what gateways were told of that */
     bool stopped;
 };
 
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -56,6 +56,7 @@
     state->serving = s->report.version;
     state->held = qr_sidecar_held(s);
     state->switching = s->switching;
+    state->slow_link = s->slow_told;
     state->reachable = s->reachable;
     state->name = s->set->host;
 }
@@ -74,7 +75,14 @@
 void qr_sidecar_tell_state(QRSidecar *s, bool news)
 {
     uint64_t now = qr_sidecar_now(s);
+    bool slow = now < s->slow_until_ms;
 
+    if (slow != s->slow_told) {
+        qr_logf(QR_LEVEL_INFO, "weights", "link %s window=%.0f",
+                slow ? "slow" : "as usual", s->window);
+        s->slow_told = slow;
+        news = true;
+    }
     if (!s->report_ms || (!news && now < s->state_ms + STATE_MS))
         return;
     s->state_ms = now;
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -18,6 +18,8 @@
 #define WINDOW_FIRST 3
 #define WINDOW_LEAST 1
 #define WINDOW_MOST 8
+#define WINDOW_FEW 2
+#define SLOW_LINK_MS 1500 /* since a slow piece */
 #define PIECE_FAST_MS 130 /* from its first byte to its last */
 #define PIECE_SLOW_MS 260
 #define ORIGIN_AGAIN_MS 150 /* after a failure */
@@ -320,6 +322,9 @@
  */
 static void window_learn(QRSidecar *s, uint64_t ms)
 {
+    /* few were on their way: it is the link itself that is slow */
+    if (ms > PIECE_SLOW_MS && s->window <= WINDOW_FEW)
+        s->slow_until_ms = qr_sidecar_now(s) + SLOW_LINK_MS;
     if (ms > PIECE_SLOW_MS)
         s->window = MAX(s->window / 2, WINDOW_LEAST);
     else if (ms < PIECE_FAST_MS)
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -817,7 +817,7 @@
   (ProtobufCMessageInit) qr__fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[8] =
 {
   {
     "engine_address",
@@ -903,6 +903,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slow_link",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EngineState, slow_link),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__engine_state__field_indices_by_name[] = {
   0,   /* field[0] = engine_address */
@@ -911,12 +923,13 @@
   6,   /* field[6] = name */
   5,   /* field[5] = reachable */
   2,   /* field[2] = serving */
+  7,   /* field[7] = slow_link */
   4,   /* field[4] = switching */
 };
 static const ProtobufCIntRange qr__fleet__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qr__fleet__engine_state__descriptor =
 {
@@ -926,7 +939,7 @@
   "Qr__Fleet__EngineState",
   "qr.fleet",
   sizeof(Qr__Fleet__EngineState),
-  7,
+  8,
   qr__fleet__engine_state__field_descriptors,
   qr__fleet__engine_state__field_indices_by_name,
   1,  qr__fleet__engine_state__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -180,10 +180,14 @@
    * sidecar
    */
   char *name;
+  /*
+   * weights come slowly, and calls behind them too
+   */
+  protobuf_c_boolean slow_link;
 };
 #define QR__FLEET__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -269,6 +269,10 @@
     x->told = true;
     x->told_switching = true;
     ck_assert_ptr_null(qr_balance_choose(&b.engines, &b.in).engine);
+    x->told_switching = false;
+    ck_assert_ptr_eq(qr_balance_choose(&b.engines, &b.in).engine, x);
+    x->told_slow_link = true;
+    ck_assert_ptr_null(qr_balance_choose(&b.engines, &b.in).engine);
     balance_clear(&b);
 }
 END_TEST
