--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -10,7 +10,7 @@
 #define ID_MAX 128
 #define RETRY_UNREADY_MS 500
 #define RETRY_STOPPING_MS 50
-#define REFUSE_SHARE 0.375 /* of the grace time, at its end: no new calls */
+#define REFUSE_SHARE 0.65 /* of the grace time, at its end: no new calls */
 #define DEADLINE_MOST_MS 3600000
 #define ADDRESSES_MOST 64
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -47,8 +47,8 @@
 
 class Fleet:
     def __init__(self, gateways=1, plain=2, dark_stores=(),
-                 version_ms=4000):
-        self.version_ms = version_ms
+                 version_ms=4000, grace_s=3):
+        self.version_ms, self.grace_s = version_ms, grace_s
         self.dir = tempfile.mkdtemp(prefix="quayring-fleet-")
         self.store, self.origin = Store(), Origin()
         self.procs, self.logs = {}, {}
@@ -72,7 +72,7 @@
              "availability_zone": "z1", "region": "r1",
              "regions": {"z1": "r1", "z2": "r2"},
              "store": self.store.address, "peers": peers,
-             "seeds": self.peers, "grace_s": 3, "version_ms": self.version_ms}
+             "seeds": self.peers, "grace_s": self.grace_s, "version_ms": self.version_ms}
         s.update(more)
         path = os.path.join(self.dir, name + ".json")
         with open(path, "w", encoding="utf-8") as f:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -406,6 +406,19 @@
     assert fleet.procs["g0"].wait(timeout=5) == 0
 
 
+def test_no_call_is_taken_that_the_stop_would_cut():
+    """Bench: LOST, 'taken long after SIGTERM and given up'."""
+    with Fleet(grace_s=6) as f:
+        f.wait_ready()
+        f.procs["g0"].send_signal(signal.SIGTERM)
+        time.sleep(1.0)
+        assert f.call("/unsafe/x", "u1")[0] == 200
+        time.sleep(1.6)
+        status, headers, _ = f.call("/unsafe/x", "u2")
+        assert status == 503 and headers["Connection"] == "close"
+        assert headers["Retry-After"] and ran(f, "u2") == 0
+
+
 def test_a_reload_cuts_nothing(fleet):
     fleet.procs["g0"].send_signal(signal.SIGHUP)
     wait_for("reloaded", lambda: "reloaded file=" in fleet.log("g0"))
