Test: a version is out of the origin once each piece was answered in full

Its kept logs: all three sidecars held 5 of 6 pieces, and s2's read of piece 0 was cut in the millisecond in which the test took the origin down. The stand-in counted a piece before answering it, so the test went on with a piece still inside. Ruled out: the product. With 50 ms between count and answer the old test failed 3 of 3 times; the version can't be whole, nobody has the piece. Before/after with those 50 ms: 0 of 3 and 3 of 3 pass. The new condition is the stricter one: six different good pieces, sent whole, not six requests. Conclusion: a fault of the test's condition; nothing in src/ changes.

--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -192,7 +192,8 @@
 
 class Origin(Server):
     def __init__(self):
-        self.sent = 0
+        self.sent = 0  # pieces asked for
+        self.answered = set()  # (version, index) of good pieces sent in full
         self.spoil = 0  # so many pieces to come are bad
         super().__init__()
 
@@ -205,13 +206,17 @@
                                "chunk-bytes": CHUNK_BYTES, "layers": 4,
                                "digests": digests})
             return
-        data = chunk_of(version, int(request.query["sample-size"]))
+        index = int(request.query["sample-size"])
+        data = good = chunk_of(version, index)
         with self.lock:
             self.sent += 1
             if self.spoil > 0:
                 self.spoil -= 1
                 data = b"x" + data[1:]
         answer(conn, 200, data)
+        if data == good:
+            with self.lock:
+                self.answered.add((version, index))
 
 
 class Engine(Server):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -97,7 +97,8 @@
     no engine got either."""
     name_version(fleet, 2)
     wait_for("version 2 out of the origin",
-             lambda: fleet.origin.sent >= CHUNKS, 10)
+             lambda: fleet.origin.answered >= {(2, i) for i in range(CHUNKS)},
+             10)
     fleet.origin.take_down()
     name_version(fleet, 3)
     wait_for("version 2", lambda: serving(fleet, 2), 10)
