Hearsay only introduces members; gateways tell gateways of gateways only

Their logs repeat "members: new name=X" several times a millisecond: what another gateway said of a restarted one was taken as news whenever its incarnation differed, and passed on; with the old and the new incarnation both going round, it never ended. Ruled out: a real restart of each named process (one start in the report). Change: hearsay introduces a name that is not known and nothing else. A newcomer is dialled and both sides welcome each other, so gateways need not pass it on to gateways; sidecars greet every gateway themselves.

--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -10,6 +10,11 @@
 #define BEHIND_MS 100         /* a peer may take so long to hear of news */
 #define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
 
+static bool is_sidecar(const QRFleetMember *member)
+{
+    return member && strcmp(member->role, QR_ROLE_SIDECAR) == 0;
+}
+
 static void tell_follower(void *to, const QRFrame *frame)
 {
     qr_peer_send(to, frame);
@@ -40,7 +45,7 @@
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
-        if (to && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+        if (is_sidecar(to))
             qr_peer_send(g->followers->pdata[i], &frame);
     }
 }
@@ -93,15 +98,21 @@
     qr_peer_send(peer, &frame);
 }
 
-/* All that a process needs to know that has just come. */
+/*
+ * All that a process needs to know that has just come. Gateways are told of
+ * gateways only: each sidecar greets every gateway itself.
+ */
 static void welcome(QRGateway *g, QRPeerConn *peer, uint64_t known)
 {
+    bool to_sidecar = is_sidecar(qr_peer_data(peer));
     GHashTableIter it;
     void *value;
 
     g_hash_table_iter_init(&it, g->members.by_name);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (((QRFleetMember *)value)->leaving)
+        const QRFleetMember *member = value;
+
+        if (member->leaving || (!to_sidecar && is_sidecar(member)))
             continue;
         send_member(peer, value, false);
         send_held(peer, value);
@@ -110,15 +121,21 @@
                      peer);
 }
 
-static void heard_of(QRGateway *g, const QRFleetMember *member,
-                     QRPeerConn *from)
+/*
+ * A member is new. A new gateway is dialled, and welcomes us with all that it
+ * knows, as we do when it dials back; so gateways need not pass it on to other
+ * gateways. Sidecars have only the one gateway that they follow.
+ */
+static void heard_of(QRGateway *g, const QRFleetMember *member)
 {
     qr_logf(QR_LEVEL_INFO, "members", "new name=%s role=%s address=%s zone=%s",
             member->name, member->role, member->address, member->zone);
     if (strcmp(member->role, QR_ROLE_GATEWAY) == 0)
         qr_peers_dial(g->peers, member->address);
     for (unsigned i = 0; i < g->followers->len; i++) {
-        if (g->followers->pdata[i] != from)
+        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+
+        if (is_sidecar(to) && to != member)
             send_member(g->followers->pdata[i], member, false);
     }
 }
@@ -134,7 +151,7 @@
     news = qr_members_hello(&g->members, h, true, now);
     qr_peer_set_data(peer, qr_members_get(&g->members, h->name));
     if (news)
-        heard_of(g, news, peer);
+        heard_of(g, news);
     if (qr_peer_dialled(peer)) { /* the other side welcomes us */
         if (h->control_offset < g->operator.end)
             qr_operator_tell(&g->operator, h->control_offset, now,
@@ -154,18 +171,22 @@
     }
 }
 
-static void peer_members(QRGateway *g, QRPeerConn *peer,
-                         const Qr__Fleet__Members *list)
+/*
+ * Hearsay only introduces. Of a member that is known it says nothing: which of
+ * two incarnations is the newer one only the member itself can tell.
+ */
+static void peer_members(QRGateway *g, const Qr__Fleet__Members *list)
 {
     for (size_t i = 0; i < list->n_members; i++) {
+        const Qr__Fleet__Hello *told = list->members[i];
         QRFleetMember *news;
 
-        if (strcmp(list->members[i]->name, g->set->host) == 0)
+        if (strcmp(told->name, g->set->host) == 0 ||
+            qr_members_get(&g->members, told->name))
             continue;
-        news = qr_members_hello(&g->members, list->members[i], false,
-                                qr_gateway_now(g));
+        news = qr_members_hello(&g->members, told, false, qr_gateway_now(g));
         if (news)
-            heard_of(g, news, peer);
+            heard_of(g, news);
     }
 }
 
@@ -238,7 +259,7 @@
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
-        if (to && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+        if (is_sidecar(to))
             send_held(g->followers->pdata[i], member);
     }
 }
@@ -257,7 +278,7 @@
     qr_members_heard(member, qr_gateway_now(g));
     switch (frame->body_case) {
     case QR__FLEET__FRAME__BODY_MEMBERS:
-        peer_members(g, peer, frame->members);
+        peer_members(g, frame->members);
         break;
     case QR__FLEET__FRAME__BODY_LOAD:
         peer_load(g, peer, member, frame->load);
@@ -278,7 +299,7 @@
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
-        if (to && to != member && strcmp(to->role, QR_ROLE_SIDECAR) == 0)
+        if (is_sidecar(to) && to != member)
             send_member(g->followers->pdata[i], member, true);
     }
 }
@@ -316,8 +337,7 @@
 
     g_ptr_array_remove_fast(g->followers, peer);
     g_ptr_array_remove_fast(g->sidecars, peer);
-    if (member && strcmp(member->role, QR_ROLE_SIDECAR) == 0 &&
-        member->conn == peer) {
+    if (is_sidecar(member) && member->conn == peer) {
         /* it may only have to dial again; see qr_gateway_check_sidecars() */
         member->conn = NULL;
         member->lost_ms = MAX(qr_gateway_now(g), 1);
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,5 @@
 """Sidecars as real processes: weights reach engines whole, and in turn."""
 import json
-import socket
 import struct
 import time
 
@@ -9,6 +8,7 @@
 from bench import wait_for
 from gen import fleet_pb2
 from fleet import MODEL, Fleet
+from peer import Peer
 from standin_platform import CHUNKS, chunk_of
 
 
@@ -135,43 +135,6 @@
     assert asked and all("x-expect-version" in r.headers for r in asked[-5:])
 
 
-class Peer:
-    """Another sidecar, as one sidecar sees it."""
-
-    def __init__(self, address):
-        host, port = address.rsplit(":", 1)
-        self.conn = socket.create_connection((host, int(port)))
-        self.conn.settimeout(5)
-        self.send(hello=fleet_pb2.Hello(
-            name="peer", role="sidecar", address="127.0.0.1:9",
-            availability_zone="z1", region="r1", incarnation=7,
-            service="engines", service_address="127.0.0.1:9"))
-
-    def send(self, **body):
-        data = fleet_pb2.Frame(**body).SerializeToString()
-        self.conn.sendall(struct.pack(">I", len(data)) + data)
-
-    def take(self, size):
-        data = b""
-        while len(data) < size:
-            part = self.conn.recv(size - len(data))
-            assert part, "the sidecar closed the connection"
-            data += part
-        return data
-
-    def piece(self):
-        while True:
-            [size] = struct.unpack(">I", self.take(4))
-            frame = fleet_pb2.Frame.FromString(self.take(size))
-            if frame.HasField("piece"):
-                return frame.piece
-
-    def want(self, version, index=1):
-        self.send(want=fleet_pb2.Want(model=MODEL, version=version,
-                                      index=index))
-        return self.piece()
-
-
 def peer_of(fleet, name):
     with open(f"{fleet.dir}/{name}.json", encoding="utf-8") as f:
         return Peer(json.load(f)["peers"])
