--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -21,6 +21,7 @@
 #define GAP_SHARE 0.85
 #define SILENCE_MS 200    /* an answer that is longer in coming counts */
 #define QUEUE_MOST 0.5    /* of the slots: never more wait at an engine */
+#define QUIET_MS 1600     /* sidecars tell their state once a second */
 #define PLAIN_FIRST_MS 10 /* of a service without a model */
 #define PLAIN_SLOTS 4     /* if neither engine nor operator states them */
 
@@ -44,6 +45,15 @@
     return in->model && in->model->model;
 }
 
+/*
+ * No word came from the engine's sidecar lately: it stands still, or its link
+ * is jammed, and a call may lie there until a version's bound is past.
+ */
+static bool is_quiet(const QREngine *e, uint64_t now_ms)
+{
+    return !e->told || now_ms > e->told_ms + QUIET_MS;
+}
+
 static bool is_usable(const QREngine *e, const QRBalanceInput *in)
 {
     uint64_t version;
@@ -54,6 +64,8 @@
         version = qr_engine_version(e);
         if (version == 0 || version < in->version_least)
             return false;
+        if (version < in->version_soon && is_quiet(e, in->now_ms))
+            return false;
         /* over a slow link a call may begin behind a version's bound */
         if (e->told &&
             (e->told_switching || e->told_unreachable || e->told_slow_link))
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -13,6 +13,8 @@
     GHashTable *regions;        /* zone -> region */
     const QREngineModel *model; /* of the service's engines, or NULL */
     uint64_t version_least;     /* older weights may not serve; 0: any */
+    uint64_t version_soon;      /* ... before long: engines that have them need
+                                   a sidecar that is heard; 0: any */
     unsigned prompt;            /* tokens to read */
     double hold_ms;             /* a call occupies a slot for so long */
     uint32_t objective_ms;      /* for the first byte; 0: none */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -233,12 +233,13 @@
     if (!e)
         return;
     if (!e->told || e->told_version != state->serving ||
-        e->told_switching != state->switching)
+        e->told_switching != state->switching ||
+        e->told_slow_link != state->slow_link)
         qr_logf(QR_LEVEL_INFO, "engines",
                 "told engine=%s version=%" G_GUINT64_FORMAT
-                " switching=%d reachable=%d",
+                " switching=%d reachable=%d slow_link=%d",
                 e->record->id, state->serving, state->switching,
-                state->reachable);
+                state->reachable, state->slow_link);
     e->told = true;
     e->told_ms = qr_gateway_now(g);
     e->told_version = state->serving;
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -8,6 +8,8 @@
 #define CONNECT_MS 400
 /* Before the bound of a version: no sending to engines with an older one. */
 #define SEND_MARGIN_MS 1000
+/* So long before it, none to such engines whose sidecar is not heard. */
+#define QUIET_MARGIN_MS 4000
 
 static bool header_is_ours(const QRGateway *g, const char *name)
 {
@@ -152,6 +154,7 @@
     in.regions = g->regions;
     in.model = service ? &service->engine : NULL;
     in.version_least = qr_relay_version_least(r, SEND_MARGIN_MS);
+    in.version_soon = qr_relay_version_least(r, QUIET_MARGIN_MS);
     in.prompt = r->prompt;
     in.hold_ms = stats->hold_ms;
     in.objective_ms = r->started ? 0 : admission_objective(r, service);
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -379,15 +379,6 @@
     return now - MIN(peer->frame_since_ms, now);
 }
 
-size_t qr_peers_unsent(const QRPeerNet *p)
-{
-    size_t bytes = 0;
-
-    for (unsigned i = 0; i < p->all->len; i++)
-        bytes += qr_peer_unsent(p->all->pdata[i]);
-    return bytes;
-}
-
 uint64_t qr_peers_bytes(const QRPeerNet *p)
 {
     return p->bytes;
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -45,11 +45,10 @@
 void qr_peers_clear_data(QRPeerNet *p, const void *data);
 /* The address that was dialled, or NULL if the other side did. */
 const char *qr_peer_dialled(const QRPeerConn *peer);
+/* Bytes written and not yet taken by the kernel. */
 size_t qr_peer_unsent(const QRPeerConn *peer);
 /* How long the frame being handled took from its first byte to its last. */
 uint64_t qr_peer_frame_ms(const QRPeerConn *peer);
-/* Bytes written to all connections and not yet taken by the kernel. */
-size_t qr_peers_unsent(const QRPeerNet *p);
 /* Bytes sent over all connections so far. */
 uint64_t qr_peers_bytes(const QRPeerNet *p);
 
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -31,6 +31,8 @@
 {
     g_autoptr(GPtrArray) members =
         qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
+    const QRService *origin =
+        s->operator.policy ? qr_policy_origin(s->operator.policy) : NULL;
 
     for (unsigned i = members->len; i > 0; i--) {
         const QRFleetMember *m = members->pdata[i - 1];
@@ -38,7 +40,8 @@
         if (!m->listed && strcmp(m->name, s->set->host) != 0)
             g_ptr_array_remove_index(members, i - 1);
     }
-    qr_source_plan_init(plan, members, s->set->host, s->set->region, s->model,
+    qr_source_plan_init(plan, members, s->set->host, s->set->region,
+                        origin ? origin->connections_max : 0, s->model,
                         version);
 }
 
@@ -245,6 +248,7 @@
     s->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     s->gateways = g_ptr_array_new();
     g_queue_init(&s->uploads);
+    s->sent = qr_upload_sent_new();
     s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
     qr_operator_init(&s->operator, s->platform, operator_news, s);
     qr_members_init(&s->members);
@@ -302,6 +306,7 @@
     qr_engine_report_clear(&s->report);
     g_ptr_array_unref(s->gateways);
     g_array_unref(s->waiters);
+    g_array_unref(s->sent);
     g_queue_clear_full(&s->uploads, g_free);
     qr_operator_clear(&s->operator);
     qr_members_clear(&s->members);
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -26,10 +26,11 @@
     bool staged;          /* lies at the engine, as far as we know */
     bool verified;        /* read back since, and found right */
     uint64_t verified_ms; /* when that was */
-    unsigned attempt;     /* sources that were tried and gave nothing */
-    bool asked;           /* a peer was asked, at 'asked_ms' */
-    bool heard;           /* it answered, with whatever */
-    bool pending;         /* it has none yet, and will tell */
+    QRSourceAttempts tried;
+    bool from_root; /* the peer asked is a root, else a relay */
+    bool asked;     /* a peer was asked, at 'asked_ms' */
+    bool heard;     /* it answered, with whatever */
+    bool pending;   /* it has none yet, and will tell */
     uint64_t asked_ms;
     uint64_t dial_ms; /* since when the peer is dialled for it; 0: not */
     char *source;     /* name of the peer asked */
@@ -45,14 +46,13 @@
 typedef struct QRTarget {
     QRSidecar *sidecar;
     uint64_t version;
-    uint64_t since_ms;    /* when it was named; 0: long ago */
-    QRManifest *manifest; /* NULL: not here yet */
-    QRWhole *manifest_call;
-    uint64_t manifest_next_ms;
-    GArray *pieces;       /* QRPiece; NULL without a manifest */
-    unsigned held;        /* pieces here */
-    uint64_t progress_ms; /* when a piece last came */
-    uint64_t told_ms;     /* when its progress was last logged */
+    uint64_t since_ms;       /* when it was named; 0: long ago */
+    QRManifest *manifest;    /* NULL: not here yet */
+    QRPiece *manifest_piece; /* its bytes, and how they are drawn; owned */
+    GArray *pieces;          /* QRPiece; NULL without a manifest */
+    unsigned held;           /* pieces here */
+    uint64_t progress_ms;    /* when a piece last came */
+    uint64_t told_ms;        /* when its progress was last logged */
     bool scanning;
     bool scanned; /* what lay at the engine was looked at */
 } QRTarget;
@@ -62,7 +62,7 @@
     QRPeerConn *peer;
     QRTarget *target; /* NULL: its version has not been heard of here yet */
     uint64_t version;
-    unsigned index;
+    uint32_t index;
     unsigned order; /* among those whose pieces are to be sent */
 } QRWaiter;
 
@@ -94,10 +94,12 @@
     uint64_t staging_version; /* whose turn it is to be staged */
     GArray *waiters;          /* QRWaiter: their pieces are not here yet */
     GQueue uploads;          /* QRWaiter *: pieces to send, first asked first */
+    GArray *sent;            /* pieces sent that have not arrived yet */
     double upload_bytes;     /* that may be sent now; below 0: in debt */
     uint64_t upload_ms;      /* when that was last looked at */
-    uint64_t slow_until_ms;  /* the link to this machine is slow */
+    uint64_t slow_until_ms;  /* see qr_link_is_slow() */
     uint64_t origin_next_ms; /* the origin failed: not asked before */
+    uint64_t origin_used_ms; /* it last answered; 0: nothing rests open */
     double window;           /* pieces that may be on their way to us at once */
     /* the order */
     QRWhole *order_call;
@@ -133,9 +135,28 @@
                       const Qr__Fleet__Piece *piece);
 void qr_weights_peer_closed(QRSidecar *s, const QRPeerConn *peer);
 void qr_weights_clear(QRSidecar *s);
-static inline QRPiece *qr_piece(const QRTarget *t, unsigned index)
+/* Takes the manifest's bytes over. Returns false if they are not of it. */
+bool qr_target_manifest(QRTarget *t, const void *data, size_t len);
+/* Draws a piece, or the manifest, from where it is to be had, if it is due. */
+void qr_piece_tick(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
+                   uint64_t now_ms);
+/* Whether pieces come so slowly that calls to the engine wait behind them. */
+bool qr_link_is_slow(QRSidecar *s, uint64_t now_ms);
+void qr_link_note_slow(QRSidecar *s, uint64_t now_ms);
+/* Requests to the origin that are under way. */
+unsigned qr_pieces_from_origin(const QRSidecar *s);
+/* Closes connections to the origin that have rested for a while. */
+void qr_pieces_rest(QRSidecar *s, uint64_t now_ms);
+
+static inline bool qr_target_has_index(const QRTarget *t, uint32_t index)
+{
+    return index == QR_MANIFEST_INDEX || (t->pieces && index < t->pieces->len);
+}
+static inline QRPiece *qr_piece(const QRTarget *t, uint32_t index)
 {
-    return &g_array_index(t->pieces, QRPiece, index);
+    return index == QR_MANIFEST_INDEX
+               ? t->manifest_piece
+               : &g_array_index(t->pieces, QRPiece, index);
 }
 static inline bool qr_target_whole(const QRTarget *t)
 {
@@ -151,6 +172,11 @@
 /* Forgets waiters of 'target' or 'peer'; those of a target are told so. */
 void qr_upload_drop(QRSidecar *s, const QRTarget *target,
                     const QRPeerConn *peer);
+/* A piece that was sent to 'peer' has arrived there. */
+void qr_upload_taken(QRSidecar *s, const QRPeerConn *peer);
+GArray *qr_upload_sent_new(void);
+/* Sends those who wait for pieces elsewhere: our link is slow. */
+void qr_upload_decline(QRSidecar *s);
 
 /* Staging at the engine, and the order to start. */
 void qr_stage_tick(QRSidecar *s, uint64_t now_ms);
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -75,12 +75,14 @@
 void qr_sidecar_tell_state(QRSidecar *s, bool news)
 {
     uint64_t now = qr_sidecar_now(s);
-    bool slow = now < s->slow_until_ms;
+    bool slow = qr_link_is_slow(s, now);
 
     if (slow != s->slow_told) {
         qr_logf(QR_LEVEL_INFO, "weights", "link %s window=%.0f",
                 slow ? "slow" : "as usual", s->window);
         s->slow_told = slow;
+        if (slow)
+            qr_upload_decline(s);
         news = true;
     }
     if (!s->report_ms || (!news && now < s->state_ms + STATE_MS))
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -6,6 +6,11 @@
 #include <string.h>
 
 #define ATTEMPTS_BEFORE_ORIGIN 5
+/* One root for so many connections of the origin: the rest is for sidecars
+ * whose sources failed, and for connections that linger. */
+#define CONNECTIONS_A_ROOT 3
+#define ROOTS_DEFAULT 8
+#define HOLDERS_SHARE 2 /* one in so many of a region: all ask holders */
 
 typedef struct OrderKey {
     char text[QR_NAME_MAX + 48];
@@ -23,8 +28,12 @@
 
 void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
                          const char *self, const char *region,
-                         const char *model, uint64_t version)
+                         unsigned origin_connections, const char *model,
+                         uint64_t version)
 {
+    unsigned roots = origin_connections
+                         ? origin_connections / CONNECTIONS_A_ROOT
+                         : ROOTS_DEFAULT;
     OrderKey key;
 
     g_snprintf(key.text, sizeof(key.text), "%s/%" G_GUINT64_FORMAT, model,
@@ -35,6 +44,7 @@
     plan->near = g_ptr_array_new();
     plan->holders = g_ptr_array_new();
     plan->near_holders = g_ptr_array_new();
+    plan->roots = MIN(MAX(roots, 1), members->len);
     for (unsigned i = 0; i < members->len; i++)
         g_ptr_array_add(plan->all, members->pdata[i]);
     g_ptr_array_sort_with_data(plan->all, by_weight, &key);
@@ -71,27 +81,59 @@
     return strcmp(m->name, plan->self) == 0;
 }
 
-const QRFleetMember *qr_source_choose(const QRSourcePlan *plan, unsigned index,
-                                      unsigned attempt)
+/* Who passes the piece into our region if we are its relay; NULL: the origin.
+ */
+static const QRFleetMember *source_root(const QRSourcePlan *plan,
+                                        uint32_t index, unsigned tried)
 {
-    /* holders are asked each by others, by the asker's name */
-    uint64_t turn = qr_hash_str(plan->self, 0) % 1024 + index + attempt;
-    const QRFleetMember *first, *regional;
+    uint64_t place = (uint64_t)index + tried;
+    const QRFleetMember *root;
 
-    if (attempt >= ATTEMPTS_BEFORE_ORIGIN)
-        return NULL;
     if (plan->near_holders->len > 0)
-        return at_place(plan->near_holders, turn);
-    first = plan->holders->len > 0
-                ? at_place(plan->holders, (uint64_t)index + attempt)
-                : at_place(plan->all, (uint64_t)index + attempt);
-    if (!first || is_self(plan, first))
+        return at_place(plan->near_holders, place);
+    if (plan->holders->len > 0)
+        return at_place(plan->holders, place);
+    if (plan->roots == 0)
         return NULL;
-    regional = at_place(plan->near, (uint64_t)index + attempt);
-    if (!regional || is_self(plan, regional) ||
-        g_strcmp0(first->region, plan->region) == 0)
-        return first;
-    return regional;
+    root = plan->all->pdata[place % plan->roots];
+    return is_self(plan, root) ? NULL : root;
+}
+
+QRPieceSource qr_source_choose(const QRSourcePlan *plan, uint32_t index,
+                               QRSourceAttempts tried)
+{
+    /* holders are asked each by others, by the asker's name */
+    uint64_t turn = qr_hash_str(plan->self, 0) % 1024 + index + tried.relays;
+    const QRPieceSource origin = {NULL, false};
+    const QRFleetMember *root = source_root(plan, index, tried.roots);
+    const QRFleetMember *relay;
+
+    if (!root || tried.relays + tried.roots >= ATTEMPTS_BEFORE_ORIGIN)
+        return origin;
+    /* the first holders alone could not send to all the others */
+    if (plan->near_holders->len * HOLDERS_SHARE >= plan->near->len)
+        return (QRPieceSource){at_place(plan->near_holders, turn), false};
+    relay = at_place(plan->near, (uint64_t)index + tried.relays);
+    if (relay && !is_self(plan, relay))
+        return (QRPieceSource){relay, false};
+    return (QRPieceSource){root, true};
+}
+
+bool qr_source_is_relay(const QRSourcePlan *plan, uint32_t index,
+                        const QRFleetMember *member)
+{
+    unsigned of_region = 0, place = 0;
+
+    for (unsigned i = 0; i < plan->all->len; i++) {
+        const QRFleetMember *m = plan->all->pdata[i];
+
+        if (g_strcmp0(m->region, member->region) != 0)
+            continue;
+        if (m == member)
+            place = of_region;
+        of_region++;
+    }
+    return of_region > 0 && index % of_region == place;
 }
 
 unsigned qr_source_place(const QRSourcePlan *plan, const char *name)
--- a/src/sidecar/qr_sources.h
+++ b/src/sidecar/qr_sources.h
@@ -2,37 +2,58 @@
  * Where a sidecar draws a piece of weights from, and when it switches.
  *
  * The sidecars stand in an order that all agree on who see the same members.
- * Piece i is drawn from the origin by the sidecar of place i, once in each
- * region from that one by the region's sidecar of place i, and by the others
- * from their region's. So the origin sends one copy, each link between regions
- * carries about one, and every sidecar sends about one. Whoever holds the
- * whole version already goes before all these.
+ * The first few, no more than the origin takes connections from, are roots:
+ * each draws its share of the pieces from the origin. In each region one
+ * sidecar a piece, its relay there, draws it from the root; all others of the
+ * region draw it from the relay. So the origin sends one copy over few
+ * connections, each link between regions carries one, and every sidecar sends
+ * about one. Those that hold the whole version stand in for the roots, and once
+ * half of a region holds it, for its relays.
  */
 #ifndef QR_SOURCES_H
 #define QR_SOURCES_H
 
 #include "fleet/qr_members.h"
 
+/* Stands for the manifest where pieces are numbered. */
+#define QR_MANIFEST_INDEX UINT32_MAX
+
 /* The sidecars of one service, in the order for one version. */
 typedef struct QRSourcePlan {
     const char *self, *region;
     GPtrArray *all, *near;             /* QRFleetMember *: all, of the region */
     GPtrArray *holders, *near_holders; /* those that hold the version */
+    unsigned roots;                    /* that draw from the origin */
 } QRSourcePlan;
 
-/* 'members' are QRFleetMember *: sidecars that count, this one too. */
+/* Sources that gave nothing so far. */
+typedef struct QRSourceAttempts {
+    unsigned relays; /* of our own region */
+    unsigned roots;
+} QRSourceAttempts;
+
+typedef struct QRPieceSource {
+    const QRFleetMember *from; /* NULL: the origin */
+    bool is_root;              /* asked by a relay, for all of its region */
+} QRPieceSource;
+
+/*
+ * 'members' are QRFleetMember *: sidecars that count, this one too.
+ * 'origin_connections' are those that the origin takes; 0: not known.
+ */
 void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
                          const char *self, const char *region,
-                         const char *model, uint64_t version);
+                         unsigned origin_connections, const char *model,
+                         uint64_t version);
 void qr_source_plan_clear(QRSourcePlan *plan);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(QRSourcePlan, qr_source_plan_clear)
 
-/*
- * The source of piece 'index' at the given attempt (0 first). NULL: the
- * origin.
- */
-const QRFleetMember *qr_source_choose(const QRSourcePlan *plan, unsigned index,
-                                      unsigned attempt);
+/* The source of a piece, or of the manifest. */
+QRPieceSource qr_source_choose(const QRSourcePlan *plan, uint32_t index,
+                               QRSourceAttempts tried);
+/* Whether 'member' passes the piece on to all of its region. */
+bool qr_source_is_relay(const QRSourcePlan *plan, uint32_t index,
+                        const QRFleetMember *member);
 
 /* The place of a sidecar in the order; the first switch first. */
 unsigned qr_source_place(const QRSourcePlan *plan, const char *name);
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -5,6 +5,13 @@
 
 #include <string.h>
 
+#define UPLOADS_AT_ONCE 3 /* pieces sent that have not arrived yet */
+#define ARRIVED_MOST_MS                                                        \
+    1500                    /* then the peer may be dead: no longer counted    \
+                             */
+#define ARRIVED_SLOW_MS 500 /* two that take so long: our own link is slow */
+#define GROUPS 3            /* of sidecars, by when they switch */
+
 QRTarget *qr_target_of(const QRSidecar *s, const char *model, uint64_t version)
 {
     for (unsigned i = 0; s->model && i < s->targets->len; i++) {
@@ -17,7 +24,7 @@
 }
 
 static void send_piece(QRPeerConn *peer, const char *model, uint64_t version,
-                       unsigned index, Qr__Fleet__Piece__State state,
+                       uint32_t index, Qr__Fleet__Piece__State state,
                        GBytes *data)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
@@ -43,29 +50,35 @@
                state, NULL);
 }
 
-/* Whether a peer has not taken what we sent it: our link, or its, is full. */
-static bool upload_blocked(const QRSidecar *s)
+static unsigned place_of_target(const QRSidecar *s, const QRTarget *t)
 {
-    return qr_peers_unsent(s->peers) > 0;
+    unsigned at = 0;
+
+    g_ptr_array_find(s->targets, t, &at);
+    return at;
 }
 
-/* Whose piece goes first: the lesser. */
+/*
+ * Whose piece goes first, the lesser: relays, which pass it on; then the older
+ * version, whose bound comes first; then the group that switches first. Within
+ * a group all are alike: a few peers alone can't take all that we may send.
+ */
 static unsigned upload_order(const QRSidecar *s, const QRWaiter *w)
 {
     const QRFleetMember *to = qr_peer_data(w->peer);
     g_auto(QRSourcePlan) plan = {0};
+    unsigned place;
 
-    /* it passes the piece on to all of its region */
-    if (to && g_strcmp0(to->region, s->set->region) != 0)
-        return 0;
     qr_sidecar_plan(s, w->target->version, &plan);
-    return 1 + (to ? qr_source_place(&plan, to->name) : plan.all->len);
+    if (to && (g_strcmp0(to->region, s->set->region) != 0 ||
+               qr_source_is_relay(&plan, w->index, to)))
+        return 0;
+    place = to ? qr_source_place(&plan, to->name) : plan.all->len;
+    return 1 + place_of_target(s, w->target) * (GROUPS + 1) +
+           place * GROUPS / MAX(plan.all->len, 1);
 }
 
-/*
- * Puts a piece in line for a peer: other regions first, then those that are to
- * switch first. So the first engines switch while others still draw.
- */
+/* Puts a piece in line for a peer. */
 static void upload_later(QRSidecar *s, const QRWaiter *waiter)
 {
     QRWaiter *w = g_memdup2(waiter, sizeof(*waiter));
@@ -77,6 +90,66 @@
     g_queue_insert_before(&s->uploads, at, w);
 }
 
+/* A piece was sent and has not arrived yet, as far as we know. */
+typedef struct Sent {
+    QRPeerConn *peer;
+    uint64_t sent_ms;
+} Sent;
+
+static bool is_on_its_way(const QRSidecar *s, const QRPeerConn *peer)
+{
+    for (unsigned i = 0; i < s->sent->len; i++) {
+        if (g_array_index(s->sent, Sent, i).peer == peer)
+            return true;
+    }
+    return false;
+}
+
+/*
+ * The first in line to whom nothing is on its way. A peer that takes slowly,
+ * since others send to it too, must not hold up the rest.
+ */
+static QRWaiter *upload_next(QRSidecar *s)
+{
+    if (s->sent->len >= UPLOADS_AT_ONCE)
+        return NULL;
+    for (GList *l = s->uploads.head; l; l = l->next) {
+        QRWaiter *w = l->data;
+
+        if (is_on_its_way(s, w->peer))
+            continue;
+        g_queue_delete_link(&s->uploads, l);
+        return w;
+    }
+    return NULL;
+}
+
+/* Looks at what is on its way for long. */
+static void sent_check(QRSidecar *s, uint64_t now_ms)
+{
+    unsigned slow = 0;
+
+    for (unsigned i = s->sent->len; i > 0; i--) {
+        uint64_t sent_ms = g_array_index(s->sent, Sent, i - 1).sent_ms;
+
+        slow += now_ms > sent_ms + ARRIVED_SLOW_MS;
+        if (now_ms > sent_ms + ARRIVED_MOST_MS)
+            g_array_remove_index(s->sent, i - 1);
+    }
+    if (slow > 1)
+        qr_link_note_slow(s, now_ms);
+}
+
+void qr_upload_taken(QRSidecar *s, const QRPeerConn *peer)
+{
+    for (unsigned i = 0; i < s->sent->len; i++) {
+        if (g_array_index(s->sent, Sent, i).peer == peer) {
+            g_array_remove_index(s->sent, i);
+            return;
+        }
+    }
+}
+
 void qr_weights_upload(QRSidecar *s, uint64_t now_ms)
 {
     double rate = s->set->link_mbit_s * 1e6 / 8 / 1000 *
@@ -85,20 +158,41 @@
 
     s->upload_ms = now_ms;
     s->upload_bytes = MIN(s->upload_bytes + rate * elapsed, 0);
-    while (s->uploads.length > 0 && !upload_blocked(s) &&
-           (rate <= 0 || s->upload_bytes >= 0)) {
-        g_autofree QRWaiter *w = g_queue_pop_head(&s->uploads);
-        GBytes *data = qr_piece(w->target, w->index)->data;
+    sent_check(s, now_ms);
+    while (rate <= 0 || s->upload_bytes >= 0) {
+        g_autofree QRWaiter *w = upload_next(s);
+        Sent sent;
+        GBytes *data;
 
+        if (!w)
+            return;
+        data = qr_piece(w->target, w->index)->data;
         send_piece(w->peer, s->model, w->target->version, w->index,
                    QR__FLEET__PIECE__STATE__DATA, data);
         s->upload_bytes -= (double)g_bytes_get_size(data);
+        sent = (Sent){w->peer, now_ms};
+        g_array_append_val(s->sent, sent);
+    }
+}
+
+static void sent_drop(QRSidecar *s, const QRPeerConn *peer)
+{
+    for (unsigned i = s->sent->len; i > 0; i--) {
+        if (g_array_index(s->sent, Sent, i - 1).peer == peer)
+            g_array_remove_index(s->sent, i - 1);
     }
 }
 
+GArray *qr_upload_sent_new(void)
+{
+    return g_array_new(FALSE, FALSE, sizeof(Sent));
+}
+
 void qr_upload_drop(QRSidecar *s, const QRTarget *target,
                     const QRPeerConn *peer)
 {
+    if (peer)
+        sent_drop(s, peer);
     for (unsigned i = s->waiters->len; i > 0; i--) {
         QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
 
@@ -122,15 +216,29 @@
     }
 }
 
+void qr_upload_decline(QRSidecar *s)
+{
+    QRWaiter *w;
+
+    while ((w = g_queue_pop_head(&s->uploads))) {
+        qr_upload_tell(w, QR__FLEET__PIECE__STATE__ABSENT);
+        g_free(w);
+    }
+}
+
 /*
  * Who is asked at a later attempt is next in the order for the piece: earlier
  * ones gave nothing, so it draws the piece as if they were not there.
  */
-static void take_over(QRPiece *p, unsigned attempt)
+static void take_over(QRPiece *p, const Qr__Fleet__Want *want)
 {
-    if (attempt <= p->attempt || p->fetch)
+    QRSourceAttempts tried = {MAX(p->tried.relays, want->attempt),
+                              MAX(p->tried.roots, want->root_attempt)};
+
+    if (p->fetch ||
+        (tried.relays == p->tried.relays && tried.roots == p->tried.roots))
         return;
-    p->attempt = attempt;
+    p->tried = tried;
     p->asked = p->pending = false;
 }
 
@@ -156,6 +264,7 @@
 {
     QRWaiter w = {peer, qr_target_of(s, want->model, want->version),
                   want->version, want->index, 0};
+    QRPiece *p;
 
     if (is_news(s, want)) {
         g_array_append_val(s->waiters, w);
@@ -163,18 +272,31 @@
                    QR__FLEET__PIECE__STATE__PENDING, NULL);
         return;
     }
-    if (!w.target || (w.target->pieces && w.index >= w.target->pieces->len)) {
+    if (!w.target ||
+        (w.target->pieces && !qr_target_has_index(w.target, w.index))) {
         send_piece(peer, want->model, want->version, want->index,
                    QR__FLEET__PIECE__STATE__ABSENT, NULL);
         return;
     }
-    if (w.target->pieces && qr_piece(w.target, w.index)->data) {
+    p = qr_target_has_index(w.target, w.index) ? qr_piece(w.target, w.index)
+                                               : NULL;
+    if (p && p->data && w.index == QR_MANIFEST_INDEX) {
+        send_piece(peer, s->model, w.version, w.index,
+                   QR__FLEET__PIECE__STATE__DATA, p->data);
+        return;
+    }
+    /* over a slow link even what we tell gateways would wait behind it */
+    if (p && p->data && s->slow_told) {
+        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__ABSENT);
+        return;
+    }
+    if (p && p->data) {
         upload_later(s, &w);
         qr_upload_tell(&w, QR__FLEET__PIECE__STATE__QUEUED);
         return;
     }
-    if (w.target->pieces)
-        take_over(qr_piece(w.target, w.index), want->attempt);
+    if (p)
+        take_over(p, want);
     g_array_append_val(s->waiters, w);
     qr_upload_tell(&w, QR__FLEET__PIECE__STATE__PENDING);
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -1,28 +1,11 @@
 /*
- * Weights of the named versions: manifests, pieces from peers and the origin.
+ * Weights of the named versions: which are brought here, and when they go.
  */
 #include "qr_sidecar.h"
 
 #include <string.h>
 
-#define CONNECT_MS 700
-#define MANIFEST_TIMEOUT_MS 1500
-#define MANIFEST_AGAIN_MS 250
-#define PIECE_TIMEOUT_MS 2500 /* from the origin */
-#define ORIGIN_AT_ONCE 1      /* its connections are few */
-#define STALL_MS 900          /* no piece from anybody: ask others */
-#define ASKED_MOST_MS 2500    /* a peer is given so long in any case */
-#define UNHEARD_MOST_MS 900   /* ... that does not answer at all */
-#define PENDING_MOST_MS 1500  /* ... that says it will have it */
-#define DIAL_MOST_MS 300
 #define WINDOW_FIRST 3
-#define WINDOW_LEAST 1
-#define WINDOW_MOST 8
-#define WINDOW_FEW 2
-#define SLOW_LINK_MS 1500 /* since a slow piece */
-#define PIECE_FAST_MS 130 /* from its first byte to its last */
-#define PIECE_SLOW_MS 260
-#define ORIGIN_AGAIN_MS 150 /* after a failure */
 #define PROGRESS_LOG_MS 1000
 
 static void piece_clear(void *p)
@@ -31,8 +14,7 @@
 
     qr_whole_cancel(piece->fetch);
     qr_whole_cancel(piece->stage);
-    if (piece->data)
-        g_bytes_unref(piece->data);
+    g_clear_pointer(&piece->data, g_bytes_unref);
     g_free(piece->source);
 }
 
@@ -40,7 +22,8 @@
 {
     QRTarget *t = p;
 
-    qr_whole_cancel(t->manifest_call);
+    piece_clear(t->manifest_piece);
+    g_free(t->manifest_piece);
     qr_manifest_free(t->manifest);
     if (t->pieces)
         g_array_unref(t->pieces);
@@ -99,6 +82,7 @@
         s->model = g_strdup(model);
     t = g_new0(QRTarget, 1);
     t->sidecar = s;
+    t->manifest_piece = g_new0(QRPiece, 1);
     t->version = named->version;
     t->since_ms = named->since_ms;
     t->progress_ms = qr_sidecar_now(s);
@@ -113,29 +97,14 @@
             t->since_ms ? t->progress_ms - t->since_ms : 0, s->targets->len);
 }
 
-static void manifest_failed(QRTarget *t, const char *why)
+bool qr_target_manifest(QRTarget *t, const void *data, size_t len)
 {
-    t->manifest_next_ms = qr_sidecar_now(t->sidecar) + MANIFEST_AGAIN_MS;
-    qr_logf(QR_LEVEL_WARN, "weights",
-            "no manifest version=%" G_GUINT64_FORMAT " why=%s", t->version,
-            why);
-}
-
-static void manifest_done(void *owner, unsigned ref, const QRWholeAnswer *a)
-{
-    QRTarget *t = owner;
     const QRSidecar *s = t->sidecar;
-    g_autoptr(QRManifest) m = NULL;
+    g_autoptr(QRManifest) m = s->platform->parse_manifest(data, len);
 
-    (void)ref;
-    t->manifest_call = NULL;
-    if (a->status == 200)
-        m = s->platform->parse_manifest(a->data, a->len);
     if (!m || m->version != t->version || strcmp(m->model, s->model) != 0 ||
-        m->digests->len == 0) {
-        manifest_failed(t, a->status ? "not the one asked for" : a->why);
-        return;
-    }
+        m->digests->len == 0)
+        return false;
     t->manifest = g_steal_pointer(&m);
     t->pieces = g_array_new(FALSE, TRUE, sizeof(QRPiece));
     g_array_set_clear_func(t->pieces, piece_clear);
@@ -143,231 +112,9 @@
     qr_logf(QR_LEVEL_INFO, "weights",
             "manifest version=%" G_GUINT64_FORMAT " pieces=%u", t->version,
             t->pieces->len);
-}
-
-static const char *origin_address(const QRSidecar *s)
-{
-    const QRService *origin =
-        s->operator.policy ? qr_policy_origin(s->operator.policy) : NULL;
-
-    return origin ? origin->origin : NULL;
-}
-
-static QRWhole *origin_get(QRTarget *t, const char *path, uint32_t timeout_ms,
-                           QRWholeDone done, unsigned ref)
-{
-    QRSidecar *s = t->sidecar;
-    QRWholeRequest r = {0};
-
-    r.address = origin_address(s);
-    r.method = "GET";
-    r.path = path;
-    r.connect_ms = CONNECT_MS;
-    r.timeout_ms = timeout_ms;
-    return qr_whole_send(s->to_origin, &r, done, t, ref);
-}
-
-static void manifest_fetch(QRTarget *t)
-{
-    const QRSidecar *s = t->sidecar;
-    g_autofree char *path = s->platform->manifest_path(s->model, t->version);
-
-    t->manifest_call =
-        origin_get(t, path, MANIFEST_TIMEOUT_MS, manifest_done, 0);
-}
-
-/* A piece came, from wherever: checked, kept, told to who waits for it. */
-static bool piece_take(QRTarget *t, unsigned index, const void *data,
-                       size_t len, const char *from)
-{
-    QRSidecar *s = t->sidecar;
-    char digest[QR_SHA_HEX];
-    QRPiece *p = qr_piece(t, index);
-
-    if (p->data)
-        return true;
-    qr_sha256_hex(data, len, digest);
-    if (strcmp(digest, t->manifest->digests->pdata[index]) != 0) {
-        qr_logf(
-            QR_LEVEL_WARN, "weights",
-            "bad piece index=%u from=%s bytes=%zu version=%" G_GUINT64_FORMAT,
-            index, from, len, t->version);
-        return false;
-    }
-    p->data = g_bytes_new(data, len);
-    p->asked = false;
-    t->held++;
-    t->progress_ms = qr_sidecar_now(s);
-    for (unsigned i = s->waiters->len; i > 0; i--) {
-        QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
-
-        if (w.target != t || w.index != index)
-            continue;
-        g_array_remove_index_fast(s->waiters, i - 1);
-        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__READY);
-    }
-    if (qr_target_whole(t)) {
-        qr_logf(QR_LEVEL_INFO, "weights",
-                "whole version=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
-                " origin_bytes=%" G_GUINT64_FORMAT
-                " peer_pieces=%" G_GUINT64_FORMAT,
-                t->version, t->since_ms ? t->progress_ms - t->since_ms : 0,
-                s->origin_bytes, s->peer_pieces);
-        qr_sidecar_tell_state(s, true);
-    }
     return true;
 }
 
-static void fetch_done(void *owner, unsigned index, const QRWholeAnswer *a)
-{
-    QRTarget *t = owner;
-    QRPiece *p = qr_piece(t, index);
-
-    p->fetch = NULL;
-    t->sidecar->origin_bytes += a->len;
-    if (a->status == 200 && piece_take(t, index, a->data, a->len, "origin")) {
-        qr_weights_tick(t->sidecar, t->progress_ms);
-        return;
-    }
-    qr_logf(
-        QR_LEVEL_WARN, "weights",
-        "origin failed index=%u status=%u why=%s version=%" G_GUINT64_FORMAT,
-        index, a->status, a->why ? a->why : "-", t->version);
-    /* once more from the start: peers may have it by now */
-    p->attempt = 0;
-    p->asked = false;
-    p->asked_ms = qr_sidecar_now(t->sidecar);
-    t->sidecar->origin_next_ms = p->asked_ms + ORIGIN_AGAIN_MS;
-}
-
-static unsigned fetches_open(const QRSidecar *s)
-{
-    unsigned n = 0;
-
-    for (unsigned k = 0; k < s->targets->len; k++) {
-        const QRTarget *t = s->targets->pdata[k];
-
-        for (unsigned i = 0; t->pieces && i < t->pieces->len; i++)
-            n += qr_piece(t, i)->fetch != NULL;
-    }
-    return n;
-}
-
-static void piece_from_origin(QRTarget *t, unsigned index, uint64_t now)
-{
-    QRSidecar *s = t->sidecar;
-    g_autofree char *path = NULL;
-
-    if (!origin_address(s) || now < s->origin_next_ms ||
-        fetches_open(s) >= ORIGIN_AT_ONCE)
-        return;
-    path = s->platform->piece_path(s->model, t->version, index);
-    qr_piece(t, index)->fetch =
-        origin_get(t, path, PIECE_TIMEOUT_MS, fetch_done, index);
-}
-
-static void piece_ask(QRTarget *t, unsigned index, const QRFleetMember *from,
-                      uint64_t now)
-{
-    QRSidecar *s = t->sidecar;
-    QRPiece *p = qr_piece(t, index);
-    QRPeerConn *peer = qr_sidecar_peer_at(s, from->address);
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Want want = QR__FLEET__WANT__INIT;
-
-    if (!peer) { /* being dialled; the next tick sees it */
-        if (p->dial_ms == 0)
-            p->dial_ms = now;
-        if (now <= p->dial_ms + DIAL_MOST_MS)
-            return;
-        p->dial_ms = 0;
-        p->attempt++;
-        return;
-    }
-    p->dial_ms = 0;
-    want.attempt = p->attempt;
-    want.model = s->model;
-    want.version = t->version;
-    want.index = index;
-    frame.body_case = QR__FLEET__FRAME__BODY_WANT;
-    frame.want = &want;
-    qr_peer_send(peer, &frame);
-    p->asked = true;
-    p->heard = p->pending = false;
-    p->asked_ms = now;
-    g_free(p->source);
-    p->source = g_strdup(from->name);
-}
-
-/* Pieces on their way to us from peers: asked for where they are, or may be. */
-static unsigned on_their_way(const QRSidecar *s)
-{
-    unsigned n = 0;
-
-    for (unsigned k = 0; k < s->targets->len; k++) {
-        const QRTarget *t = s->targets->pdata[k];
-
-        for (unsigned i = 0; t->pieces && i < t->pieces->len; i++) {
-            const QRPiece *p = qr_piece(t, i);
-
-            n += !p->data && p->asked && !p->pending;
-        }
-    }
-    return n;
-}
-
-/*
- * A piece came in 'ms'. The window grows while pieces come fast, and shrinks
- * when they fill the link: calls to the engine wait behind them.
- */
-static void window_learn(QRSidecar *s, uint64_t ms)
-{
-    /* few were on their way: it is the link itself that is slow */
-    if (ms > PIECE_SLOW_MS && s->window <= WINDOW_FEW)
-        s->slow_until_ms = qr_sidecar_now(s) + SLOW_LINK_MS;
-    if (ms > PIECE_SLOW_MS)
-        s->window = MAX(s->window / 2, WINDOW_LEAST);
-    else if (ms < PIECE_FAST_MS)
-        s->window = MIN(s->window + 1, WINDOW_MOST);
-}
-
-/* Time to look for another source. One that has no piece yet may take long. */
-static bool is_overdue(const QRTarget *t, const QRPiece *p, uint64_t now)
-{
-    if (p->pending)
-        return now > p->asked_ms + PENDING_MOST_MS;
-    if (p->asked && !p->heard)
-        return now > p->asked_ms + UNHEARD_MOST_MS;
-    if (now > p->asked_ms + ASKED_MOST_MS)
-        return true;
-    return now > p->asked_ms + STALL_MS && now > t->progress_ms + STALL_MS;
-}
-
-static void piece_tick(QRTarget *t, unsigned index, const QRSourcePlan *plan,
-                       uint64_t now)
-{
-    QRSidecar *s = t->sidecar;
-    QRPiece *p = qr_piece(t, index);
-    const QRFleetMember *from;
-
-    if (p->data || p->fetch || p->stage)
-        return;
-    if (p->asked_ms == 0)
-        p->asked_ms = now;
-    if (is_overdue(t, p, now)) {
-        p->asked = p->pending = false;
-        p->asked_ms = now;
-        p->attempt++;
-    }
-    if (p->asked)
-        return;
-    from = qr_source_choose(plan, index, p->attempt);
-    if (!from)
-        piece_from_origin(t, index, now);
-    else if (on_their_way(s) < (unsigned)s->window)
-        piece_ask(t, index, from, now);
-}
-
 static void target_log(QRTarget *t, uint64_t now)
 {
     unsigned asked = 0, pending = 0;
@@ -384,7 +131,7 @@
             " held=%u of=%u asked=%u pending=%u window=%.0f origin_open=%u "
             "uploads=%u",
             t->version, t->held, t->pieces->len, asked, pending,
-            t->sidecar->window, fetches_open(t->sidecar),
+            t->sidecar->window, qr_pieces_from_origin(t->sidecar),
             t->sidecar->uploads.length);
 }
 
@@ -424,20 +171,19 @@
 
     if (!is_needed(t))
         return;
+    if (t->manifest && (must_scan_first(t) || qr_target_whole(t)))
+        return;
+    qr_sidecar_plan(s, t->version, &plan);
     if (!t->manifest) {
-        if (!t->manifest_call && now >= t->manifest_next_ms &&
-            origin_address(s))
-            manifest_fetch(t);
+        qr_piece_tick(t, QR_MANIFEST_INDEX, &plan, now);
         return;
     }
-    if (must_scan_first(t) || qr_target_whole(t))
-        return;
     target_log(t, now);
-    qr_sidecar_plan(s, t->version, &plan);
     /* each in an order of its own, so that not all ask one peer at once */
     turn = (unsigned)qr_hash_str(s->set->host, t->version);
     for (unsigned i = 0; i < t->pieces->len; i++)
-        piece_tick(t, (i + turn % t->pieces->len) % t->pieces->len, &plan, now);
+        qr_piece_tick(t, (i + turn % t->pieces->len) % t->pieces->len, &plan,
+                      now);
 }
 
 void qr_weights_tick(QRSidecar *s, uint64_t now_ms)
@@ -445,61 +191,7 @@
     if (!s->model || !s->report_ms)
         return;
     drop_overtaken(s);
+    qr_pieces_rest(s, now_ms);
     for (unsigned i = 0; i < s->targets->len; i++)
         target_tick(s->targets->pdata[i], now_ms);
 }
-
-void qr_weights_piece(QRSidecar *s, QRPeerConn *peer,
-                      const Qr__Fleet__Piece *piece)
-{
-    const QRFleetMember *from = qr_peer_data(peer);
-    QRTarget *t = qr_target_of(s, piece->model, piece->version);
-    QRPiece *p;
-
-    if (!t || !t->pieces || piece->index >= t->pieces->len)
-        return;
-    p = qr_piece(t, piece->index);
-    if (piece->state == QR__FLEET__PIECE__STATE__DATA) {
-        window_learn(s, qr_peer_frame_ms(peer));
-        if (piece_take(t, piece->index, piece->data.data, piece->data.len,
-                       from ? from->name : "peer")) {
-            s->peer_pieces++;
-            qr_weights_tick(s, qr_sidecar_now(s));
-            return;
-        }
-    }
-    if (p->data || !from || g_strcmp0(p->source, from->name) != 0)
-        return;
-    p->heard = true;
-    if (piece->state == QR__FLEET__PIECE__STATE__QUEUED)
-        return;
-    p->asked_ms = qr_sidecar_now(s);
-    p->pending = piece->state == QR__FLEET__PIECE__STATE__PENDING;
-    if (p->pending)
-        return;
-    p->asked = false;
-    if (piece->state != QR__FLEET__PIECE__STATE__READY)
-        p->attempt++;
-    qr_weights_tick(s, qr_sidecar_now(s));
-}
-
-static void target_peer_closed(QRTarget *t, const char *name)
-{
-    for (unsigned i = 0; t->pieces && i < t->pieces->len; i++) {
-        QRPiece *p = qr_piece(t, i);
-
-        if (!p->asked || g_strcmp0(p->source, name) != 0)
-            continue;
-        p->asked = false;
-        p->attempt++;
-    }
-}
-
-void qr_weights_peer_closed(QRSidecar *s, const QRPeerConn *peer)
-{
-    const QRFleetMember *member = qr_peer_data(peer);
-
-    qr_upload_drop(s, NULL, peer);
-    for (unsigned i = 0; member && s->targets && i < s->targets->len; i++)
-        target_peer_closed(s->targets->pdata[i], member->name);
-}
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1074,7 +1074,7 @@
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[5] =
 {
   {
     "model",
@@ -1124,17 +1124,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "root_attempt",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Want, root_attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__want__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
   2,   /* field[2] = index */
   0,   /* field[0] = model */
+  4,   /* field[4] = root_attempt */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange qr__fleet__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qr__fleet__want__descriptor =
 {
@@ -1144,31 +1157,33 @@
   "Qr__Fleet__Want",
   "qr.fleet",
   sizeof(Qr__Fleet__Want),
-  4,
+  5,
   qr__fleet__want__field_descriptors,
   qr__fleet__want__field_indices_by_name,
   1,  qr__fleet__want__number_ranges,
   (ProtobufCMessageInit) qr__fleet__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue qr__fleet__piece__state__enum_values_by_number[5] =
+static const ProtobufCEnumValue qr__fleet__piece__state__enum_values_by_number[6] =
 {
   { "DATA", "QR__FLEET__PIECE__STATE__DATA", 0 },
   { "ABSENT", "QR__FLEET__PIECE__STATE__ABSENT", 1 },
   { "PENDING", "QR__FLEET__PIECE__STATE__PENDING", 2 },
   { "READY", "QR__FLEET__PIECE__STATE__READY", 3 },
   { "QUEUED", "QR__FLEET__PIECE__STATE__QUEUED", 4 },
+  { "TAKEN", "QR__FLEET__PIECE__STATE__TAKEN", 5 },
 };
 static const ProtobufCIntRange qr__fleet__piece__state__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex qr__fleet__piece__state__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex qr__fleet__piece__state__enum_values_by_name[6] =
 {
   { "ABSENT", 1 },
   { "DATA", 0 },
   { "PENDING", 2 },
   { "QUEUED", 4 },
   { "READY", 3 },
+  { "TAKEN", 5 },
 };
 const ProtobufCEnumDescriptor qr__fleet__piece__state__descriptor =
 {
@@ -1177,9 +1192,9 @@
   "State",
   "Qr__Fleet__Piece__State",
   "qr.fleet",
-  5,
+  6,
   qr__fleet__piece__state__enum_values_by_number,
-  5,
+  6,
   qr__fleet__piece__state__enum_values_by_name,
   1,
   qr__fleet__piece__state__value_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -46,7 +46,11 @@
   /*
    * here, and in line to be sent
    */
-  QR__FLEET__PIECE__STATE__QUEUED = 4
+  QR__FLEET__PIECE__STATE__QUEUED = 4,
+  /*
+   * the answer to DATA: it has arrived
+   */
+  QR__FLEET__PIECE__STATE__TAKEN = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__PIECE__STATE)
 } Qr__Fleet__Piece__State;
 
@@ -228,13 +232,17 @@
   uint64_t version;
   uint32_t index;
   /*
-   * sources that gave the asker nothing before
+   * relays that gave the asker nothing before
    */
   uint32_t attempt;
+  /*
+   * roots that gave the asker nothing before
+   */
+  uint32_t root_attempt;
 };
 #define QR__FLEET__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__want__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Qr__Fleet__Piece
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -25,7 +25,7 @@
 
 
 def policy(version, origin, routes=ROUTES, timeout_ms=3000,
-           body_max=20000):
+           body_max=20000, origin_connections=48):
     filled = [dict(r, hostname=HOST, priority=1, public=False)
               | {"timeout-ms": timeout_ms, "target-latency-ms": 400}
               for r in routes]
@@ -38,7 +38,7 @@
                          {"name": "engines", "max-connections": 50,
                           "engine": engine},
                          {"name": "store", "origin": origin,
-                          "max-connections": 48}],
+                          "max-connections": origin_connections}],
             "limits": {"max-header-bytes": 4096, "max-body-bytes": body_max,
                        "header-timeout-ms": 700, "idle-timeout-ms": 5000},
             "tenants": [{"name": "team-1", "api-keys": [KEY],
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -193,13 +193,17 @@
 class Origin(Server):
     def __init__(self):
         self.sent = 0  # pieces asked for
+        self.manifests = 0  # asked for
+        self.open_most = 0  # connections at once
         self.answered = set()  # (version, index) of good pieces sent in full
         self.spoil = 0  # so many pieces to come are bad
         super().__init__()
 
     def handle(self, conn, request):
         version = int(request.query["version"])
+        self.open_most = max(self.open_most, len(self.open))
         if request.path.startswith("/manifest/"):
+            self.manifests += 1
             digests = [hashlib.sha256(chunk_of(version, i)).hexdigest()
                        for i in range(CHUNKS)]
             answer_json(conn, {"model": request.path[10:], "version": version,
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -7,7 +7,7 @@
 
 from bench import wait_for
 from gen import fleet_pb2
-from fleet import MODEL, Fleet
+from fleet import MODEL, Fleet, policy
 from peer import Peer
 from standin_platform import CHUNKS, chunk_of
 
@@ -52,6 +52,25 @@
     assert all(len(e.taken) == 1 for e in fleet.models)
 
 
+def test_few_connections_to_the_origin(fleet):
+    """Bench, 76 sidecars: all read the manifest from the origin, over more
+    connections than it takes; the owners of pieces were reset, and a version
+    was whole after 9 s in place of 4."""
+    fleet.store.put("keyed.op", "config",
+                    policy(2, fleet.origin.address, origin_connections=3))
+    wait_for("policy", lambda: all("in force version=2" in fleet.log(f"s{i}")
+                                   for i in range(3)))
+    wait_for("connections that rest to be closed",
+             lambda: not fleet.origin.open)
+    fleet.origin.open_most = fleet.origin.manifests = 0
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    check_orders(fleet.models)
+    assert fleet.origin.manifests == 1
+    assert fleet.origin.sent == CHUNKS
+    assert fleet.origin.open_most == 1
+
+
 def test_spoilt_pieces_are_drawn_again(fleet):
     fleet.origin.spoil = 3
     name_version(fleet, 2)
@@ -157,6 +176,58 @@
     check_orders(fleet.models)
 
 
+def test_a_peer_that_does_not_read_holds_nobody_up(fleet):
+    """Bench: while a peer drew from eight at once, each of the eight sent to
+    nobody else."""
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    deaf, other = peer_of(fleet, "s0"), peer_of(fleet, "s0")
+    for i in range(4000):  # more than the kernel's buffers take
+        deaf.send(want=fleet_pb2.Want(model=MODEL, version=2, index=i % 6))
+    time.sleep(0.5)
+    other.conn.settimeout(2)
+    assert other.want(2).state == fleet_pb2.Piece.QUEUED
+    assert other.piece().data == chunk_of(2, 1)
+
+
+def peers_sent_to(fleet, count):
+    """Peers that were sent a piece each and have not said that it came."""
+    peers = [peer_of(fleet, "s0") for _ in range(count)]
+    for peer in peers:
+        assert peer.want(2).state == fleet_pb2.Piece.QUEUED
+        assert peer.piece().state == fleet_pb2.Piece.DATA
+    return peers
+
+
+def test_few_pieces_are_on_their_way_at_once(fleet):
+    """Bench: a squeezed link held seconds of pieces, and calls behind them."""
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    sent = peers_sent_to(fleet, 3)
+    other = peer_of(fleet, "s0")
+    assert other.want(2).state == fleet_pb2.Piece.QUEUED
+    with pytest.raises(TimeoutError):
+        other.conn.settimeout(0.25)
+        other.piece()
+    other.conn.settimeout(2)
+    sent[0].send(piece=fleet_pb2.Piece(
+        model=MODEL, version=2, index=1, state=fleet_pb2.Piece.TAKEN))
+    assert other.piece().state == fleet_pb2.Piece.DATA
+
+
+def test_a_slow_link_sends_no_pieces(fleet):
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    sent = peers_sent_to(fleet, 3)
+    assert "link slow" not in fleet.log("s0")
+    wait_for("slow link", lambda: "link slow" in fleet.log("s0"))
+    wait_for("gateway to know", lambda: "slow_link=1" in fleet.log("g0"))
+    assert sent[0].want(2).state == fleet_pb2.Piece.ABSENT
+    wait_for("the link to be as usual",
+             lambda: "link as usual" in fleet.log("s0"), 6)
+    assert sent[1].want(2).state == fleet_pb2.Piece.QUEUED
+
+
 def test_bad_frames_close_the_connection(fleet):
     for bad in (struct.pack(">I", 1 << 30), struct.pack(">I", 3) + b"abc",
                 struct.pack(">I", 0)):
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -277,6 +277,32 @@
 }
 END_TEST
 
+/* Bench: VERSION, calls lay behind pieces in the queue of a squeezed link; the
+ * sidecar's word that the link is slow lay there as well. */
+START_TEST(balance_leaves_out_who_is_not_heard_before_a_bound)
+{
+    Balance b;
+    QREngine *x;
+
+    balance_init(&b);
+    b.in.now_ms = 10000;
+    x = add_engine(&b.engines, "x", "z1", 1);
+    x->told = true;
+    x->told_version = 1;
+    x->told_ms = 7000;
+    ck_assert_ptr_eq(qr_balance_choose(&b.engines, &b.in).engine, x);
+    b.in.version_soon = 2;
+    ck_assert_ptr_null(qr_balance_choose(&b.engines, &b.in).engine);
+    x->told_ms = 9000; /* heard: it may serve until shortly before */
+    ck_assert_ptr_eq(qr_balance_choose(&b.engines, &b.in).engine, x);
+    x->told = false; /* never heard */
+    ck_assert_ptr_null(qr_balance_choose(&b.engines, &b.in).engine);
+    x->record->version = 2; /* its own record says that it has it */
+    ck_assert_ptr_eq(qr_balance_choose(&b.engines, &b.in).engine, x);
+    balance_clear(&b);
+}
+END_TEST
+
 START_TEST(engine_ejected_and_tried_again)
 {
     Balance b;
@@ -424,68 +450,205 @@
     }
 }
 
-static const QRFleetMember *source(const QRFleetMembers *m, const char *self,
-                                   unsigned index, unsigned attempt)
+#define ORIGIN_CONNECTIONS 24 /* so 8 roots */
+#define ROOTS 8
+
+static QRPieceSource source(const QRFleetMembers *m, const char *self,
+                            unsigned index, unsigned relays, unsigned roots)
 {
     g_autoptr(GPtrArray) list = qr_members_of(m, QR_ROLE_SIDECAR, "s");
     g_auto(QRSourcePlan) plan = {0};
 
-    qr_source_plan_init(&plan, list, self, qr_members_get(m, self)->region, "m",
-                        2);
-    return qr_source_choose(&plan, index, attempt);
+    qr_source_plan_init(&plan, list, self, qr_members_get(m, self)->region,
+                        ORIGIN_CONNECTIONS, "m", 2);
+    return qr_source_choose(&plan, index, (QRSourceAttempts){relays, roots});
 }
 
+#define PIECES 72
+
 START_TEST(sources_one_copy_from_the_origin)
 {
     QRFleetMembers m;
-    unsigned origin = 0, across = 0;
-    unsigned sends[SIDECARS] = {0};
+    unsigned origin = 0, across = 0, roots = 0;
+    unsigned sends[SIDECARS] = {0}, drawn[SIDECARS] = {0};
 
     qr_members_init(&m);
     members_fill(&m, SIDECARS);
-    for (unsigned piece = 0; piece < 36; piece++) {
+    for (unsigned piece = 0; piece < PIECES; piece++) {
         for (unsigned i = 0; i < SIDECARS; i++) {
             char self[16];
-            const QRFleetMember *from;
+            QRPieceSource at;
 
             g_snprintf(self, sizeof(self), "s%u", i);
-            from = source(&m, self, piece, 0);
-            if (!from) {
+            at = source(&m, self, piece, 0, 0);
+            if (!at.from) {
                 origin++;
+                drawn[i]++;
                 continue;
             }
-            ck_assert_str_ne(from->name, self);
-            sends[atoi(from->name + 1)]++;
+            ck_assert_str_ne(at.from->name, self);
+            sends[atoi(at.from->name + 1)]++;
             across +=
-                strcmp(from->region, qr_members_get(&m, self)->region) != 0;
+                strcmp(at.from->region, qr_members_get(&m, self)->region) != 0;
         }
     }
-    ck_assert_uint_eq(origin, 36); /* one sidecar a piece */
-    ck_assert_uint_eq(across, 36 * (REGIONS - 1));
+    ck_assert_uint_eq(origin, PIECES); /* one sidecar a piece */
+    for (unsigned i = 0; i < SIDECARS; i++)
+        roots += drawn[i] > 0;
+    ck_assert_uint_eq(roots, ROOTS); /* the origin takes few connections */
+    ck_assert_uint_eq(across, PIECES * (REGIONS - 1));
     for (unsigned i = 0; i < SIDECARS; i++)
-        ck_assert_msg(sends[i] >= 24 && sends[i] <= 48, "%u", sends[i]);
+        ck_assert_msg(sends[i] >= PIECES * 3 / 4 && sends[i] <= PIECES * 5 / 4,
+                      "%u", sends[i]);
     qr_members_clear(&m);
 }
 END_TEST
 
-START_TEST(sources_holders_first_and_always_an_end)
+/* Follows a piece to the origin; returns how many hops that took. */
+static unsigned hops_to_origin(const QRFleetMembers *m, const char *self,
+                               unsigned piece, QRSourceAttempts tried)
+{
+    for (unsigned hops = 1; hops < 5; hops++) {
+        QRPieceSource at = source(m, self, piece, tried.relays, tried.roots);
+
+        if (!at.from)
+            return hops;
+        self = at.from->name;
+    }
+    return 0;
+}
+
+START_TEST(sources_end_at_the_origin_whoever_gave_nothing)
 {
     QRFleetMembers m;
-    QRFleetMember *holder;
 
     qr_members_init(&m);
-    members_fill(&m, 6);
-    holder = qr_members_get(&m, "s3"); /* region of s0 */
+    members_fill(&m, SIDECARS);
+    for (unsigned piece = 0; piece < PIECES; piece++) {
+        for (unsigned relays = 0; relays < 3; relays++) {
+            for (unsigned roots = 0; roots < 3; roots++) {
+                QRSourceAttempts tried = {relays, roots};
+
+                ck_assert_uint_ge(hops_to_origin(&m, "s4", piece, tried), 1);
+            }
+        }
+    }
+    ck_assert_uint_ge(
+        hops_to_origin(&m, "s4", QR_MANIFEST_INDEX, (QRSourceAttempts){0, 0}),
+        1);
+    qr_members_clear(&m);
+}
+END_TEST
+
+/* A dead relay costs no second read of the origin, a dead root just one. */
+START_TEST(sources_next_relay_same_root)
+{
+    QRFleetMembers m;
+    unsigned relays_seen = 0;
+
+    qr_members_init(&m);
+    members_fill(&m, SIDECARS);
+    for (unsigned i = 0; i < SIDECARS; i++) {
+        char self[16];
+        QRPieceSource first, second;
+
+        g_snprintf(self, sizeof(self), "s%u", i);
+        first = source(&m, self, 1, 0, 0);
+        if (!first.from || first.is_root)
+            continue;
+        second = source(&m, self, 1, 1, 0);
+        ck_assert(second.from != first.from);
+        if (!second.is_root) {
+            ck_assert_str_eq(second.from->region, first.from->region);
+            continue;
+        }
+        relays_seen++; /* it is the next relay: asks the root of the first */
+        ck_assert_ptr_eq(second.from,
+                         source(&m, first.from->name, 1, 0, 0).from
+                             ? source(&m, first.from->name, 1, 0, 0).from
+                             : first.from);
+        ck_assert(source(&m, self, 1, 1, 1).from != second.from);
+    }
+    ck_assert_uint_ge(relays_seen, 1);
+    qr_members_clear(&m);
+}
+END_TEST
+
+START_TEST(relays_are_known_to_all)
+{
+    QRFleetMembers m;
+    g_autoptr(GPtrArray) list = NULL;
+    g_auto(QRSourcePlan) plan = {0};
+
+    qr_members_init(&m);
+    members_fill(&m, SIDECARS);
+    list = qr_members_of(&m, QR_ROLE_SIDECAR, "s");
+    qr_source_plan_init(&plan, list, "s0", "r0", ORIGIN_CONNECTIONS, "m", 2);
+    for (unsigned piece = 0; piece < PIECES; piece++) {
+        unsigned relays = 0;
+
+        for (unsigned i = 0; i < list->len; i++)
+            relays += qr_source_is_relay(&plan, piece, list->pdata[i]);
+        ck_assert_uint_eq(relays, REGIONS);
+    }
+    qr_members_clear(&m);
+}
+END_TEST
+
+static void member_holds(const QRFleetMembers *m, const char *name)
+{
+    QRFleetMember *holder = qr_members_get(m, name);
+
     holder->held = 2;
+    g_free(holder->model);
     holder->model = g_strdup("m");
-    for (unsigned piece = 0; piece < 12; piece++)
-        ck_assert_ptr_eq(source(&m, "s0", piece, 0), holder);
+}
+
+/* Region of s0: s0, s3, s6, s9 (12 sidecars, 3 regions). */
+START_TEST(sources_holders_stand_in)
+{
+    QRFleetMembers m;
+    unsigned at_holder = 0;
+
+    qr_members_init(&m);
+    members_fill(&m, 12);
+    member_holds(&m, "s3");
+    /* one holder of four: in place of the roots, not of the relays */
+    for (unsigned piece = 0; piece < 24; piece++) {
+        QRPieceSource at = source(&m, "s0", piece, 0, 0);
+
+        ck_assert_ptr_nonnull(at.from); /* nobody reads the origin again */
+        if (at.is_root)
+            ck_assert_str_eq(at.from->name, "s3");
+        at_holder += strcmp(at.from->name, "s3") == 0;
+    }
+    ck_assert_uint_lt(at_holder, 24);
+    /* half of the region: all ask holders, each others */
+    member_holds(&m, "s6");
+    at_holder = 0;
+    for (unsigned piece = 0; piece < 24; piece++) {
+        QRPieceSource at = source(&m, "s0", piece, 0, 0);
+
+        ck_assert(!at.is_root && at.from->held == 2);
+        at_holder += strcmp(at.from->name, "s3") == 0;
+    }
+    ck_assert_uint_eq(at_holder, 12);
     /* whoever gives nothing is passed over, at last the origin */
-    for (unsigned piece = 0; piece < 12; piece++)
-        ck_assert_ptr_null(source(&m, "s0", piece, 99));
+    for (unsigned piece = 0; piece < 24; piece++)
+        ck_assert_ptr_null(source(&m, "s0", piece, 99, 0).from);
+    qr_members_clear(&m);
+}
+END_TEST
+
+START_TEST(sources_forget_who_is_gone)
+{
+    QRFleetMembers m;
+
+    qr_members_init(&m);
+    members_fill(&m, 6);
     qr_members_remove(&m, "s3");
     for (unsigned piece = 0; piece < 12; piece++) {
-        const QRFleetMember *from = source(&m, "s0", piece, 0);
+        const QRFleetMember *from = source(&m, "s0", piece, 0, 0).from;
 
         ck_assert(!from || strcmp(from->name, "s3") != 0);
     }
@@ -508,7 +671,8 @@
         uint64_t due;
 
         g_snprintf(self, sizeof(self), "s%u", i);
-        qr_source_plan_init(&plan, list, self, "r0", "m", 2);
+        qr_source_plan_init(&plan, list, self, "r0", ORIGIN_CONNECTIONS, "m",
+                            2);
         due = qr_switch_at(&plan, 1000, 1900);
         ck_assert(due >= 1000 && due <= 1900);
         at[(due - 1000) / 100]++;
@@ -638,12 +802,17 @@
     tcase_add_test(t, policy_routes);
     tcase_add_test(t, balance_spares_readers);
     tcase_add_test(t, balance_leaves_out);
+    tcase_add_test(t, balance_leaves_out_who_is_not_heard_before_a_bound);
     tcase_add_test(t, engine_ejected_and_tried_again);
     tcase_add_test(t, engine_others_calls_count);
     tcase_add_test(t, operator_versions_keep_their_bounds);
     tcase_add_test(t, operator_records_go_from_peer_to_peer);
     tcase_add_test(t, sources_one_copy_from_the_origin);
-    tcase_add_test(t, sources_holders_first_and_always_an_end);
+    tcase_add_test(t, sources_end_at_the_origin_whoever_gave_nothing);
+    tcase_add_test(t, sources_next_relay_same_root);
+    tcase_add_test(t, relays_are_known_to_all);
+    tcase_add_test(t, sources_holders_stand_in);
+    tcase_add_test(t, sources_forget_who_is_gone);
     tcase_add_test(t, switches_follow_one_another);
     tcase_add_test(t, message_torn_anywhere);
     tcase_add_test(t, message_hostile);
