A gateway that is behind asks one other for the operator's records

Cause: with 34 gateways, 12 of them left out by the store, each of the other 33 told each of those the whole configuration (240 idle routes, about 100 KB) every 100 ms while its heartbeat said that it was behind; links of 40 Mbit/s filled, and configurations came seconds late. Nobody is told unasked; a newcomer is no longer told by all. Test: test_members::one_peer_is_asked (red before: records come unasked).

--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -17,7 +17,7 @@
     bool listed;       /* a gateway counts it among the sidecars */
     uint64_t lost_ms;  /* since when it has no connection; 0: it has */
     const void *conn;  /* connection on which it greeted us last; not owned */
-    uint64_t told_ms;  /* when we last told it what it lacked */
+    uint64_t control_offset; /* of the operator's records that it knows */
     bool leaving;
     /* sidecars, as told */
     char *model;
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -50,7 +50,9 @@
     uint64_t incarnation, random;
     uint64_t stopping_ms; /* when SIGTERM came; 0: it did not */
     uint64_t heartbeat_ms, slow_tick_ms, sweep_ms; /* when due next */
-    uint64_t news_ms;           /* when the operator's last record came */
+    uint64_t behind_ms; /* since when a peer knows more; 0: none does */
+    uint64_t fetch_ms;  /* when one was asked last */
+    uint64_t fetches;
     unsigned heartbeats_rested; /* since the last whole load message */
     unsigned gateways_most;     /* seen at once, this one too */
     bool stopped;
@@ -68,6 +70,11 @@
 /* An operator's record that is news here goes on to those who follow us. */
 void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
                               uint64_t age_ms);
+/* A gateway said that it knows the operator's records up to 'offset'. */
+void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member,
+                           uint64_t offset);
+/* Asks one that knows more, when due. */
+void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /* An engine leaves: the sidecar beside it will soon be no source of weights. */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -7,7 +7,6 @@
 
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
 #define REDIAL_MS 700         /* for a lost connection to come back */
-#define BEHIND_MS 100         /* a peer may take so long to hear of news */
 #define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
 
 static bool is_sidecar(const QRFleetMember *member)
@@ -40,8 +39,7 @@
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = &records;
     qr_gateway_apply_limits(g);
-    g->news_ms = qr_gateway_now(g);
-    /* gateways hear it from the store; who does not is told by heartbeat */
+    /* gateways hear it from the store, or ask: see qr_gateway_catchup.c */
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
@@ -117,8 +115,9 @@
         send_member(peer, value, false);
         send_held(peer, value);
     }
-    qr_operator_tell(&g->operator, known, qr_gateway_now(g), tell_follower,
-                     peer);
+    if (to_sidecar)
+        qr_operator_tell(&g->operator, known, qr_gateway_now(g), tell_follower,
+                         peer);
 }
 
 /*
@@ -143,21 +142,18 @@
 static void peer_hello(QRGateway *g, QRPeerConn *peer,
                        const Qr__Fleet__Hello *h)
 {
-    uint64_t now = qr_gateway_now(g);
     QRFleetMember *news;
 
     if (strcmp(h->name, g->set->host) == 0)
         return;
-    news = qr_members_hello(&g->members, h, true, now);
+    news = qr_members_hello(&g->members, h, true, qr_gateway_now(g));
     qr_peer_set_data(peer, qr_members_get(&g->members, h->name));
     if (news)
         heard_of(g, news);
-    if (qr_peer_dialled(peer)) { /* the other side welcomes us */
-        if (h->control_offset < g->operator.end)
-            qr_operator_tell(&g->operator, h->control_offset, now,
-                             tell_follower, peer);
-        return;
-    }
+    if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer))
+        qr_gateway_peer_knows(g, qr_peer_data(peer), h->control_offset);
+    if (qr_peer_dialled(peer))
+        return; /* the other side welcomes us */
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
         ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
         ((QRFleetMember *)qr_peer_data(peer))->lost_ms = 0;
@@ -190,27 +186,10 @@
     }
 }
 
-/* A gateway that has been behind for a while is told what it lacks. */
-static void tell_behind(QRGateway *g, QRPeerConn *peer, QRFleetMember *member,
-                        uint64_t offset)
-{
-    uint64_t now = qr_gateway_now(g);
-
-    if (offset >= g->operator.end || now<g->news_ms + BEHIND_MS ||
-                  now<member->told_ms + BEHIND_MS)
-        return;
-    member->told_ms = now;
-    qr_logf(QR_LEVEL_INFO, "members",
-            "behind name=%s offset=%" G_GUINT64_FORMAT
-            " own=%" G_GUINT64_FORMAT,
-            member->name, offset, g->operator.end);
-    qr_operator_tell(&g->operator, offset, now, tell_follower, peer);
-}
-
-static void peer_load(QRGateway *g, QRPeerConn *peer, QRFleetMember *member,
+static void peer_load(QRGateway *g, QRFleetMember *member,
                       const Qr__Fleet__Load *load)
 {
-    tell_behind(g, peer, member, load->control_offset);
+    qr_gateway_peer_knows(g, member, load->control_offset);
     if (load->whole)
         qr_engines_forget_gateway(&g->engines, member->name);
     for (size_t i = 0; i < load->n_engines; i++) {
@@ -282,11 +261,15 @@
         peer_members(g, frame->members);
         break;
     case QR__FLEET__FRAME__BODY_LOAD:
-        peer_load(g, peer, member, frame->load);
+        peer_load(g, member, frame->load);
         break;
     case QR__FLEET__FRAME__BODY_ENGINE_STATE:
         peer_engine_state(g, member, frame->engine_state);
         break;
+    case QR__FLEET__FRAME__BODY_FETCH:
+        qr_operator_tell(&g->operator, frame->fetch->offset, qr_gateway_now(g),
+                         tell_follower, peer);
+        break;
     case QR__FLEET__FRAME__BODY_RECORDS:
         qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
         break;
@@ -447,6 +430,7 @@
     unsigned alive = qr_gateway_peers_alive(g, now_ms);
     bool whole;
 
+    qr_gateway_catch_up(g, now_ms);
     g->gateways_most = MAX(g->gateways_most, alive);
     rows = g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
     whole = ++g->heartbeats_rested >= HEARTBEAT_REST;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &qr__fleet__records__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qr__fleet__fetch__init
+                     (Qr__Fleet__Fetch         *message)
+{
+  static const Qr__Fleet__Fetch init_value = QR__FLEET__FETCH__INIT;
+  *message = init_value;
+}
+size_t qr__fleet__fetch__get_packed_size
+                     (const Qr__Fleet__Fetch *message)
+{
+  assert(message->base.descriptor == &qr__fleet__fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qr__fleet__fetch__pack
+                     (const Qr__Fleet__Fetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qr__fleet__fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qr__fleet__fetch__pack_to_buffer
+                     (const Qr__Fleet__Fetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qr__fleet__fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qr__Fleet__Fetch *
+       qr__fleet__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qr__Fleet__Fetch *)
+     protobuf_c_message_unpack (&qr__fleet__fetch__descriptor,
+                                allocator, len, data);
+}
+void   qr__fleet__fetch__free_unpacked
+                     (Qr__Fleet__Fetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qr__fleet__fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qr__fleet__want__init
                      (Qr__Fleet__Want         *message)
 {
@@ -1074,6 +1119,44 @@
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[1] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange qr__fleet__fetch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qr.fleet.Fetch",
+  "Fetch",
+  "Qr__Fleet__Fetch",
+  "qr.fleet",
+  sizeof(Qr__Fleet__Fetch),
+  1,
+  qr__fleet__fetch__field_descriptors,
+  qr__fleet__fetch__field_indices_by_name,
+  1,  qr__fleet__fetch__number_ranges,
+  (ProtobufCMessageInit) qr__fleet__fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[5] =
 {
   {
@@ -1290,7 +1373,7 @@
   (ProtobufCMessageInit) qr__fleet__piece__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[8] =
 {
   {
     "hello",
@@ -1376,9 +1459,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fetch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qr__Fleet__Frame, body_case),
+    offsetof(Qr__Fleet__Frame, fetch),
+    &qr__fleet__fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__frame__field_indices_by_name[] = {
   3,   /* field[3] = engine_state */
+  7,   /* field[7] = fetch */
   0,   /* field[0] = hello */
   2,   /* field[2] = load */
   1,   /* field[1] = members */
@@ -1389,7 +1485,7 @@
 static const ProtobufCIntRange qr__fleet__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qr__fleet__frame__descriptor =
 {
@@ -1399,7 +1495,7 @@
   "Qr__Fleet__Frame",
   "qr.fleet",
   sizeof(Qr__Fleet__Frame),
-  7,
+  8,
   qr__fleet__frame__field_descriptors,
   qr__fleet__frame__field_indices_by_name,
   1,  qr__fleet__frame__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Qr__Fleet__EngineState Qr__Fleet__EngineState;
 typedef struct Qr__Fleet__Record Qr__Fleet__Record;
 typedef struct Qr__Fleet__Records Qr__Fleet__Records;
+typedef struct Qr__Fleet__Fetch Qr__Fleet__Fetch;
 typedef struct Qr__Fleet__Want Qr__Fleet__Want;
 typedef struct Qr__Fleet__Piece Qr__Fleet__Piece;
 typedef struct Qr__Fleet__Frame Qr__Fleet__Frame;
@@ -225,6 +226,19 @@
     , 0,NULL, 0 }
 
 
+/*
+ * The sender is behind: tell it the operator's records from 'offset' on.
+ */
+struct  Qr__Fleet__Fetch
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+};
+#define QR__FLEET__FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__fetch__descriptor) \
+    , 0 }
+
+
 struct  Qr__Fleet__Want
 {
   ProtobufCMessage base;
@@ -270,7 +284,8 @@
   QR__FLEET__FRAME__BODY_ENGINE_STATE = 4,
   QR__FLEET__FRAME__BODY_RECORDS = 5,
   QR__FLEET__FRAME__BODY_WANT = 6,
-  QR__FLEET__FRAME__BODY_PIECE = 7
+  QR__FLEET__FRAME__BODY_PIECE = 7,
+  QR__FLEET__FRAME__BODY_FETCH = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__FRAME__BODY__CASE)
 } Qr__Fleet__Frame__BodyCase;
 
@@ -286,6 +301,7 @@
     Qr__Fleet__Records *records;
     Qr__Fleet__Want *want;
     Qr__Fleet__Piece *piece;
+    Qr__Fleet__Fetch *fetch;
   };
 };
 #define QR__FLEET__FRAME__INIT \
@@ -426,6 +442,25 @@
 void   qr__fleet__records__free_unpacked
                      (Qr__Fleet__Records *message,
                       ProtobufCAllocator *allocator);
+/* Qr__Fleet__Fetch methods */
+void   qr__fleet__fetch__init
+                     (Qr__Fleet__Fetch         *message);
+size_t qr__fleet__fetch__get_packed_size
+                     (const Qr__Fleet__Fetch   *message);
+size_t qr__fleet__fetch__pack
+                     (const Qr__Fleet__Fetch   *message,
+                      uint8_t             *out);
+size_t qr__fleet__fetch__pack_to_buffer
+                     (const Qr__Fleet__Fetch   *message,
+                      ProtobufCBuffer     *buffer);
+Qr__Fleet__Fetch *
+       qr__fleet__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qr__fleet__fetch__free_unpacked
+                     (Qr__Fleet__Fetch *message,
+                      ProtobufCAllocator *allocator);
 /* Qr__Fleet__Want methods */
 void   qr__fleet__want__init
                      (Qr__Fleet__Want         *message);
@@ -506,6 +541,9 @@
 typedef void (*Qr__Fleet__Records_Closure)
                  (const Qr__Fleet__Records *message,
                   void *closure_data);
+typedef void (*Qr__Fleet__Fetch_Closure)
+                 (const Qr__Fleet__Fetch *message,
+                  void *closure_data);
 typedef void (*Qr__Fleet__Want_Closure)
                  (const Qr__Fleet__Want *message,
                   void *closure_data);
@@ -528,6 +566,7 @@
 extern const ProtobufCMessageDescriptor qr__fleet__engine_state__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__record__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__records__descriptor;
+extern const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__want__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__piece__descriptor;
 extern const ProtobufCEnumDescriptor    qr__fleet__piece__state__descriptor;
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -1,6 +1,7 @@
 """A peer of the test's own: speaks frames to a gateway or a sidecar."""
 import socket
 import struct
+import time
 
 from fleet import MODEL
 from gen import fleet_pb2
@@ -48,6 +49,18 @@
                                       index=index))
         return self.piece()
 
+    def frames_for(self, seconds):
+        """All frames that have come and come for so long."""
+        got, end = [], time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.conn.settimeout(max(end - time.monotonic(), 0.01))
+            try:
+                got.append(self.frame())
+            except TimeoutError:
+                break
+        self.conn.settimeout(5)
+        return got
+
     def frames_until_silence(self, seconds):
         """All frames that come before none has come for 'seconds'."""
         got = []
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,7 +1,9 @@
 """Who is there: what gateways take from one another about others."""
+import json
 import time
 
-from fleet import Fleet
+from bench import ask, wait_for
+from fleet import Fleet, policy
 from gen import fleet_pb2
 from peer import Peer, hello
 
@@ -27,6 +29,32 @@
         assert f.log("g0").count("new name=ghost") == 1
 
 
+def test_one_peer_is_asked_for_what_is_missing():
+    """Bench, 34 gateways: each told each of those that the store left out the
+    whole configuration, ten times a second."""
+    with Fleet(gateways=2, plain=0, dark_stores=(0, 1)) as f:
+        for i in range(2):
+            wait_for("listening", lambda i=i: ask(
+                f.gateways[i]["readiness"], "GET", "/readyz")[0] == 503)
+        know = [Peer(f.peers[0], hello(f"know{i}", "gateway",
+                                       control_offset=3)) for i in range(5)]
+        behind = Peer(f.peers[1], hello("behind", "gateway"))
+        time.sleep(1.0)
+        fetches = [sum(frame.HasField("fetch")
+                       for frame in p.frames_for(0.02)) for p in know]
+        # one is asked at a time, by turns while none answers
+        assert 2 <= sum(fetches) <= 5 and max(fetches) < sum(fetches)
+        policy_1 = json.dumps(policy(1, f.origin.address)).encode()
+        know[0].send(records=fleet_pb2.Records(records=[fleet_pb2.Record(
+            key="config", value=policy_1, offset=2)], end=3))
+        wait_for("the other one to ask and be told",
+                 lambda: "in force version=1" in f.log("g1"))
+        # who is behind asks; nobody is told unasked
+        assert not any(frame.HasField("records")
+                       for frame in behind.frames_for(0.5))
+        assert f.log("g1").count("in force version=1") == 1
+
+
 def test_gateways_are_told_of_gateways_only():
     """Each sidecar greets every gateway itself."""
     with Fleet(plain=0) as f:
