Who says that it will have a piece is waited for; holders say what they lack

Change: those who wait are told every 500 ms that they are seen to, and wait as long (5 s for a root, 9 s for a relay); all go to the origin only once each relay of the region, or each root, gave nothing. The manifest comes through roots only; a holder that lacks a piece says so at once; pieces found at the engine are told to those who wait. Ruled out: the second version's pieces crowding out the first's (version 2 came as before). Tests: unit sources_holders_stand_in; test_sidecar an_empty_engine_among_many_that_started_with_the_version (red before).

--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -8,15 +8,17 @@
 
 #define CONNECT_MS 700
 #define ORIGIN_TIMEOUT_MS 2500
-#define ORIGIN_AT_ONCE 1     /* its connections are few */
-#define ORIGIN_AGAIN_MS 150  /* after a failure */
-#define ORIGIN_REST_MS 300   /* ... that rest are closed: others need them */
-#define STALL_MS 900         /* no piece from anybody: ask others */
-#define ASKED_MOST_MS 4000   /* a peer is given so long in any case */
-#define UNHEARD_MOST_MS 900  /* ... that does not answer at all */
-#define PENDING_MOST_MS 2800 /* ... that says it will have it */
-#define ROOT_PENDING_MS 1900 /* ... that draws it from the origin */
-#define MANIFEST_SHARE 3     /* of these times, for the small manifest */
+#define ORIGIN_AT_ONCE 1        /* its connections are few */
+#define ORIGIN_AGAIN_MS 150     /* after a failure */
+#define ORIGIN_REST_MS 300      /* ... that rest are closed: others need them */
+#define STALL_MS 900            /* no piece from anybody: ask others */
+#define ASKED_MOST_MS 4000      /* a peer is given so long in any case */
+#define UNHEARD_MOST_MS 900     /* ... that does not answer at all */
+#define PENDING_MOST_MS 1500    /* ... that said that it will have it */
+#define ROOT_WAIT_MOST_MS 5000  /* ... and goes on saying so: a root */
+#define RELAY_WAIT_MOST_MS 9000 /* ... a relay, which waits for a root */
+#define REFRESH_MS 500   /* between two words to those who wait for a piece */
+#define MANIFEST_SHARE 3 /* of these times, for the small manifest */
 #define DIAL_MOST_MS 300
 #define WINDOW_LEAST 1
 #define WINDOW_MOST 8
@@ -33,8 +35,7 @@
     return origin ? origin->origin : NULL;
 }
 
-/* Tells those who wait for a piece that it is here now. */
-static void tell_waiters(QRTarget *t, uint32_t index)
+void qr_piece_came(QRTarget *t, uint32_t index)
 {
     QRSidecar *s = t->sidecar;
 
@@ -92,7 +93,7 @@
     p->asked = false;
     t->progress_ms = qr_sidecar_now(t->sidecar);
     t->held += index != QR_MANIFEST_INDEX;
-    tell_waiters(t, index);
+    qr_piece_came(t, index);
     if (qr_target_whole(t))
         target_whole(t);
     return true;
@@ -114,8 +115,6 @@
         QR_LEVEL_WARN, "weights",
         "origin failed index=%d status=%u why=%s version=%" G_GUINT64_FORMAT,
         (int)index, a->status, a->why ? a->why : "-", t->version);
-    /* once more from the start: peers may have it by now */
-    p->tried = (QRSourceAttempts){0, 0};
     p->asked = false;
     p->asked_ms = qr_sidecar_now(t->sidecar);
     t->sidecar->origin_next_ms = p->asked_ms + ORIGIN_AGAIN_MS;
@@ -205,7 +204,7 @@
     qr_peer_send(peer, &frame);
     p->asked = true;
     p->heard = p->pending = false;
-    p->asked_ms = now;
+    p->asked_ms = p->first_asked_ms = now;
     g_free(p->source);
     p->source = g_strdup(source->from->name);
 }
@@ -262,18 +261,19 @@
 }
 
 /*
- * Time to look for another source. One that has no piece yet may take long; a
- * relay longer than a root, for it waits for one.
+ * Time to look for another source. One that goes on saying that it will have
+ * the piece is waited for: while the origin is away, others fare no better, and
+ * each that took over would draw the piece once more.
  */
 static bool is_overdue(const QRTarget *t, uint32_t index, uint64_t now)
 {
     const QRPiece *p = qr_piece(t, index);
-    bool is_manifest = index == QR_MANIFEST_INDEX;
-    uint64_t pending = p->from_root ? ROOT_PENDING_MS : PENDING_MOST_MS;
-    uint64_t share = is_manifest ? MANIFEST_SHARE : 1;
+    uint64_t wait = p->from_root ? ROOT_WAIT_MOST_MS : RELAY_WAIT_MOST_MS;
+    uint64_t share = index == QR_MANIFEST_INDEX ? MANIFEST_SHARE : 1;
 
     if (p->pending)
-        return now > p->asked_ms + pending / share;
+        return now > p->asked_ms + PENDING_MOST_MS ||
+               now > p->first_asked_ms + wait;
     if (p->asked && !p->heard)
         return now > p->asked_ms + UNHEARD_MOST_MS / share;
     if (now > p->asked_ms + ASKED_MOST_MS / share)
@@ -281,6 +281,19 @@
     return now > p->asked_ms + STALL_MS && now > t->progress_ms + STALL_MS;
 }
 
+void qr_pieces_refresh(QRSidecar *s, uint64_t now_ms)
+{
+    if (now_ms < s->refresh_ms)
+        return;
+    s->refresh_ms = now_ms + REFRESH_MS;
+    for (unsigned i = 0; i < s->waiters->len; i++) {
+        const QRWaiter *w = &g_array_index(s->waiters, QRWaiter, i);
+
+        if (w->target)
+            qr_upload_tell(w, QR__FLEET__PIECE__STATE__PENDING);
+    }
+}
+
 void qr_piece_tick(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
                    uint64_t now_ms)
 {
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -27,16 +27,17 @@
     bool verified;        /* read back since, and found right */
     uint64_t verified_ms; /* when that was */
     QRSourceAttempts tried;
-    bool from_root; /* the peer asked is a root, else a relay */
-    bool asked;     /* a peer was asked, at 'asked_ms' */
-    bool heard;     /* it answered, with whatever */
-    bool pending;   /* it has none yet, and will tell */
-    uint64_t asked_ms;
-    uint64_t dial_ms; /* since when the peer is dialled for it; 0: not */
-    char *source;     /* name of the peer asked */
-    QRWhole *fetch;   /* from the origin */
-    QRWhole *stage;   /* put or read back */
-    bool reading;     /* 'stage' reads */
+    bool from_root;          /* the peer asked is a root, else a relay */
+    bool asked;              /* a peer was asked, at 'asked_ms' */
+    bool heard;              /* it answered, with whatever */
+    bool pending;            /* it has none yet, and will tell */
+    uint64_t asked_ms;       /* or when it last said that it is pending */
+    uint64_t first_asked_ms; /* this source */
+    uint64_t dial_ms;        /* since when the peer is dialled for it; 0: not */
+    char *source;            /* name of the peer asked */
+    QRWhole *fetch;          /* from the origin */
+    QRWhole *stage;          /* put or read back */
+    bool reading;            /* 'stage' reads */
 } QRPiece;
 
 /*
@@ -98,6 +99,7 @@
     double upload_bytes;     /* that may be sent now; below 0: in debt */
     uint64_t upload_ms;      /* when that was last looked at */
     uint64_t slow_until_ms;  /* see qr_link_is_slow() */
+    uint64_t refresh_ms;     /* when those who wait here are told so next */
     uint64_t origin_next_ms; /* the origin failed: not asked before */
     uint64_t origin_used_ms; /* it last answered; 0: nothing rests open */
     double window;           /* pieces that may be on their way to us at once */
@@ -145,6 +147,10 @@
 void qr_link_note_slow(QRSidecar *s, uint64_t now_ms);
 /* Requests to the origin that are under way. */
 unsigned qr_pieces_from_origin(const QRSidecar *s);
+/* Tells those who wait for a piece that it is here now. */
+void qr_piece_came(QRTarget *t, uint32_t index);
+/* Tells those who wait for pieces that we still see to it. */
+void qr_pieces_refresh(QRSidecar *s, uint64_t now_ms);
 /* Closes connections to the origin that have rested for a while. */
 void qr_pieces_rest(QRSidecar *s, uint64_t now_ms);
 
@@ -175,6 +181,8 @@
 /* A piece that was sent to 'peer' has arrived there. */
 void qr_upload_taken(QRSidecar *s, const QRPeerConn *peer);
 GArray *qr_upload_sent_new(void);
+/* Sends those elsewhere who wait for pieces that the engine's stage lacked. */
+void qr_upload_missing(QRTarget *t);
 /* Sends those who wait for pieces elsewhere: our link is slow. */
 void qr_upload_decline(QRSidecar *s);
 
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define ATTEMPTS_BEFORE_ORIGIN 5
+#define ATTEMPTS_LEAST 5 /* before all go to the origin themselves */
 /* One root for so many connections of the origin: the rest is for sidecars
  * whose sources failed, and for connections that linger. */
 #define CONNECTIONS_A_ROOT 3
@@ -87,11 +87,12 @@
                                         uint32_t index, unsigned tried)
 {
     uint64_t place = (uint64_t)index + tried;
+    bool is_manifest = index == QR_MANIFEST_INDEX;
     const QRFleetMember *root;
 
-    if (plan->near_holders->len > 0)
+    if (!is_manifest && plan->near_holders->len > 0)
         return at_place(plan->near_holders, place);
-    if (plan->holders->len > 0)
+    if (!is_manifest && plan->holders->len > 0)
         return at_place(plan->holders, place);
     if (plan->roots == 0)
         return NULL;
@@ -99,6 +100,13 @@
     return is_self(plan, root) ? NULL : root;
 }
 
+/* Each of the region, or each root, gave nothing. */
+static bool is_exhausted(const QRSourcePlan *plan, QRSourceAttempts tried)
+{
+    return tried.relays >= MAX(plan->near->len, ATTEMPTS_LEAST) ||
+           tried.roots >= MAX(plan->roots, ATTEMPTS_LEAST);
+}
+
 QRPieceSource qr_source_choose(const QRSourcePlan *plan, uint32_t index,
                                QRSourceAttempts tried)
 {
@@ -108,10 +116,11 @@
     const QRFleetMember *root = source_root(plan, index, tried.roots);
     const QRFleetMember *relay;
 
-    if (!root || tried.relays + tried.roots >= ATTEMPTS_BEFORE_ORIGIN)
+    if (!root || is_exhausted(plan, tried))
         return origin;
     /* the first holders alone could not send to all the others */
-    if (plan->near_holders->len * HOLDERS_SHARE >= plan->near->len)
+    if (index != QR_MANIFEST_INDEX &&
+        plan->near_holders->len * HOLDERS_SHARE >= plan->near->len)
         return (QRPieceSource){at_place(plan->near_holders, turn), false};
     relay = at_place(plan->near, (uint64_t)index + tried.relays);
     if (relay && !is_self(plan, relay))
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -38,6 +38,7 @@
     if (right && !p->data) {
         p->data = g_bytes_new(a->data, a->len);
         t->held++;
+        qr_piece_came(t, index);
     }
 }
 
@@ -165,6 +166,7 @@
     if (scan_done(t)) {
         t->scanned = true;
         t->scanning = false;
+        qr_upload_missing(t);
     }
     return t->scanned;
 }
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -216,6 +216,28 @@
     }
 }
 
+/* Whether the piece is looked for elsewhere: we hold the version without it. */
+static bool is_missing(const QRTarget *t, uint32_t index)
+{
+    return t->scanned && index != QR_MANIFEST_INDEX &&
+           qr_sidecar_serves(t->sidecar, t->version) &&
+           qr_target_has_index(t, index) && !qr_piece(t, index)->data;
+}
+
+void qr_upload_missing(QRTarget *t)
+{
+    QRSidecar *s = t->sidecar;
+
+    for (unsigned i = s->waiters->len; i > 0; i--) {
+        QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
+
+        if (w.target != t || !is_missing(t, w.index))
+            continue;
+        g_array_remove_index_fast(s->waiters, i - 1);
+        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__ABSENT);
+    }
+}
+
 void qr_upload_decline(QRSidecar *s)
 {
     QRWaiter *w;
@@ -295,6 +317,11 @@
         qr_upload_tell(&w, QR__FLEET__PIECE__STATE__QUEUED);
         return;
     }
+    /* others hold the version too: were we to ask them, they might ask us */
+    if (is_missing(w.target, w.index)) {
+        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__ABSENT);
+        return;
+    }
     if (p)
         take_over(p, want);
     g_array_append_val(s->waiters, w);
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -192,6 +192,7 @@
         return;
     drop_overtaken(s);
     qr_pieces_rest(s, now_ms);
+    qr_pieces_refresh(s, now_ms);
     for (unsigned i = 0; i < s->targets->len; i++)
         target_tick(s->targets->pdata[i], now_ms);
 }
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -159,7 +159,7 @@
      "if (now_ms > oldest_check_ms(t) + VERIFY_FRESH_MS)", "if (false)",
      "sidecar::turns_bad"),
     ("dead-sidecars-own-pieces", 1, "sidecar/qr_sources.c",
-     "if (!root || tried.relays + tried.roots >= ATTEMPTS_BEFORE_ORIGIN)",
+     "if (!root || is_exhausted(plan, tried))",
      "if (!root)", "unit"),
     ("all-draw-from-the-origin", 1, "sidecar/qr_sources.c",
      "plan->roots = MIN(MAX(roots, 1), members->len);",
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -111,6 +111,21 @@
     check_orders([e])
 
 
+def test_an_empty_engine_among_many_that_started_with_the_version(fleet):
+    """Bench, 76 sidecars: the others served version 1 from their start and had
+    no manifest of it; each waited for another one's."""
+    for e in fleet.models:
+        e.stage = whole(1)
+    for e in fleet.models[:2]:
+        del e.stage[2]  # only one engine has all pieces
+    empty = fleet.add_engine("m3", "engines", MODEL)
+    fleet.start_sidecar(3, empty)
+    wait_for("version 1", lambda: empty.version == 1, 6)
+    check_orders([empty])
+    assert fleet.origin.manifests <= 2
+    assert fleet.origin.sent == 0  # all pieces lay at engines
+
+
 def test_a_version_goes_on_though_the_next_is_named(fleet):
     """Bench: the origin went down soon after a second version was named, and
     no engine got either."""
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -623,6 +623,16 @@
         at_holder += strcmp(at.from->name, "s3") == 0;
     }
     ck_assert_uint_lt(at_holder, 24);
+    /* nobody need have the manifest: the origin has it, through the roots */
+    member_holds(&m, "s3");
+    for (unsigned i = 0; i < 12; i++) {
+        char self[16];
+
+        g_snprintf(self, sizeof(self), "s%u", i);
+        ck_assert_uint_ge(hops_to_origin(&m, self, QR_MANIFEST_INDEX,
+                                         (QRSourceAttempts){0, 0}),
+                          1);
+    }
     /* half of the region: all ask holders, each others */
     member_holds(&m, "s6");
     at_holder = 0;
@@ -636,6 +646,20 @@
     /* whoever gives nothing is passed over, at last the origin */
     for (unsigned piece = 0; piece < 24; piece++)
         ck_assert_ptr_null(source(&m, "s0", piece, 99, 0).from);
+    for (unsigned i = 0; i < 12; i++) {
+        char self[16];
+
+        g_snprintf(self, sizeof(self), "s%u", i);
+        member_holds(&m, self);
+    }
+    for (unsigned i = 0; i < 12; i++) {
+        char self[16];
+
+        g_snprintf(self, sizeof(self), "s%u", i);
+        ck_assert_uint_ge(hops_to_origin(&m, self, QR_MANIFEST_INDEX,
+                                         (QRSourceAttempts){0, 0}),
+                          1);
+    }
     qr_members_clear(&m);
 }
 END_TEST
