Sidecars tell at once that the engine holds a version that was just named

The test's empty engine knew one holder of three: a sidecar whose engine reported before the first configuration came told 'held' only a second later, and the one known holder lacked a piece. Ruled out: the order of asking (each ask logged: one holder known).

--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -95,6 +95,7 @@
             " since_ms=%" G_GUINT64_FORMAT " targets=%u",
             s->model, t->version,
             t->since_ms ? t->progress_ms - t->since_ms : 0, s->targets->len);
+    qr_sidecar_tell_state(s, true); /* the engine may hold it already */
 }
 
 bool qr_target_manifest(QRTarget *t, const void *data, size_t len)
