Sidecars of leaving engines carry nothing; who is gone is not waited for

Change: a record that goes counts as leaving, until it is back; sidecars of leaving engines come last in the order and are no roots or relays; a source that has no piece yet is left as soon as it is no longer the one to ask. Ruled out: origin and links (each piece's way logged). Tests: unit sources_pass_over_who_leaves; test_sidecar a_source_that_is_gone_is_not_waited_for (red without: shown by switching it off).

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -77,8 +77,12 @@
 void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
-/* An engine leaves: the sidecar beside it will soon be no source of weights. */
-void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address);
+/*
+ * An engine leaves, or stays after all: the sidecar beside it will soon be no
+ * source of weights.
+ */
+void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address,
+                               bool leaves);
 /* Drops sidecars that have been silent for too long. */
 void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms);
 /* Sends our word to every gateway: we leave, or still stay. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -30,6 +30,18 @@
 const QRFollowerHandlers qr_gateway_operator_handlers = {
     operator_record, operator_listed, operator_reached};
 
+/* Some engines never say that they leave: their record just goes. */
+static void engine_gone(QRGateway *g, const char *id)
+{
+    const QREngine *e = qr_engines_get(&g->engines, id);
+
+    if (!qr_engines_drop(&g->engines, id, qr_gateway_now(g)))
+        return;
+    qr_logf(QR_LEVEL_INFO, "engines", "gone engine=%s", id);
+    if (!qr_engines_at(&g->engines, e->record->address))
+        qr_gateway_sidecar_leaves(g, e->record->address, true);
+}
+
 static void engines_record(void *owner, const QRStoreRecord *r)
 {
     QRGateway *g = owner;
@@ -39,8 +51,7 @@
     const char *change;
 
     if (len == 0) {
-        if (qr_engines_drop(&g->engines, r->key, qr_gateway_now(g)))
-            qr_logf(QR_LEVEL_INFO, "engines", "gone engine=%s", r->key);
+        engine_gone(g, r->key);
         return;
     }
     record = g->platform->parse_engine(r->key, data, len);
@@ -56,8 +67,7 @@
                 "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT,
                 change, record->id, record->service, record->address,
                 record->zone, record->draining, record->version, r->offset);
-    if (record->draining)
-        qr_gateway_sidecar_leaves(g, record->address);
+    qr_gateway_sidecar_leaves(g, record->address, record->draining);
 }
 
 static void engines_listed(void *owner, GHashTable *keys)
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -110,7 +110,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QRFleetMember *member = value;
 
-        if (member->leaving || (!to_sidecar && is_sidecar(member)))
+        if (is_sidecar(member) ? !to_sidecar : member->leaving)
             continue;
         send_member(peer, value, false);
         send_held(peer, value);
@@ -278,17 +278,19 @@
     }
 }
 
-static void tell_sidecars_gone(QRGateway *g, const QRFleetMember *member)
+/* What became of a member. */
+static void tell_sidecars(QRGateway *g, const QRFleetMember *member, bool gone)
 {
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
-        if (is_sidecar(to) && to != member)
-            send_member(g->followers->pdata[i], member, true);
+        if (is_sidecar(to) && (!gone || to != member))
+            send_member(g->followers->pdata[i], member, gone);
     }
 }
 
-void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address)
+void qr_gateway_sidecar_leaves(QRGateway *g, const char *engine_address,
+                               bool leaves)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_SIDECAR, NULL);
@@ -296,10 +298,13 @@
     for (unsigned i = 0; i < list->len; i++) {
         QRFleetMember *m = list->pdata[i];
 
-        if (m->leaving || strcmp(m->service_address, engine_address) != 0)
+        if (m->leaving == leaves ||
+            strcmp(m->service_address, engine_address) != 0)
             continue;
-        m->leaving = true;
-        tell_sidecars_gone(g, m);
+        m->leaving = leaves;
+        qr_logf(QR_LEVEL_INFO, "members", "sidecar %s name=%s",
+                leaves ? "leaving" : "staying", m->name);
+        tell_sidecars(g, m, false);
     }
 }
 
@@ -309,7 +314,7 @@
     qr_logf(QR_LEVEL_INFO, "members",
             "sidecar lost name=%s heard_ms=%" G_GUINT64_FORMAT, member->name,
             qr_gateway_now(g) - MIN(member->heard_ms, qr_gateway_now(g)));
-    tell_sidecars_gone(g, member);
+    tell_sidecars(g, member, true);
     qr_peers_clear_data(g->peers, member);
     qr_members_remove(&g->members, member->name);
 }
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -294,6 +294,15 @@
     }
 }
 
+static bool is_source(const QRPiece *p, const QRPieceSource *source)
+{
+    return source->from && g_strcmp0(p->source, source->from->name) == 0;
+}
+
+/*
+ * A source that has no piece yet is waited for only while it is the one to
+ * ask: sidecars that saw different members may wait for one another.
+ */
 void qr_piece_tick(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
                    uint64_t now_ms)
 {
@@ -309,9 +318,12 @@
         p->asked_ms = now_ms;
         piece_give_up(p);
     }
-    if (p->asked)
+    if (p->asked && !p->pending)
         return;
     source = qr_source_choose(plan, index, p->tried);
+    if (p->asked && is_source(p, &source))
+        return;
+    p->asked = p->pending = false;
     if (!source.from)
         piece_from_origin(t, index, now_ms);
     else if (index == QR_MANIFEST_INDEX || source.is_root ||
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -125,7 +125,10 @@
 {
     QRFleetMember *m = qr_members_get(&s->members, h->name);
 
-    if (!m || strcmp(h->name, s->set->host) == 0)
+    if (!m)
+        return;
+    m->leaving = h->leaving;
+    if (strcmp(h->name, s->set->host) == 0)
         return;
     if (m->listed == h->gone)
         qr_logf(QR_LEVEL_INFO, "members", "%s name=%s role=%s",
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -16,6 +16,7 @@
     char text[QR_NAME_MAX + 48];
 } OrderKey;
 
+/* Those whose engines leave come last. */
 static int by_weight(const void *a, const void *b, void *key)
 {
     const QRFleetMember *m = *(const QRFleetMember *const *)a;
@@ -23,6 +24,8 @@
     uint64_t wm = qr_rendezvous(((OrderKey *)key)->text, m->name);
     uint64_t wn = qr_rendezvous(((OrderKey *)key)->text, n->name);
 
+    if (m->leaving != n->leaving)
+        return m->leaving ? 1 : -1;
     return wm < wn ? -1 : wm > wn ? 1 : strcmp(m->name, n->name);
 }
 
@@ -34,6 +37,7 @@
     unsigned roots = origin_connections
                          ? origin_connections / CONNECTIONS_A_ROOT
                          : ROOTS_DEFAULT;
+    unsigned staying = 0, staying_near = 0;
     OrderKey key;
 
     g_snprintf(key.text, sizeof(key.text), "%s/%" G_GUINT64_FORMAT, model,
@@ -44,9 +48,15 @@
     plan->near = g_ptr_array_new();
     plan->holders = g_ptr_array_new();
     plan->near_holders = g_ptr_array_new();
-    plan->roots = MIN(MAX(roots, 1), members->len);
-    for (unsigned i = 0; i < members->len; i++)
+    for (unsigned i = 0; i < members->len; i++) {
+        const QRFleetMember *m = members->pdata[i];
+
         g_ptr_array_add(plan->all, members->pdata[i]);
+        staying += !m->leaving;
+        staying_near += !m->leaving && g_strcmp0(m->region, region) == 0;
+    }
+    plan->roots = MIN(MAX(roots, 1), staying ? staying : members->len);
+    plan->relays = staying_near;
     g_ptr_array_sort_with_data(plan->all, by_weight, &key);
     for (unsigned i = 0; i < plan->all->len; i++) {
         QRFleetMember *m = plan->all->pdata[i];
@@ -56,6 +66,7 @@
 
         if (is_near)
             g_ptr_array_add(plan->near, m);
+        holds = holds && !m->leaving;
         if (holds)
             g_ptr_array_add(plan->holders, m);
         if (holds && is_near)
@@ -100,6 +111,14 @@
     return is_self(plan, root) ? NULL : root;
 }
 
+/* Engines that leave have no relays beside them, if others stay. */
+static const QRFleetMember *relay_at(const QRSourcePlan *plan, uint64_t place)
+{
+    unsigned n = plan->relays ? plan->relays : plan->near->len;
+
+    return n > 0 ? plan->near->pdata[place % n] : NULL;
+}
+
 /* Each of the region, or each root, gave nothing. */
 static bool is_exhausted(const QRSourcePlan *plan, QRSourceAttempts tried)
 {
@@ -122,7 +141,7 @@
     if (index != QR_MANIFEST_INDEX &&
         plan->near_holders->len * HOLDERS_SHARE >= plan->near->len)
         return (QRPieceSource){at_place(plan->near_holders, turn), false};
-    relay = at_place(plan->near, (uint64_t)index + tried.relays);
+    relay = relay_at(plan, (uint64_t)index + tried.relays);
     if (relay && !is_self(plan, relay))
         return (QRPieceSource){relay, false};
     return (QRPieceSource){root, true};
@@ -131,18 +150,18 @@
 bool qr_source_is_relay(const QRSourcePlan *plan, uint32_t index,
                         const QRFleetMember *member)
 {
-    unsigned of_region = 0, place = 0;
+    unsigned relays = 0, place = 0;
 
     for (unsigned i = 0; i < plan->all->len; i++) {
         const QRFleetMember *m = plan->all->pdata[i];
 
-        if (g_strcmp0(m->region, member->region) != 0)
+        if (m->leaving || g_strcmp0(m->region, member->region) != 0)
             continue;
         if (m == member)
-            place = of_region;
-        of_region++;
+            place = relays;
+        relays++;
     }
-    return of_region > 0 && index % of_region == place;
+    return relays > 0 && !member->leaving && index % relays == place;
 }
 
 unsigned qr_source_place(const QRSourcePlan *plan, const char *name)
--- a/src/sidecar/qr_sources.h
+++ b/src/sidecar/qr_sources.h
@@ -23,7 +23,8 @@
     const char *self, *region;
     GPtrArray *all, *near;             /* QRFleetMember *: all, of the region */
     GPtrArray *holders, *near_holders; /* those that hold the version */
-    unsigned roots;                    /* that draw from the origin */
+    unsigned roots;  /* the first of 'all' that draw from the origin */
+    unsigned relays; /* the first of 'near' whose engines do not leave */
 } QRSourcePlan;
 
 /* Sources that gave nothing so far. */
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -1,6 +1,7 @@
 """A peer of the test's own: speaks frames to a gateway or a sidecar."""
 import socket
 import struct
+import threading
 import time
 
 from fleet import MODEL
@@ -70,3 +71,58 @@
                 got.append(self.frame())
         except TimeoutError:
             return got
+
+
+class StubbornSidecar:
+    """A sidecar that says of every piece, again and again, that it will have
+    it; 'leave' takes it from the members, its connections stay open."""
+
+    def __init__(self, gateway):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        port = self.listener.getsockname()[1]
+        self.hello = hello("stubborn", "sidecar",
+                           address="127.0.0.1:%d" % port)
+        self.asked = 0
+        self.open = []
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.member = Peer(gateway, self.hello)
+
+    def accept(self):
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            self.open.append(conn)
+            threading.Thread(target=self.serve, args=(conn,),
+                             daemon=True).start()
+
+    def serve(self, conn):
+        peer = Peer.__new__(Peer)
+        peer.conn = conn
+        pending = []
+        try:
+            peer.send(hello=self.hello)
+            while True:
+                conn.settimeout(0.3)
+                try:
+                    frame = peer.frame()
+                    if frame.HasField("want"):
+                        self.asked += 1
+                        pending.append(frame.want)
+                except TimeoutError:
+                    pass
+                for want in pending:
+                    peer.send(piece=fleet_pb2.Piece(
+                        model=want.model, version=want.version,
+                        index=want.index, state=fleet_pb2.Piece.PENDING))
+        except (OSError, AssertionError):
+            pass
+
+    def leave(self):
+        self.member.conn.close()
+
+    def close(self):
+        self.listener.close()
+        for conn in self.open:
+            conn.close()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,7 +8,7 @@
 from bench import wait_for
 from gen import fleet_pb2
 from fleet import MODEL, Fleet, policy
-from peer import Peer
+from peer import Peer, StubbornSidecar
 from standin_platform import CHUNKS, chunk_of
 
 
@@ -126,6 +126,22 @@
     assert fleet.origin.sent == 0  # all pieces lay at engines
 
 
+def test_a_source_that_is_gone_is_not_waited_for(fleet):
+    """Bench: sidecars that had seen different members waited for one another,
+    each saying that it would have the piece, 8 s long."""
+    stubborn = StubbornSidecar(fleet.peers[0])
+    try:
+        wait_for("members", lambda: all("listed name=stubborn" in
+                                        fleet.log(f"s{i}") for i in range(3)))
+        name_version(fleet, 2)
+        wait_for("the stubborn one to be asked", lambda: stubborn.asked >= 2)
+        stubborn.leave()
+        wait_for("version 2", lambda: serving(fleet, 2), 7)
+        check_orders(fleet.models)
+    finally:
+        stubborn.close()
+
+
 def test_a_version_goes_on_though_the_next_is_named(fleet):
     """Bench: the origin went down soon after a second version was named, and
     no engine got either."""
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -664,6 +664,39 @@
 }
 END_TEST
 
+/* Bench: a root whose engine was leaving went with three pieces undrawn. */
+START_TEST(sources_pass_over_who_leaves)
+{
+    QRFleetMembers m;
+
+    qr_members_init(&m);
+    members_fill(&m, 12);
+    qr_members_get(&m, "s3")->leaving = true;
+    for (unsigned piece = 0; piece < 48; piece++) {
+        for (unsigned i = 0; i < 12; i++) {
+            char self[16];
+            QRPieceSource at;
+
+            g_snprintf(self, sizeof(self), "s%u", i);
+            at = source(&m, self, piece, 0, 0);
+            ck_assert(!at.from || strcmp(at.from->name, "s3") != 0);
+            ck_assert(at.from || i != 3); /* nor does it draw for others */
+        }
+    }
+    /* all leave, as it seems: better they than nobody */
+    for (unsigned i = 0; i < 12; i++) {
+        char self[16];
+
+        g_snprintf(self, sizeof(self), "s%u", i);
+        qr_members_get(&m, self)->leaving = true;
+    }
+    for (unsigned piece = 0; piece < 48; piece++)
+        ck_assert_uint_ge(
+            hops_to_origin(&m, "s0", piece, (QRSourceAttempts){0, 0}), 1);
+    qr_members_clear(&m);
+}
+END_TEST
+
 START_TEST(sources_forget_who_is_gone)
 {
     QRFleetMembers m;
@@ -837,6 +870,7 @@
     tcase_add_test(t, relays_are_known_to_all);
     tcase_add_test(t, sources_holders_stand_in);
     tcase_add_test(t, sources_forget_who_is_gone);
+    tcase_add_test(t, sources_pass_over_who_leaves);
     tcase_add_test(t, switches_follow_one_another);
     tcase_add_test(t, message_torn_anywhere);
     tcase_add_test(t, message_hostile);
