Sidecars are told of a configuration only where it concerns them

Change: a gateway passes a configuration on to sidecars when a hash over what they use of the services (origin, model, pieces) differs from the last one. Test: test_members::sidecars_are_told_what_concerns_them.

--- a/src/fleet/qr_policy.c
+++ b/src/fleet/qr_policy.c
@@ -170,8 +170,33 @@
     }
 }
 
+static uint64_t service_hash(const QRService *s)
+{
+    const QREngineModel *m = &s->engine;
+    g_autofree char *text = g_strdup_printf(
+        "%s %s %u %s %u %u %u %u", s->name, s->origin ? s->origin : "-",
+        s->connections_max, m->model ? m->model : "-", m->chunks, m->layers,
+        m->chunk_bytes, m->warmup_ms);
+
+    return qr_hash_str(text, 0);
+}
+
+/* The same in whatever order the services stand. */
+static uint64_t services_hash(const QRPolicy *p)
+{
+    GHashTableIter it;
+    void *value;
+    uint64_t hash = 1;
+
+    g_hash_table_iter_init(&it, p->services);
+    while (g_hash_table_iter_next(&it, NULL, &value))
+        hash += service_hash(value);
+    return hash;
+}
+
 void qr_policy_seal(QRPolicy *p)
 {
+    p->services_hash = services_hash(p);
     index_routes(p);
     find_objectives(p);
     for (unsigned i = 0; i < p->teams->len; i++) {
--- a/src/fleet/qr_policy.h
+++ b/src/fleet/qr_policy.h
@@ -59,9 +59,10 @@
     uint64_t version;
     GPtrArray *routes; /* QRPolicyRoute *, owned */
     GHashTable *hosts; /* host -> GPtrArray of QRPolicyRoute *, longest first */
-    GHashTable *services; /* name -> QRService * */
-    GPtrArray *teams;     /* QRPolicyTeam * */
-    GHashTable *keys;     /* key -> QRPolicyTeam * */
+    GHashTable *services;   /* name -> QRService * */
+    uint64_t services_hash; /* of what sidecars need to know of them */
+    GPtrArray *teams;       /* QRPolicyTeam * */
+    GHashTable *keys;       /* key -> QRPolicyTeam * */
     uint32_t head_max, body_max, head_timeout_ms, idle_timeout_ms;
 } QRPolicy;
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -51,8 +51,9 @@
     uint64_t started_ms;
     uint64_t stopping_ms; /* when SIGTERM came; 0: it did not */
     uint64_t heartbeat_ms, slow_tick_ms, sweep_ms; /* when due next */
-    uint64_t behind_ms; /* since when a peer knows more; 0: none does */
-    uint64_t fetch_ms;  /* when one was asked last */
+    uint64_t services_told; /* hash of what sidecars were told of services */
+    uint64_t behind_ms;     /* since when a peer knows more; 0: none does */
+    uint64_t fetch_ms;      /* when one was asked last */
     uint64_t fetches;
     unsigned heartbeats_rested; /* since the last whole load message */
     unsigned gateways_most;     /* seen at once, this one too */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -19,6 +19,19 @@
     qr_peer_send(to, frame);
 }
 
+/* Routes, teams and limits are nothing to sidecars, and may be long. */
+static bool is_for_sidecars(QRGateway *g, const QRStoreRecord *r)
+{
+    const QRPolicy *policy = g->operator.policy;
+
+    if (g->platform->operator_kind(r->key) != QR_OPERATOR_POLICY)
+        return true;
+    if (!policy || policy->services_hash == g->services_told)
+        return false;
+    g->services_told = policy->services_hash;
+    return true;
+}
+
 void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
                               uint64_t age_ms)
 {
@@ -40,6 +53,8 @@
     frame.records = &records;
     qr_gateway_apply_limits(g);
     /* gateways hear it from the store, or ask: see qr_gateway_catchup.c */
+    if (!is_for_sidecars(g, r))
+        return;
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,7 +3,7 @@
 import time
 
 from bench import ask, wait_for
-from fleet import Fleet, policy
+from fleet import ROUTES, Fleet, policy
 from gen import fleet_pb2
 from peer import Peer, hello
 
@@ -55,6 +55,28 @@
         assert f.log("g1").count("in force version=1") == 1
 
 
+def test_sidecars_are_told_what_concerns_them():
+    """Bench: 1,080 routes in quick succession, each time whole to every
+    sidecar, behind whose link calls and weights waited."""
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        side = Peer(f.peers[0], hello("side", follow=True))
+        first = side.frames_for(0.5)
+        assert sum(len(x.records.records) for x in first) == 1
+        fewer = ROUTES[1:]
+        f.store.put("keyed.op", "config",
+                    policy(2, f.origin.address, routes=fewer))
+        wait_for("routes", lambda: "in force version=2" in f.log("g0"))
+        assert not any(x.HasField("records") for x in side.frames_for(0.4))
+        f.store.put("keyed.op", "config",
+                    policy(3, "127.0.0.1:9", routes=fewer))
+        told = [r for x in side.frames_for(0.5) for r in x.records.records]
+        assert [json.loads(r.value)["version"] for r in told] == [3]
+        f.store.put("keyed.op", "version/m1", {"model": "m1", "version": 2})
+        told = [r for x in side.frames_for(0.5) for r in x.records.records]
+        assert [r.key for r in told] == ["version/m1"]
+
+
 def test_gateways_are_told_of_gateways_only():
     """Each sidecar greets every gateway itself."""
     with Fleet(plain=0) as f:
