Two gateways read engines' records for all

Change: of the gateways whose last reading was answered within a second, the first two in an order all agree on go on reading; others rest and ask a reader when its heartbeat tells of a change; who does not hear of two such before it reads for itself at once. Only changes that say more than 'still here' are passed on. Operator's records are read by each as before. Ruled out: a longer interval for all (900 ms would save a half of this). Test: test_members::two_gateways_read_engines_for_all.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -125,18 +125,18 @@
     return true;
 }
 
-unsigned qr_engines_keep_only(QREngines *t, GHashTable *ids, uint64_t now_ms)
+GPtrArray *qr_engines_missing(const QREngines *t, GHashTable *ids)
 {
+    GPtrArray *missing = g_ptr_array_new();
     GHashTableIter it;
     void *key, *value;
-    unsigned dropped = 0;
 
     g_hash_table_iter_init(&it, t->by_id);
     while (g_hash_table_iter_next(&it, &key, &value)) {
-        if (!g_hash_table_contains(ids, key))
-            dropped += qr_engines_drop(t, key, now_ms);
+        if (!((QREngine *)value)->gone && !g_hash_table_contains(ids, key))
+            g_ptr_array_add(missing, key);
     }
-    return dropped;
+    return missing;
 }
 
 QREngine *qr_engines_get(const QREngines *t, const char *id)
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -61,8 +61,8 @@
 const char *qr_engines_record(QREngines *t, QREngineRecord *r, uint64_t now_ms);
 /* The engine's record is gone. Returns false if it was not known. */
 bool qr_engines_drop(QREngines *t, const char *id, uint64_t now_ms);
-/* Drops those that are not among 'ids' (a set). Returns how many. */
-unsigned qr_engines_keep_only(QREngines *t, GHashTable *ids, uint64_t now_ms);
+/* Ids of those that are not gone and not among 'ids' (a set); borrowed. */
+GPtrArray *qr_engines_missing(const QREngines *t, GHashTable *ids);
 QREngine *qr_engines_get(const QREngines *t, const char *id);
 /* The live engine at an address, or NULL. */
 QREngine *qr_engines_at(const QREngines *t, const char *address);
--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -56,7 +56,7 @@
         f->handlers->record(f->owner, page->records->pdata[i]);
 }
 
-static void restart_listing(QRFollower *f)
+void qr_follower_restart(QRFollower *f)
 {
     f->listed = false;
     g_clear_pointer(&f->after, g_free);
@@ -82,11 +82,11 @@
         return;
     }
     g_clear_pointer(&f->after, g_free);
-    f->handlers->listed(f->owner, f->keys);
-    g_hash_table_remove_all(f->keys);
     /* what changed while pages were read stands behind the first end */
     f->offset = f->list_end;
     f->listed = true;
+    f->handlers->listed(f->owner, f->keys);
+    g_hash_table_remove_all(f->keys);
     if (f->options.wait_ms == 0)
         f->next_ms = f->now_ms + f->options.interval_ms;
 }
@@ -94,7 +94,7 @@
 static void take_read(QRFollower *f, const QRStorePage *page)
 {
     if (page->lost) {
-        restart_listing(f);
+        qr_follower_restart(f);
         return;
     }
     take_records(f, page);
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -42,6 +42,8 @@
 uint64_t qr_follower_gap_ms(const QRFollower *f);
 /* Stops reading, or goes on with a read at once. */
 void qr_follower_pause(QRFollower *f, bool paused);
+/* Lists all anew, at once. */
+void qr_follower_restart(QRFollower *f);
 uint64_t qr_follower_calls(const QRFollower *f);
 
 #endif
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -18,6 +18,9 @@
     uint64_t lost_ms;  /* since when it has no connection; 0: it has */
     const void *conn;  /* connection on which it greeted us last; not owned */
     uint64_t control_offset; /* of the operator's records that it knows */
+    /* gateways: engines' records that they read from the store */
+    uint64_t engines_read_ms; /* when the store last answered; 0: reads none */
+    uint64_t engines_changed; /* offset of the last change */
     bool leaving;
     /* sidecars, as told */
     char *model;
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -100,6 +100,7 @@
     if (now >= g->sweep_ms) {
         g->sweep_ms = now + SWEEP_MS;
         qr_engines_sweep(&g->engines);
+        qr_gateway_forget_changes(g, now);
     }
     if (g->stopping_ms > 0)
         gateway_stopping(g, now);
@@ -243,6 +244,7 @@
     g->started_ms = uv_now(g->loop);
     qr_operator_init(&g->operator, g->platform, qr_gateway_operator_news, g);
     qr_engines_init(&g->engines);
+    g->engine_changes = qr_gateway_changes_new();
     qr_members_init(&g->members);
 }
 
@@ -296,6 +298,7 @@
     g_hash_table_unref(g->regions);
     qr_operator_clear(&g->operator);
     qr_engines_clear(&g->engines);
+    g_hash_table_unref(g->engine_changes);
     qr_members_clear(&g->members);
 }
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -34,6 +34,13 @@
     QROperator operator;
     QREngines engines;
     bool engines_known; /* a whole listing was taken */
+    /* engines' records shared among gateways: see qr_gateway_share.c */
+    GHashTable *engine_changes;                     /* id -> last change */
+    uint64_t engines_changed, engines_changed_told; /* offset of the last one */
+    bool engines_shared;       /* heard from others, our own reading rests */
+    uint64_t engines_seen;     /* offset of the last change heard then */
+    uint64_t engines_asked_ms; /* when a reader was asked last */
+    uint64_t readers_since_ms; /* others read in our place; 0: they do not */
     QRFleetMembers members;
     GHashTable *regions;  /* zone -> region */
     GHashTable *services; /* name -> QRServiceStats * */
@@ -55,8 +62,8 @@
     uint64_t behind_ms;     /* since when a peer knows more; 0: none does */
     uint64_t fetch_ms;      /* when one was asked last */
     uint64_t fetches;
-    unsigned heartbeats_rested; /* since the last whole load message */
-    unsigned gateways_most;     /* seen at once, this one too */
+    unsigned heartbeats;    /* so far */
+    unsigned gateways_most; /* seen at once, this one too */
     bool stopped;
 } QRGateway;
 
@@ -77,6 +84,21 @@
                            uint64_t offset);
 /* Asks one that knows more, when due. */
 void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
+/* An engine's record, from the store or from a gateway that reads it. */
+void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r);
+GHashTable *qr_gateway_changes_new(void);
+/* Keeps a record that says more than that the engine is still there. */
+void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r);
+void qr_gateway_forget_changes(QRGateway *g, uint64_t now_ms);
+/* Decides who reads the store, and asks for what readers know. */
+void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
+void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
+                           const Qr__Fleet__Load *load);
+/* Fills our part of a heartbeat; whether others wait for it. */
+bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load);
+/* Answers a gateway that asked for changes from 'offset' on. */
+void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset);
+void qr_gateway_share_records(QRGateway *g, const Qr__Fleet__Records *records);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /*
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -31,27 +31,31 @@
     operator_record, operator_listed, operator_reached};
 
 /* Some engines never say that they leave: their record just goes. */
-static void engine_gone(QRGateway *g, const char *id)
+static void engine_gone(QRGateway *g, const char *id, uint64_t offset)
 {
     const QREngine *e = qr_engines_get(&g->engines, id);
+    QRStoreRecord r = {(char *)id, NULL, offset};
 
     if (!qr_engines_drop(&g->engines, id, qr_gateway_now(g)))
         return;
-    qr_logf(QR_LEVEL_INFO, "engines", "gone engine=%s", id);
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "gone engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
+    r.value = g_bytes_new_static("", 0);
+    qr_gateway_engine_changed(g, &r);
+    g_bytes_unref(r.value);
     if (!qr_engines_at(&g->engines, e->record->address))
         qr_gateway_sidecar_leaves(g, e->record->address, true);
 }
 
-static void engines_record(void *owner, const QRStoreRecord *r)
+void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r)
 {
-    QRGateway *g = owner;
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
     QREngineRecord *record;
     const char *change;
 
     if (len == 0) {
-        engine_gone(g, r->key);
+        engine_gone(g, r->key, r->offset);
         return;
     }
     record = g->platform->parse_engine(r->key, data, len);
@@ -63,23 +67,33 @@
     change = qr_engines_record(&g->engines, record, qr_gateway_now(g));
     if (!g->engines_known)
         qr_engines_get(&g->engines, record->id)->unconfirmed = true;
-    if (change)
+    if (change) {
         qr_logf(QR_LEVEL_INFO, "engines",
                 "%s engine=%s service=%s address=%s zone=%s draining=%d "
                 "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT,
                 change, record->id, record->service, record->address,
                 record->zone, record->draining, record->version, r->offset);
+        qr_gateway_engine_changed(g, r);
+    }
     qr_gateway_sidecar_leaves(g, record->address, record->draining);
 }
 
+static void engines_record(void *owner, const QRStoreRecord *r)
+{
+    qr_gateway_engine_record(owner, r);
+}
+
 static void engines_listed(void *owner, GHashTable *keys)
 {
     QRGateway *g = owner;
-    unsigned gone = qr_engines_keep_only(&g->engines, keys, qr_gateway_now(g));
+    uint64_t offset = qr_follower_offset(g->follow_engines);
+    g_autoptr(GPtrArray) gone = qr_engines_missing(&g->engines, keys);
 
+    for (unsigned i = 0; i < gone->len; i++)
+        engine_gone(g, gone->pdata[i], offset);
     g->engines_known = true;
     qr_logf(QR_LEVEL_INFO, "engines", "listed count=%u gone=%u",
-            g_hash_table_size(keys), gone);
+            g_hash_table_size(keys), gone->len);
 }
 
 static void engines_reached(void *owner, bool reached, const char *why)
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -7,7 +7,8 @@
 
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
 #define REDIAL_MS 700         /* for a lost connection to come back */
-#define HEARTBEAT_REST 8      /* heartbeats between two that say nothing new */
+#define HEARTBEAT_REST 8      /* heartbeats between two that say all anew */
+#define READER_REST 2         /* ... of one in whose place others do not read */
 
 static bool is_sidecar(const QRFleetMember *member)
 {
@@ -205,6 +206,7 @@
                       const Qr__Fleet__Load *load)
 {
     qr_gateway_peer_knows(g, member, load->control_offset);
+    qr_gateway_share_told(g, member, load);
     if (load->whole)
         qr_engines_forget_gateway(&g->engines, member->name);
     for (size_t i = 0; i < load->n_engines; i++) {
@@ -285,10 +287,18 @@
         peer_engine_state(g, member, frame->engine_state);
         break;
     case QR__FLEET__FRAME__BODY_FETCH:
+        if (frame->fetch->engines) {
+            qr_gateway_share_answer(g, peer, frame->fetch->offset);
+            break;
+        }
         qr_operator_tell(&g->operator, frame->fetch->offset, qr_gateway_now(g),
                          tell_follower, peer);
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
+        if (frame->records->engines) {
+            qr_gateway_share_records(g, frame->records);
+            break;
+        }
         qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
         break;
     default:
@@ -422,22 +432,20 @@
     }
 }
 
-static void load_send(QRGateway *g, GArray *rows, bool whole)
+static void load_send(QRGateway *g, GArray *rows, Qr__Fleet__Load *load)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
     g_autofree Qr__Fleet__EngineLoad **list =
         g_new0(Qr__Fleet__EngineLoad *, rows->len + 1);
 
     for (unsigned i = 0; i < rows->len; i++)
         list[i] = &g_array_index(rows, Qr__Fleet__EngineLoad, i);
-    load.engines = list;
-    load.n_engines = rows->len;
-    load.whole = whole;
-    load.leaving = g->stopping_ms > 0;
-    load.control_offset = g->operator.end;
+    load->engines = list;
+    load->n_engines = rows->len;
+    load->leaving = g->stopping_ms > 0;
+    load->control_offset = g->operator.end;
     frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
-    frame.load = &load;
+    frame.load = load;
     /* gateways that dialled us hear us on that connection */
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
@@ -449,26 +457,29 @@
 
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms)
 {
-    g_autoptr(GArray) rows = NULL;
-    unsigned alive = qr_gateway_peers_alive(g, now_ms);
-    bool whole;
+    g_autoptr(GArray) rows =
+        g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
+    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
+    unsigned turn = ++g->heartbeats;
+    bool is_due, is_news;
 
     qr_gateway_catch_up(g, now_ms);
-    g->gateways_most = MAX(g->gateways_most, alive);
-    rows = g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
-    whole = ++g->heartbeats_rested >= HEARTBEAT_REST;
-    load_collect(g, rows, whole);
-    if (rows->len == 0 && !whole)
-        return;
-    if (whole)
-        g->heartbeats_rested = 0;
-    load_send(g, rows, whole);
+    qr_gateway_share_tick(g, now_ms);
+    g->gateways_most = MAX(g->gateways_most, qr_gateway_peers_alive(g, now_ms));
+    load.whole = turn % HEARTBEAT_REST == 0;
+    load_collect(g, rows, load.whole);
+    is_news = qr_gateway_share_tell(g, &load);
+    is_due = load.reads_engines && turn % READER_REST == 0;
+    if (rows->len > 0 || load.whole || is_news || is_due)
+        load_send(g, rows, &load);
 }
 
 void qr_gateway_tell_leaving(QRGateway *g)
 {
     g_autoptr(GArray) rows =
         g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
+    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
 
-    load_send(g, rows, false);
+    qr_gateway_share_tell(g, &load);
+    load_send(g, rows, &load);
 }
--- /dev/null
+++ b/src/gateway/qr_gateway_share.c
@@ -0,0 +1,233 @@
+/*
+ * Engines' records shared among gateways.
+ *
+ * Two gateways read them from the store: of those whose reading is fresh, the
+ * first in an order that all agree on. The others pause theirs, and ask a
+ * reader when its heartbeat says that something changed. Who no longer hears
+ * of two fresh readers before it reads for itself again, so the death of both
+ * costs no more than the time in which a reading stays fresh.
+ */
+#include "qr_gateway.h"
+
+#include <string.h>
+
+#define READERS 2
+#define FRESH_MS 1000       /* a reading answered so long ago is not */
+#define PAUSE_AFTER_MS 1500 /* there have been two readers for so long */
+#define ASK_AGAIN_MS 150
+#define FORGET_MS 600000 /* engines that are gone */
+
+/* The last change of an engine's record that says more than 'still here'. */
+typedef struct EngineChange {
+    uint64_t offset, noted_ms;
+    GBytes *value; /* empty: gone */
+} EngineChange;
+
+static void change_free(void *p)
+{
+    EngineChange *c = p;
+
+    g_bytes_unref(c->value);
+    g_free(c);
+}
+
+GHashTable *qr_gateway_changes_new(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, change_free);
+}
+
+void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r)
+{
+    EngineChange *c = g_new0(EngineChange, 1);
+
+    c->offset = r->offset;
+    c->noted_ms = qr_gateway_now(g);
+    c->value = g_bytes_ref(r->value);
+    g_hash_table_replace(g->engine_changes, g_strdup(r->key), c);
+    g->engines_changed = MAX(g->engines_changed, r->offset);
+}
+
+static gboolean is_forgotten(void *key, void *value, void *now)
+{
+    const EngineChange *c = value;
+
+    (void)key;
+    return g_bytes_get_size(c->value) == 0 &&
+           *(const uint64_t *)now > c->noted_ms + FORGET_MS;
+}
+
+void qr_gateway_forget_changes(QRGateway *g, uint64_t now_ms)
+{
+    g_hash_table_foreach_remove(g->engine_changes, is_forgotten, &now_ms);
+}
+
+static uint64_t rank(const char *name)
+{
+    return qr_hash_str(name, 7);
+}
+
+static bool is_fresh(const QRFleetMember *m, uint64_t now_ms)
+{
+    return m->engines_read_ms > 0 && !m->leaving &&
+           now_ms < m->engines_read_ms + FRESH_MS;
+}
+
+/* Readers that come before us in the order. */
+static unsigned readers_before(const QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        n += is_fresh(m, now_ms) && rank(m->name) < rank(g->set->host);
+    }
+    return n;
+}
+
+static void set_reading(QRGateway *g, bool reads)
+{
+    qr_logf(QR_LEVEL_INFO, "engines", "%s seen=%" G_GUINT64_FORMAT,
+            reads ? "read from the store" : "heard from other gateways",
+            g->engines_seen);
+    g->engines_shared = !reads;
+    qr_follower_pause(g->follow_engines, !reads);
+    if (reads)
+        qr_follower_restart(g->follow_engines);
+}
+
+static void choose_reading(QRGateway *g, uint64_t now_ms)
+{
+    if (readers_before(g, now_ms) < READERS) {
+        g->readers_since_ms = 0;
+        if (g->engines_shared)
+            set_reading(g, true);
+        return;
+    }
+    if (g->readers_since_ms == 0)
+        g->readers_since_ms = now_ms;
+    if (!g->engines_shared && g->engines_known &&
+        now_ms >= g->readers_since_ms + PAUSE_AFTER_MS) {
+        uint64_t next = qr_follower_offset(g->follow_engines);
+
+        g->engines_seen = MAX(g->engines_changed, next > 0 ? next - 1 : 0);
+        set_reading(g, false);
+    }
+}
+
+/* The connection of a fresh reader that knows of a change we have not seen. */
+static QRPeerConn *choose_reader(const QRGateway *g, uint64_t now_ms)
+{
+    QRPeerConn *best = NULL;
+
+    for (unsigned i = 0; i < g->followers->len; i++) {
+        const QRFleetMember *m = qr_peer_data(g->followers->pdata[i]);
+
+        if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 ||
+            !is_fresh(m, now_ms) || m->engines_changed <= g->engines_seen)
+            continue;
+        if (!best || g_strcmp0(m->region, g->set->region) == 0)
+            best = g->followers->pdata[i];
+    }
+    return best;
+}
+
+static void ask_reader(QRGateway *g, uint64_t now_ms)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
+    QRPeerConn *reader = choose_reader(g, now_ms);
+
+    if (!reader || now_ms < g->engines_asked_ms + ASK_AGAIN_MS)
+        return;
+    g->engines_asked_ms = now_ms;
+    fetch.offset = g->engines_seen; /* once more: two may share an offset */
+    fetch.engines = true;
+    frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
+    frame.fetch = &fetch;
+    qr_peer_send(reader, &frame);
+}
+
+void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms)
+{
+    choose_reading(g, now_ms);
+    if (g->engines_shared)
+        ask_reader(g, now_ms);
+}
+
+void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
+                           const Qr__Fleet__Load *load)
+{
+    uint64_t now = qr_gateway_now(g);
+
+    member->engines_read_ms = load->reads_engines && now > load->engines_age_ms
+                                  ? now - load->engines_age_ms
+                                  : 0;
+    member->engines_changed = load->engines_changed;
+    if (g->engines_shared)
+        ask_reader(g, now);
+}
+
+bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load)
+{
+    uint64_t answered = qr_follower_answered_ms(g->follow_engines);
+    bool news = g->engines_changed != g->engines_changed_told;
+
+    load->reads_engines = !g->engines_shared && g->engines_known &&
+                          qr_follower_reached(g->follow_engines);
+    load->engines_age_ms =
+        (uint32_t)(qr_gateway_now(g) - MIN(answered, qr_gateway_now(g)));
+    load->engines_changed = g->engines_changed;
+    g->engines_changed_told = g->engines_changed;
+    return load->reads_engines && news;
+}
+
+void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
+    g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    void *key, *value;
+
+    g_hash_table_iter_init(&it, g->engine_changes);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const EngineChange *c = value;
+        Qr__Fleet__Record *r;
+        gsize len;
+
+        if (c->offset < offset)
+            continue;
+        r = g_new(Qr__Fleet__Record, 1);
+        qr__fleet__record__init(r);
+        r->key = key;
+        r->value.data = (uint8_t *)g_bytes_get_data(c->value, &len);
+        r->value.len = len;
+        r->offset = c->offset;
+        g_ptr_array_add(list, r);
+    }
+    records.records = (Qr__Fleet__Record **)list->pdata;
+    records.n_records = list->len;
+    records.end = g->engines_changed;
+    records.engines = true;
+    frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
+    frame.records = &records;
+    qr_peer_send(peer, &frame);
+}
+
+void qr_gateway_share_records(QRGateway *g, const Qr__Fleet__Records *records)
+{
+    if (!g->engines_shared)
+        return; /* the store says it itself by now */
+    for (size_t i = 0; i < records->n_records; i++) {
+        const Qr__Fleet__Record *told = records->records[i];
+        QRStoreRecord r = {told->key, NULL, told->offset};
+
+        r.value = g_bytes_new(told->value.data, told->value.len);
+        qr_gateway_engine_record(g, &r);
+        g_bytes_unref(r.value);
+    }
+    g->engines_seen = MAX(g->engines_seen, records->end);
+}
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -785,7 +785,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[7] =
 {
   {
     "engines",
@@ -835,17 +835,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_engines",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, reads_engines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, engines_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines_changed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, engines_changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
   0,   /* field[0] = engines */
+  5,   /* field[5] = engines_age_ms */
+  6,   /* field[6] = engines_changed */
   2,   /* field[2] = leaving */
+  4,   /* field[4] = reads_engines */
   1,   /* field[1] = whole */
 };
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -855,7 +894,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  4,
+  7,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
@@ -1068,7 +1107,7 @@
   (ProtobufCMessageInit) qr__fleet__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__records__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qr__fleet__records__field_descriptors[3] =
 {
   {
     "records",
@@ -1094,15 +1133,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engines",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Records, engines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__records__field_indices_by_name[] = {
   1,   /* field[1] = end */
+  2,   /* field[2] = engines */
   0,   /* field[0] = records */
 };
 static const ProtobufCIntRange qr__fleet__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor qr__fleet__records__descriptor =
 {
@@ -1112,14 +1164,14 @@
   "Qr__Fleet__Records",
   "qr.fleet",
   sizeof(Qr__Fleet__Records),
-  2,
+  3,
   qr__fleet__records__field_descriptors,
   qr__fleet__records__field_indices_by_name,
   1,  qr__fleet__records__number_ranges,
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[1] =
+static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[2] =
 {
   {
     "offset",
@@ -1133,14 +1185,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engines",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, engines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
+  1,   /* field[1] = engines */
   0,   /* field[0] = offset */
 };
 static const ProtobufCIntRange qr__fleet__fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor =
 {
@@ -1150,7 +1215,7 @@
   "Qr__Fleet__Fetch",
   "qr.fleet",
   sizeof(Qr__Fleet__Fetch),
-  1,
+  2,
   qr__fleet__fetch__field_descriptors,
   qr__fleet__fetch__field_indices_by_name,
   1,  qr__fleet__fetch__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -154,10 +154,22 @@
    * as in Hello
    */
   uint64_t control_offset;
+  /*
+   * reads engines' records from the store itself
+   */
+  protobuf_c_boolean reads_engines;
+  /*
+   * since the store last answered that
+   */
+  uint32_t engines_age_ms;
+  /*
+   * offset of the last change it knows of them
+   */
+  uint64_t engines_changed;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -220,23 +232,31 @@
   size_t n_records;
   Qr__Fleet__Record **records;
   uint64_t end;
+  /*
+   * engines' records in place of the operator's
+   */
+  protobuf_c_boolean engines;
 };
 #define QR__FLEET__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__records__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /*
- * The sender is behind: tell it the operator's records from 'offset' on.
+ * The sender is behind: tell it the records from 'offset' on.
  */
 struct  Qr__Fleet__Fetch
 {
   ProtobufCMessage base;
   uint64_t offset;
+  /*
+   * engines' records in place of the operator's
+   */
+  protobuf_c_boolean engines;
 };
 #define QR__FLEET__FETCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__fetch__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Qr__Fleet__Want
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -132,6 +132,7 @@
     def __init__(self):
         self.topics = {}
         self.calls = 0
+        self.reads = {}  # topic -> calls
         self.changed = threading.Condition()
         super().__init__()
 
@@ -147,6 +148,7 @@
     def handle(self, conn, request):
         self.calls += 1
         topic = request.query.get("topic")
+        self.reads[topic] = self.reads.get(topic, 0) + 1
         if request.path == "/log-newest":
             self.newest(conn, topic)
         elif request.path == "/log-read":
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -55,6 +55,36 @@
         assert f.log("g1").count("in force version=1") == 1
 
 
+def test_two_gateways_read_engines_for_all():
+    """Price of store calls, 42 gateways: each read all records twice a
+    second. Two do; what changes reaches the others; both may die."""
+    with Fleet(gateways=5, plain=1) as f:
+        f.wait_ready()
+        names = [f"g{i}" for i in range(5)]
+        wait_for("three to rest", lambda: sum(
+            "heard from other gateways" in f.log(n) for n in names) == 3)
+        readers = [n for n in names
+                   if "heard from other gateways" not in f.log(n)]
+        before = f.store.reads["keyed.servers"]
+        time.sleep(2)
+        assert 4 <= f.store.reads["keyed.servers"] - before <= 12
+        engine = f.add_engine("late", "ledger")
+        wait_for("all to know the new engine", lambda: all(
+            "new engine=late" in f.log(n) for n in names), 1.5)
+        f.store.put("keyed.servers", "late", engine.record("draining"))
+        wait_for("all to know that it drains", lambda: all(
+            "draining engine=late" in f.log(n) for n in names), 1.5)
+        f.store.put("keyed.servers", "late", None)
+        wait_for("all to know that it is gone", lambda: all(
+            "gone engine=late" in f.log(n) for n in names), 1.5)
+        for n in readers:
+            f.procs[n].kill()
+        f.add_engine("later", "ledger")
+        wait_for("the others to read for themselves", lambda: all(
+            "new engine=later" in f.log(n)
+            for n in names if n not in readers), 2)
+
+
 def test_sidecars_are_told_what_concerns_them():
     """Bench: 1,080 routes in quick succession, each time whole to every
     sidecar, behind whose link calls and weights waited."""
