A gateway that lost power is dialled again; who is left out reads for itself

That connections are not renewed is older than the sharing; it hid as loads not told. Change: a hello of a new incarnation closes what we had dialled there and dials anew; a gateway that knows of a change nobody tells it for 500 ms reads the store itself. Ruled out: heartbeats lost (they reach it, on the connection it dialled). Tests: test_members a_gateway_that_lost_power..., a_change_that_nobody_tells...

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -42,6 +42,8 @@
     bool engines_shared;       /* heard from others, our own reading rests */
     uint64_t engines_seen;     /* offset of the last change heard then */
     uint64_t engines_asked_ms; /* when a reader was asked last */
+    uint64_t
+        engines_unseen_ms;     /* since when others know more; 0: they do not */
     uint64_t readers_since_ms; /* others read in our place; 0: they do not */
     QRFleetMembers members;
     GHashTable *regions;  /* zone -> region */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -158,11 +158,17 @@
 static void peer_hello(QRGateway *g, QRPeerConn *peer,
                        const Qr__Fleet__Hello *h)
 {
+    const QRFleetMember *known = qr_members_get(&g->members, h->name);
+    bool is_restarted = known && known->incarnation != h->incarnation;
     QRFleetMember *news;
 
     if (strcmp(h->name, g->set->host) == 0)
         return;
     news = qr_members_hello(&g->members, h, true, qr_gateway_now(g));
+    /* a machine that lost power has not closed what we had dialled */
+    if (is_restarted && !qr_peer_dialled(peer) &&
+        strcmp(h->role, QR_ROLE_GATEWAY) == 0)
+        qr_peers_redial(g->peers, h->address);
     qr_peer_set_data(peer, qr_members_get(&g->members, h->name));
     if (news)
         heard_of(g, news);
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -15,7 +15,8 @@
 #define FRESH_MS 1000       /* a reading answered so long ago is not */
 #define PAUSE_AFTER_MS 1500 /* there have been two readers for so long */
 #define ASK_AGAIN_MS 150
-#define FORGET_MS 600000 /* engines that are gone */
+#define UNSEEN_MOST_MS 500 /* a change that no reader tells us for so long */
+#define FORGET_MS 600000   /* engines that are gone */
 
 /* The last change of an engine's record that says more than 'still here'. */
 typedef struct EngineChange {
@@ -150,11 +151,35 @@
     qr_peer_send(reader, &frame);
 }
 
+/* Whether a gateway knows of a change that has not been told us for long. */
+static bool is_left_out(QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    bool unseen = false;
+
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        unseen |= is_fresh(m, now_ms) && m->engines_changed > g->engines_seen;
+    }
+    if (!unseen)
+        g->engines_unseen_ms = 0;
+    else if (g->engines_unseen_ms == 0)
+        g->engines_unseen_ms = now_ms;
+    return unseen && now_ms >= g->engines_unseen_ms + UNSEEN_MOST_MS;
+}
+
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms)
 {
     choose_reading(g, now_ms);
-    if (g->engines_shared)
-        ask_reader(g, now_ms);
+    if (!g->engines_shared)
+        return;
+    ask_reader(g, now_ms);
+    if (is_left_out(g, now_ms)) {
+        g->readers_since_ms = g->engines_unseen_ms = 0;
+        set_reading(g, true);
+    }
 }
 
 void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -280,6 +280,15 @@
     target_dial(p, t);
 }
 
+void qr_peers_redial(QRPeerNet *p, const char *address)
+{
+    Target *t = g_hash_table_lookup(p->targets, address);
+
+    if (t && t->peer)
+        qr_peer_close(t->peer);
+    qr_peers_dial(p, address);
+}
+
 void qr_peers_forget(QRPeerNet *p, const char *address)
 {
     Target *t = g_hash_table_lookup(p->targets, address);
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,5 +1,6 @@
 """Who is there: what gateways take from one another about others."""
 import json
+import socket
 import time
 
 from bench import ask, wait_for
@@ -55,6 +56,47 @@
         assert f.log("g1").count("in force version=1") == 1
 
 
+def test_a_gateway_that_lost_power_is_dialled_again():
+    """Bench: DRAIN. Its old connection stood open at the other side, so it
+    was never dialled again, nor told what it asked for."""
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(3)
+            address = "127.0.0.1:%d" % listener.getsockname()[1]
+            first = Peer(f.peers[0], hello("ghost", "gateway",
+                                           address=address, incarnation=1))
+            old, _ = listener.accept()
+            second = Peer(f.peers[0], hello("ghost", "gateway",
+                                            address=address, incarnation=2))
+            new, _ = listener.accept()
+            for conn in (first.conn, second.conn, old, new):
+                conn.close()
+
+
+def test_a_change_that_nobody_tells_is_read_from_the_store():
+    with Fleet(plain=1) as f:
+        f.wait_ready()
+        reading = fleet_pb2.Load(whole=True, reads_engines=True,
+                                 engines_age_ms=10, engines_changed=0)
+        readers = [Peer(f.peers[0], hello(f"reader{i}", "gateway"))
+                   for i in range(12)]
+        end = time.monotonic() + 2.5
+        while time.monotonic() < end:
+            for r in readers:
+                r.send(load=reading)
+            time.sleep(0.1)
+        assert "heard from other gateways" in f.log("g0")
+        f.add_engine("late", "ledger")
+        reading.engines_changed = 9
+        end = time.monotonic() + 1.2
+        while time.monotonic() < end:
+            for r in readers:
+                r.send(load=reading)
+            time.sleep(0.1)
+        assert "new engine=late" in f.log("g0")
+
+
 def test_two_gateways_read_engines_for_all():
     """Price of store calls, 42 gateways: each read all records twice a
     second. Two do; what changes reaches the others; both may die."""
