A reader that has just started is not asked for what went before

Seen in who told what to whom (logged now). Change: readers tell from where on they know all changes; who has seen less asks another. Ruled out: heartbeats lost, lapses of records.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -98,7 +98,7 @@
         index_add(t, e);
         return "new";
     }
-    change = e->gone ? "back" : record_change(e->record, r);
+    change = e->gone || e->lapsed_ms ? "back" : record_change(e->record, r);
     /* the key of the table is the record's own id: it stays */
     g_free(r->id);
     r->id = e->record->id;
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -21,6 +21,7 @@
     /* gateways: engines' records that they read from the store */
     uint64_t engines_read_ms; /* when the store last answered; 0: reads none */
     uint64_t engines_changed; /* offset of the last change */
+    uint64_t engines_since;   /* it knows all changes from that offset on */
     bool leaving;
     /* sidecars, as told */
     char *model;
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -39,6 +39,7 @@
     /* engines' records shared among gateways: see qr_gateway_share.c */
     GHashTable *engine_changes;                     /* id -> last change */
     uint64_t engines_changed, engines_changed_told; /* offset of the last one */
+    uint64_t engines_since;    /* all changes from that offset on are known */
     bool engines_shared;       /* heard from others, our own reading rests */
     uint64_t engines_seen;     /* offset of the last change heard then */
     uint64_t engines_asked_ms; /* when a reader was asked last */
@@ -104,7 +105,8 @@
 bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load);
 /* Answers a gateway that asked for changes from 'offset' on. */
 void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset);
-void qr_gateway_share_records(QRGateway *g, const Qr__Fleet__Records *records);
+void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
+                              const Qr__Fleet__Records *records);
 /* Tells peers our load and who is there, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /*
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -43,28 +43,36 @@
            qr_gateway_now(g) < g->engines_regained_ms + LAPSE_MS;
 }
 
-/* Some engines never say that they leave: their record just goes. */
+static void engine_drop(QRGateway *g, const QREngine *e)
+{
+    qr_engines_drop(&g->engines, e->record->id, qr_gateway_now(g));
+    qr_logf(QR_LEVEL_INFO, "engines", "gone engine=%s", e->record->id);
+    if (!qr_engines_at(&g->engines, e->record->address))
+        qr_gateway_sidecar_leaves(g, e->record->address, true);
+}
+
+/*
+ * Some engines never say that they leave: their record just goes. Others are
+ * told so at once: whether it may have lapsed is for each to say, by when it
+ * reached the store itself.
+ */
 static void engine_gone(QRGateway *g, const char *id, uint64_t offset)
 {
     QREngine *e = qr_engines_get(&g->engines, id);
     QRStoreRecord r = {(char *)id, NULL, offset};
 
-    if (e && !e->gone && may_have_lapsed(g)) {
-        if (e->lapsed_ms == 0)
-            qr_logf(QR_LEVEL_INFO, "engines",
-                    "lapsed engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
-        e->lapsed_ms = MAX(qr_gateway_now(g), 1);
-        return;
-    }
-    if (!qr_engines_drop(&g->engines, id, qr_gateway_now(g)))
+    if (!e || e->gone || e->lapsed_ms > 0)
         return;
-    qr_logf(QR_LEVEL_INFO, "engines",
-            "gone engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
     r.value = g_bytes_new_static("", 0);
     qr_gateway_engine_changed(g, &r);
     g_bytes_unref(r.value);
-    if (!qr_engines_at(&g->engines, e->record->address))
-        qr_gateway_sidecar_leaves(g, e->record->address, true);
+    if (!may_have_lapsed(g)) {
+        engine_drop(g, e);
+        return;
+    }
+    e->lapsed_ms = MAX(qr_gateway_now(g), 1);
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "lapsed engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
 }
 
 void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r)
@@ -111,6 +119,8 @@
 
     for (unsigned i = 0; i < gone->len; i++)
         engine_gone(g, gone->pdata[i], offset);
+    if (!g->engines_known)
+        g->engines_since = offset;
     g->engines_known = true;
     qr_logf(QR_LEVEL_INFO, "engines", "listed count=%u gone=%u",
             g_hash_table_size(keys), gone->len);
@@ -120,17 +130,17 @@
 {
     g_autoptr(GPtrArray) late = g_ptr_array_new();
     GHashTableIter it;
-    void *key, *value;
+    void *value;
 
     if (g->engines_regained_ms == 0 || may_have_lapsed(g))
         return;
     g_hash_table_iter_init(&it, g->engines.by_id);
-    while (g_hash_table_iter_next(&it, &key, &value)) {
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
         if (((QREngine *)value)->lapsed_ms > 0)
-            g_ptr_array_add(late, key);
+            g_ptr_array_add(late, value);
     }
     for (unsigned i = 0; i < late->len; i++)
-        engine_gone(g, late->pdata[i], g->engines_changed + 1);
+        engine_drop(g, late->pdata[i]);
     g->engines_regained_ms = 0;
 }
 
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -302,7 +302,7 @@
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
         if (frame->records->engines) {
-            qr_gateway_share_records(g, frame->records);
+            qr_gateway_share_records(g, member, frame->records);
             break;
         }
         qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -118,7 +118,11 @@
     }
 }
 
-/* The connection of a fresh reader that knows of a change we have not seen. */
+/*
+ * The connection of a fresh reader that knows of a change we have not seen, and
+ * of all since what we have: one that has just started listed what is there,
+ * and does not know what went before.
+ */
 static QRPeerConn *choose_reader(const QRGateway *g, uint64_t now_ms)
 {
     QRPeerConn *best = NULL;
@@ -127,7 +131,8 @@
         const QRFleetMember *m = qr_peer_data(g->followers->pdata[i]);
 
         if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 ||
-            !is_fresh(m, now_ms) || m->engines_changed <= g->engines_seen)
+            !is_fresh(m, now_ms) || m->engines_changed <= g->engines_seen ||
+            m->engines_since > g->engines_seen + 1)
             continue;
         if (!best || g_strcmp0(m->region, g->set->region) == 0)
             best = g->followers->pdata[i];
@@ -191,6 +196,7 @@
                                   ? now - load->engines_age_ms
                                   : 0;
     member->engines_changed = load->engines_changed;
+    member->engines_since = load->engines_since;
     if (g->engines_shared)
         ask_reader(g, now);
 }
@@ -205,6 +211,7 @@
     load->engines_age_ms =
         (uint32_t)(qr_gateway_now(g) - MIN(answered, qr_gateway_now(g)));
     load->engines_changed = g->engines_changed;
+    load->engines_since = g->engines_since;
     g->engines_changed_told = g->engines_changed;
     return load->reads_engines && news;
 }
@@ -242,7 +249,8 @@
     qr_peer_send(peer, &frame);
 }
 
-void qr_gateway_share_records(QRGateway *g, const Qr__Fleet__Records *records)
+void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
+                              const Qr__Fleet__Records *records)
 {
     if (!g->engines_shared)
         return; /* the store says it itself by now */
@@ -254,5 +262,9 @@
         qr_gateway_engine_record(g, &r);
         g_bytes_unref(r.value);
     }
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "told by=%s records=%zu seen=%" G_GUINT64_FORMAT
+            " end=%" G_GUINT64_FORMAT,
+            from->name, records->n_records, g->engines_seen, records->end);
     g->engines_seen = MAX(g->engines_seen, records->end);
 }
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -785,7 +785,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[8] =
 {
   {
     "engines",
@@ -871,12 +871,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engines_since",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, engines_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
   0,   /* field[0] = engines */
   5,   /* field[5] = engines_age_ms */
   6,   /* field[6] = engines_changed */
+  7,   /* field[7] = engines_since */
   2,   /* field[2] = leaving */
   4,   /* field[4] = reads_engines */
   1,   /* field[1] = whole */
@@ -884,7 +897,7 @@
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -894,7 +907,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  7,
+  8,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -166,10 +166,14 @@
    * offset of the last change it knows of them
    */
   uint64_t engines_changed;
+  /*
+   * it knows all changes from this offset on
+   */
+  uint64_t engines_since;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,8 @@
 import pytest
 
 from bench import BINARY, ask, wait_for
+from gen import fleet_pb2
+from peer import Peer, hello
 from fleet import HOST, KEY, ROUTES, Fleet, policy
 from standin_platform import (answer, events, send_chunk, start_stream,
                               stream_from)
@@ -368,6 +370,12 @@
         fleet.store.put("keyed.servers", e.id, None)
     fleet.store.bring_up()
     wait_for("both to lapse", lambda: fleet.log("g0").count("lapsed") == 2)
+    # Bench: DRAIN. Others, for whom the store was not away, take it as gone
+    other = Peer(fleet.peers[0], hello("other", "gateway"))
+    other.send(fetch=fleet_pb2.Fetch(offset=0, engines=True))
+    told = {r.key: r.value for f in other.frames_for(0.3)
+            if f.records.engines for r in f.records.records}
+    assert told == {back.id: b"", gone.id: b""}
     for i in range(6):
         assert fleet.call("/unsafe/x", f"lapsed{i}")[0] == 200
     fleet.store.put("keyed.servers", back.id, back.record())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -119,6 +119,19 @@
         f.store.put("keyed.servers", "late", None)
         wait_for("all to know that it is gone", lambda: all(
             "gone engine=late" in f.log(n) for n in names), 1.5)
+        # Bench: DRAIN. One that has just started does not know what went
+        # before its listing, and must not be asked for it
+        load = fleet_pb2.Load(reads_engines=True, engines_age_ms=10,
+                              engines_changed=99, engines_since=90)
+        new = Peer(f.peers[names.index(next(n for n in names
+                                            if n not in readers))],
+                   hello("new", "gateway"))
+        new.send(load=load)
+        assert not any(x.HasField("fetch") for x in new.frames_for(0.3))
+        load.engines_since = 0
+        new.send(load=load)
+        assert any(x.HasField("fetch") for x in new.frames_for(0.3))
+        new.conn.close()
         for n in readers:
             f.procs[n].kill()
         f.add_engine("later", "ledger")
