--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -69,6 +69,8 @@
     assert fleet.origin.manifests == 1
     assert fleet.origin.sent == CHUNKS
     assert fleet.origin.open_most == 1
+    wait_for("connections that rest to be closed",
+             lambda: not fleet.origin.open, 1.5)
 
 
 def test_spoilt_pieces_are_drawn_again(fleet):
