--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -3,11 +3,17 @@
  */
 #include "qr_follower.h"
 
+#include "io/qr_log.h"
+
 #include <string.h>
 
 #define CONNECT_MS 700
 #define BACKOFF_FIRST_MS 200
 #define BACKOFF_MOST_MS 1000
+/* Answers that are logged: slower than a few round trips, or a good part of a
+   second of a narrow link. */
+#define LOG_SLOW_MS 300
+#define LOG_LARGE_BYTES 65536
 
 struct QRFollower {
     QRClient *client;
@@ -24,6 +30,8 @@
     uint64_t list_end; /* end as the first page told it */
     uint64_t offset;
     uint64_t next_ms, now_ms, answered_ms, gap_ms;
+    uint64_t sent_ms; /* when the call under way was sent */
+    unsigned wait_ms; /* what it lets the store wait */
     unsigned backoff_ms;
     bool reached, paused;
     uint64_t calls;
@@ -102,6 +110,27 @@
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
+/* What a call that failed, was slow or brought much has cost. */
+static void answer_log(const QRFollower *f, const QRWholeAnswer *a,
+                       const char *why)
+{
+    static const char *const topics[QR_TOPIC_COUNT] = {
+        [QR_TOPIC_OPERATOR] = "operator",
+        [QR_TOPIC_ENGINES] = "engines",
+        [QR_TOPIC_MEMBERS] = "members",
+    };
+    uint64_t took = f->now_ms - MIN(f->sent_ms, f->now_ms);
+
+    if (a->status == 200 && a->received < LOG_LARGE_BYTES &&
+        took < f->wait_ms + LOG_SLOW_MS)
+        return;
+    qr_logf(QR_LEVEL_INFO, "store",
+            "%s topic=%s offset=%" G_GUINT64_FORMAT
+            " took_ms=%" G_GUINT64_FORMAT " wait_ms=%u bytes=%zu outcome=%s",
+            f->listing ? "listing" : "read", topics[f->options.topic],
+            f->offset, took, f->wait_ms, a->received, why);
+}
+
 static void answer_done(void *owner, unsigned ref, const QRWholeAnswer *a)
 {
     QRFollower *f = owner;
@@ -111,10 +140,12 @@
 
     (void)ref;
     f->call = NULL;
+    f->now_ms = qr_client_now(f->client);
     if (a->status == 0)
         g_strlcpy(why, a->why, sizeof(why));
     else
         g_snprintf(why, sizeof(why), "status %u", a->status);
+    answer_log(f, a, why);
     if (a->status)
         rc = f->listing
                  ? f->platform->parse_list(a->status, a->data, a->len, &page)
@@ -149,6 +180,8 @@
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = f->options.timeout_ms + (f->listing ? 0 : wait);
     f->calls++;
+    f->wait_ms = f->listing ? 0 : wait;
+    f->sent_ms = f->now_ms;
     f->call = qr_whole_send(f->client, &r, answer_done, f, 0);
 }
 
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -63,8 +63,8 @@
     }
     qr_logf(QR_LEVEL_INFO, "policy",
             "in force version=%" G_GUINT64_FORMAT " routes=%u teams=%u "
-            "offset=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
-            p->version, p->routes->len, p->teams->len, r->offset, age_ms);
+            "bytes=%zu offset=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+            p->version, p->routes->len, p->teams->len, len, r->offset, age_ms);
     qr_policy_free(o->policy);
     o->policy = p;
     o->policy_since_ms = since(now_ms, age_ms);
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -217,14 +217,13 @@
         out,
         "quayring_calls_open %u\n"
         "quayring_engine_connections_opened_total %" G_GUINT64_FORMAT "\n"
-        "quayring_peer_bytes_total %" G_GUINT64_FORMAT "\n"
         "quayring_store_calls_total %" G_GUINT64_FORMAT "\n"
         "quayring_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
         g->relays->len, qr_client_opened(g->to_engines),
-        qr_peers_bytes(g->peers),
         qr_follower_calls(g->follow_operator) +
             qr_follower_calls(g->follow_engines),
         qr_log_dropped());
+    qr_traffic_text(qr_peers_traffic(g->peers), out);
     qr_headers_init(&headers);
     qr_headers_add(&headers, "Content-Type", "text/plain; version=0.0.4");
     qr_exchange_reply(x, 200, &headers, out->str, out->len);
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -170,6 +170,7 @@
         strcmp(h->role, QR_ROLE_GATEWAY) == 0)
         qr_peers_redial(g->peers, h->address);
     qr_peer_set_data(peer, qr_members_get(&g->members, h->name));
+    qr_peer_set_far(peer, g_strcmp0(h->region, g->set->region) != 0);
     if (news)
         heard_of(g, news);
     if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer))
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -407,6 +407,11 @@
     }
 }
 
+uint64_t qr_client_now(const QRClient *c)
+{
+    return uv_now(c->loop);
+}
+
 uint64_t qr_client_opened(const QRClient *c)
 {
     return c->opened;
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -52,6 +52,8 @@
 void qr_client_tick(QRClient *c, uint64_t now_ms);
 /* Closes resting connections to 'address'. */
 void qr_client_forget(QRClient *c, const char *address);
+/* Of the loop that it runs on. */
+uint64_t qr_client_now(const QRClient *c);
 /* Connections opened so far. */
 uint64_t qr_client_opened(const QRClient *c);
 
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -16,6 +16,7 @@
 #define REDIAL_FIRST_MS 200
 #define HURRY_MS 100 /* an attempt younger than that is left alone */
 #define REDIAL_MOST_MS 2000
+#define TRAFFIC_LOG_MS 1000   /* between two log lines of what was sent */
 #define UNSENT_MAX (4u << 20) /* a peer that does not read is cut off */
 
 /* An address to which a connection is kept open. */
@@ -35,6 +36,7 @@
     uint64_t since_ms;
     uint64_t frame_since_ms; /* when the frame being read began to come */
     bool open, closing;
+    bool far; /* the other side is in another region */
     void *data;
 };
 
@@ -45,7 +47,8 @@
     void *owner;
     GPtrArray *all;      /* QRPeerConn * */
     GHashTable *targets; /* address -> Target */
-    uint64_t bytes;
+    QRTraffic traffic, traffic_logged;
+    uint64_t traffic_log_ms; /* when due next */
     bool closing;
 };
 
@@ -321,6 +324,10 @@
     GHashTableIter it;
     void *value;
 
+    if (now_ms >= p->traffic_log_ms) {
+        p->traffic_log_ms = now_ms + TRAFFIC_LOG_MS;
+        qr_traffic_log(&p->traffic, &p->traffic_logged);
+    }
     g_hash_table_iter_init(&it, p->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         Target *t = value;
@@ -343,7 +350,7 @@
         return;
     memcpy(buf, &head, HEAD_BYTES);
     qr__fleet__frame__pack(frame, buf + HEAD_BYTES);
-    peer->peers->bytes += HEAD_BYTES + len;
+    qr_traffic_add(&peer->peers->traffic, frame, peer->far, HEAD_BYTES + len);
     if (qr_socket_write(&peer->tcp, buf, HEAD_BYTES + len) < 0 ||
         qr_peer_unsent(peer) > UNSENT_MAX)
         qr_peer_close(peer);
@@ -388,7 +395,12 @@
     return now - MIN(peer->frame_since_ms, now);
 }
 
-uint64_t qr_peers_bytes(const QRPeerNet *p)
+void qr_peer_set_far(QRPeerConn *peer, bool far)
+{
+    peer->far = far;
+}
+
+const QRTraffic *qr_peers_traffic(const QRPeerNet *p)
 {
-    return p->bytes;
+    return &p->traffic;
 }
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -6,6 +6,7 @@
 #define QR_PEER_H
 
 #include "base/qr_base.h"
+#include "qr_traffic.h"
 #include "wire/fleet.pb-c.h"
 
 #include <uv.h>
@@ -51,7 +52,9 @@
 size_t qr_peer_unsent(const QRPeerConn *peer);
 /* How long the frame being handled took from its first byte to its last. */
 uint64_t qr_peer_frame_ms(const QRPeerConn *peer);
-/* Bytes sent over all connections so far. */
-uint64_t qr_peers_bytes(const QRPeerNet *p);
+/* The other side is in another region. */
+void qr_peer_set_far(QRPeerConn *peer, bool far);
+/* What was sent over all connections so far. */
+const QRTraffic *qr_peers_traffic(const QRPeerNet *p);
 
 #endif
--- a/src/net/qr_whole.c
+++ b/src/net/qr_whole.c
@@ -29,13 +29,14 @@
     w->status = status;
 }
 
-static void whole_over(QRWhole *w, const QRWholeAnswer *answer)
+static void whole_over(QRWhole *w, QRWholeAnswer *answer)
 {
     QRWholeDone done = w->done;
     void *owner = w->owner;
     unsigned ref = w->ref;
 
     w->call = NULL;
+    answer->received = w->body->len;
     done(owner, ref, answer);
     whole_free(w);
 }
@@ -44,7 +45,7 @@
                        size_t len)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {0, true, NULL, 0, "answer too large"};
+    QRWholeAnswer answer = {0, true, NULL, 0, "answer too large", 0};
 
     g_byte_array_append(w->body, (const guint8 *)data, (guint)len);
     if (w->body->len <= ANSWER_MAX)
@@ -56,8 +57,8 @@
 static void whole_end(void *owner, QRClientCall *call)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {w->status, false, (const char *)w->body->data,
-                            w->body->len, NULL};
+    QRWholeAnswer answer = {w->status,    false, (const char *)w->body->data,
+                            w->body->len, NULL,  0};
 
     (void)call;
     whole_over(w, &answer);
@@ -67,7 +68,7 @@
                          const char *why)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {0, fault != QR_CALL_FAULT_UNSENT, NULL, 0, why};
+    QRWholeAnswer answer = {0, fault != QR_CALL_FAULT_UNSENT, NULL, 0, why, 0};
 
     (void)call;
     whole_over(w, &answer);
--- a/src/net/qr_whole.h
+++ b/src/net/qr_whole.h
@@ -14,6 +14,7 @@
     const char *data;
     size_t len;
     const char *why; /* of status 0 */
+    size_t received; /* bytes of the body that came, whole or not */
 } QRWholeAnswer;
 
 /* 'ref' is what qr_whole_send() was given. The request is over. */
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -207,17 +207,19 @@
 static void metrics_request(void *owner, QRExchange *x)
 {
     QRSidecar *s = owner;
-    g_autofree char *text = g_strdup_printf(
+    g_autoptr(GString) text = g_string_new(NULL);
+
+    g_string_append_printf(
+        text,
         "quayring_sidecar_origin_bytes_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_peer_pieces_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_orders_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_serving_version %" G_GUINT64_FORMAT "\n"
-        "quayring_sidecar_target_version %" G_GUINT64_FORMAT "\n"
-        "quayring_peer_bytes_total %" G_GUINT64_FORMAT "\n",
+        "quayring_sidecar_target_version %" G_GUINT64_FORMAT "\n",
         s->origin_bytes, s->peer_pieces, s->orders, s->report.version,
-        qr_sidecar_newest(s), qr_peers_bytes(s->peers));
-
-    qr_exchange_reply(x, 200, NULL, text, strlen(text));
+        qr_sidecar_newest(s));
+    qr_traffic_text(qr_peers_traffic(s->peers), text);
+    qr_exchange_reply(x, 200, NULL, text->str, text->len);
 }
 
 static void metrics_gone(void *owner, QRExchange *x)
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -106,6 +106,7 @@
     QRFleetMember *member = qr_members_get(&s->members, h->name);
 
     qr_peer_set_data(peer, member);
+    qr_peer_set_far(peer, g_strcmp0(h->region, s->set->region) != 0);
     if (news)
         heard_of(s, news);
     if (!member || strcmp(member->role, QR_ROLE_GATEWAY) != 0 ||
