--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -53,13 +53,19 @@
         self.store, self.origin = Store(), Origin()
         self.procs, self.logs = {}, {}
         self.engines, self.plain = [], []
-        self.peers = ["127.0.0.1:%d" % p for p in free_ports(gateways)]
+        self.peers = []
         self.gateways = []
         self.store.put("keyed.op", "config", policy(1, self.origin.address))
         for i in range(plain):
             self.plain.append(self.add_engine("p%d" % i, "ledger"))
-        for i in range(gateways):
-            self.start_gateway(i, dark=i in dark_stores)
+        self.add_gateways(gateways, dark_stores=dark_stores)
+
+    def add_gateways(self, n, settings=None, dark_stores=()):
+        """Starts 'n' more, each of them with 'settings' beside the usual."""
+        first = len(self.peers)
+        self.peers += ["127.0.0.1:%d" % p for p in free_ports(n)]
+        for i in range(first, first + n):
+            self.start_gateway(i, i in dark_stores, settings)
 
     def add_engine(self, ident, service, model=None, version=0, zone="z1"):
         e = Engine(ident, service, model, version, zone)
@@ -85,12 +91,13 @@
         self.procs[name] = subprocess.Popen(
             [BINARY, role, "-c", path], stdout=log, stderr=log)
 
-    def start_gateway(self, i, dark=False):
+    def start_gateway(self, i, dark=False, settings=None):
         name = "g%d" % i
         ports = ["127.0.0.1:%d" % p for p in free_ports(4)]
         more = {"callers": ports[0], "directory": ports[1],
                 "readiness": ports[2], "metrics": ports[3],
                 "retry_ratio": 0.2, "retry_allowance": 100}
+        more.update(settings or {})
         if dark:
             more["store"] = "127.0.0.1:%d" % free_ports(1)[0]
         path = self.settings(name, "gateway", self.peers[i], more)
--- /dev/null
+++ b/tests/narrow_link.py
@@ -0,0 +1,66 @@
+"""A link between two regions: forwards connections to one address, all of them
+together at no more than a rate. Counts what crosses it towards the callers."""
+import socket
+import threading
+import time
+
+PART_BYTES = 65536  # a connection has so much in the queue, as its window
+
+
+class NarrowLink:
+    def __init__(self, target, bytes_per_s):
+        self.target = target
+        self.bytes_per_s = bytes_per_s
+        self.sent = 0
+        self.free_at = 0.0  # when the link has sent all that it was given
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+                far = self.dial()
+            except OSError:
+                return
+            for args in ((near, far, False), (far, near, True)):
+                threading.Thread(target=self.forward, args=args,
+                                 daemon=True).start()
+
+    def dial(self):
+        host, port = self.target.rsplit(":", 1)
+        far = socket.socket()
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PART_BYTES)
+        far.connect((host, int(port)))
+        return far
+
+    def forward(self, source, sink, counted):
+        try:
+            while True:
+                data = source.recv(PART_BYTES)
+                if not data:
+                    break
+                if counted:
+                    self.wait(len(data))
+                sink.sendall(data)
+        except OSError:
+            pass
+        for s in (source, sink):
+            try:
+                s.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def wait(self, size):
+        """Until 'size' bytes more have left, behind all given before."""
+        with self.lock:
+            self.sent += size
+            now = time.monotonic()
+            self.free_at = max(self.free_at, now) + size / self.bytes_per_s
+            until = self.free_at
+        time.sleep(max(until - now, 0))
+
+    def close(self):
+        self.listener.close()
