Sidecars are told no routes, and read no store; reads that progress go on

Machines that join one after the other filled the links of the store's region. Besides, a read was given up 0.8 s after it was sent, though its bytes still came, and begun again: on a full link that never ends. Ruled out: raising the time-out, which would make a silent store found later. Tests: unit, test_members, test_sidecar pass.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 VERSION := $(shell cat VERSION)
 PKGS := glib-2.0 json-c neon libmicrohttpd libprotobuf-c liburcu-bp libcrypto \
-        libuv
+        libuv zlib
 B ?= build
 S := build-san
 T := build-tsan
--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -26,9 +26,10 @@
     bool listing;      /* the call under way is a listing */
     bool listed;       /* a listing was taken, reads go on from 'offset' */
     char *after;       /* last key of the page before */
-    GHashTable *keys;  /* seen in this listing */
+    GPtrArray *pages;  /* QRStoreRecord *, owned: of this listing so far */
     uint64_t list_end; /* end as the first page told it */
-    uint64_t offset;
+    uint64_t offset;   /* to be read next */
+    uint64_t asked;    /* 'offset' when the call under way was sent */
     uint64_t next_ms, now_ms, answered_ms, gap_ms;
     uint64_t sent_ms; /* when the call under way was sent */
     unsigned wait_ms; /* what it lets the store wait */
@@ -58,43 +59,56 @@
     }
 }
 
-static void take_records(QRFollower *f, const QRStorePage *page)
+static void take_records(QRFollower *f, const GPtrArray *records)
 {
-    for (unsigned i = 0; i < page->records->len; i++)
-        f->handlers->record(f->owner, page->records->pdata[i]);
+    for (unsigned i = 0; i < records->len; i++)
+        f->handlers->record(f->owner, records->pdata[i]);
+}
+
+static void listing_reset(QRFollower *f)
+{
+    g_clear_pointer(&f->after, g_free);
+    g_ptr_array_set_size(f->pages, 0);
 }
 
 void qr_follower_restart(QRFollower *f)
 {
     f->listed = false;
-    g_clear_pointer(&f->after, g_free);
-    g_hash_table_remove_all(f->keys);
+    listing_reset(f);
     f->next_ms = f->now_ms;
 }
 
-static void take_listing(QRFollower *f, const QRStorePage *page)
+/* Hands a whole listing on: of half a one nobody could say what it lacks. */
+static void listing_done(QRFollower *f)
 {
-    const QRStoreRecord *last = NULL;
+    g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autoptr(GPtrArray) records = f->pages;
+
+    f->pages = g_ptr_array_new_with_free_func(qr_store_record_free);
+    for (unsigned i = 0; i < records->len; i++)
+        g_hash_table_add(keys, ((QRStoreRecord *)records->pdata[i])->key);
+    take_records(f, records);
+    f->handlers->listed(f->owner, keys);
+}
 
+static void take_listing(QRFollower *f, QRStorePage *page)
+{
     if (!f->after)
         f->list_end = page->end;
-    take_records(f, page);
-    for (unsigned i = 0; i < page->records->len; i++) {
-        last = page->records->pdata[i];
-        g_hash_table_add(f->keys, g_strdup(last->key));
-    }
+    g_ptr_array_extend_and_steal(f->pages, g_steal_pointer(&page->records));
     f->next_ms = f->now_ms;
-    if (page->more && last) {
+    if (page->more && f->pages->len > 0) {
+        const QRStoreRecord *last = f->pages->pdata[f->pages->len - 1];
+
         g_free(f->after);
         f->after = g_strdup(last->key);
         return;
     }
     g_clear_pointer(&f->after, g_free);
     /* what changed while pages were read stands behind the first end */
-    f->offset = f->list_end;
+    f->offset = MAX(f->offset, f->list_end);
     f->listed = true;
-    f->handlers->listed(f->owner, f->keys);
-    g_hash_table_remove_all(f->keys);
+    listing_done(f);
     if (f->options.wait_ms == 0)
         f->next_ms = f->now_ms + f->options.interval_ms;
 }
@@ -105,8 +119,8 @@
         qr_follower_restart(f);
         return;
     }
-    take_records(f, page);
-    f->offset += page->records->len;
+    take_records(f, page->records);
+    f->offset = MAX(f->offset, f->asked + page->records->len);
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
@@ -127,8 +141,8 @@
     qr_logf(QR_LEVEL_INFO, "store",
             "%s topic=%s offset=%" G_GUINT64_FORMAT
             " took_ms=%" G_GUINT64_FORMAT " wait_ms=%u bytes=%zu outcome=%s",
-            f->listing ? "listing" : "read", topics[f->options.topic],
-            f->offset, took, f->wait_ms, a->received, why);
+            f->listing ? "listing" : "read", topics[f->options.topic], f->asked,
+            took, f->wait_ms, a->received, why);
 }
 
 static void answer_done(void *owner, unsigned ref, const QRWholeAnswer *a)
@@ -149,8 +163,8 @@
     if (a->status)
         rc = f->listing
                  ? f->platform->parse_list(a->status, a->data, a->len, &page)
-                 : f->platform->parse_read(a->status, a->data, a->len,
-                                           f->offset, &page);
+                 : f->platform->parse_read(a->status, a->data, a->len, f->asked,
+                                           &page);
     if (rc != 0) {
         follower_failed(f, why);
     } else {
@@ -179,9 +193,11 @@
     r.path = path;
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = f->options.timeout_ms + (f->listing ? 0 : wait);
+    r.pause_ms = f->options.timeout_ms;
     f->calls++;
     f->wait_ms = f->listing ? 0 : wait;
     f->sent_ms = f->now_ms;
+    f->asked = f->offset;
     f->call = qr_whole_send(f->client, &r, answer_done, f, 0);
 }
 
@@ -197,7 +213,7 @@
     f->address = g_strdup(options->address);
     f->handlers = handlers;
     f->owner = owner;
-    f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->pages = g_ptr_array_new_with_free_func(qr_store_record_free);
     f->backoff_ms = BACKOFF_FIRST_MS;
     return f;
 }
@@ -207,7 +223,7 @@
     if (!f)
         return;
     qr_whole_cancel(f->call);
-    g_hash_table_unref(f->keys);
+    g_ptr_array_unref(f->pages);
     g_free(f->after);
     g_free(f->address);
     g_free(f);
@@ -240,6 +256,15 @@
     return f->answered_ms;
 }
 
+void qr_follower_skip(QRFollower *f, uint64_t offset)
+{
+    if (f->listed && offset <= f->offset)
+        return;
+    f->listed = true;
+    listing_reset(f);
+    f->offset = MAX(f->offset, offset);
+}
+
 void qr_follower_pause(QRFollower *f, bool paused)
 {
     f->paused = paused;
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -12,7 +12,8 @@
 typedef struct QRFollowerHandlers {
     /* A record, newest last; an empty value says that its key is gone. */
     void (*record)(void *owner, const QRStoreRecord *record);
-    /* A listing is whole: keys that are not in the set 'keys' are gone. */
+    /* All records of a listing were given: keys that are not in the set 'keys'
+       are gone. */
     void (*listed)(void *owner, GHashTable *keys);
     /* The store answered again, or no longer does ('why'). */
     void (*reached)(void *owner, bool reached, const char *why);
@@ -23,7 +24,8 @@
     const char *address;  /* ip:port of the store */
     unsigned wait_ms;     /* how long a read waits for records; 0: not */
     unsigned interval_ms; /* between two reads */
-    unsigned timeout_ms;  /* for an answer, beyond wait_ms */
+    unsigned timeout_ms;  /* for an answer to begin, beyond wait_ms, and for
+                             any pause in it */
 } QRFollowerOptions;
 
 typedef struct QRFollower QRFollower;
@@ -40,6 +42,11 @@
 uint64_t qr_follower_answered_ms(const QRFollower *f);
 /* How long the store had been away before its last answer. */
 uint64_t qr_follower_gap_ms(const QRFollower *f);
+/*
+ * All newest records before 'offset' are known from elsewhere: they are not
+ * read, nor is the topic listed for them.
+ */
+void qr_follower_skip(QRFollower *f, uint64_t offset);
 /* Stops reading, or goes on with a read at once. */
 void qr_follower_pause(QRFollower *f, bool paused);
 /* Lists all anew, at once. */
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -3,6 +3,7 @@
  */
 #include "qr_operator.h"
 
+#include "base/qr_pack.h"
 #include "io/qr_log.h"
 
 #include <string.h>
@@ -14,6 +15,7 @@
     QRHeldRecord *h = p;
 
     qr_store_record_free(h->record);
+    g_bytes_unref(h->packed);
     g_free(h);
 }
 
@@ -128,7 +130,7 @@
     case QR_OPERATOR_OTHER:
         break;
     }
-    o->news(o->owner, r, age_ms);
+    o->news(o->owner, r);
     return true;
 }
 
@@ -155,38 +157,86 @@
     return due;
 }
 
-void qr_operator_tell(const QROperator *o, uint64_t offset, uint64_t now_ms,
+/* Compresses a long value when it is first told. */
+static GBytes *held_packed(QRHeldRecord *held)
+{
+    if (!held->packed &&
+        g_bytes_get_size(held->record->value) >= QR_PACK_LEAST_BYTES)
+        held->packed = qr_pack(held->record->value);
+    return held->packed;
+}
+
+static void record_fill(const QROperator *o, QRHeldRecord *held,
+                        QRAudience audience, uint64_t now_ms,
+                        Qr__Fleet__Record *out)
+{
+    GBytes *value = held->record->value, *packed = NULL;
+    gsize len;
+
+    if (audience == QR_FOR_GATEWAYS)
+        packed = held_packed(held);
+    else if (o->policy && o->platform->operator_kind(held->record->key) ==
+                              QR_OPERATOR_POLICY)
+        value = o->policy->for_sidecars;
+    qr__fleet__record__init(out);
+    out->key = held->record->key;
+    out->offset = held->record->offset;
+    out->age_ms = held->since_ms ? now_ms - held->since_ms : QR_AGE_UNKNOWN_MS;
+    if (packed) {
+        out->packed.data = (uint8_t *)g_bytes_get_data(packed, &len);
+        out->packed.len = len;
+        out->size = (uint32_t)g_bytes_get_size(value);
+    } else {
+        out->value.data = (uint8_t *)g_bytes_get_data(value, &len);
+        out->value.len = len;
+    }
+}
+
+void qr_operator_tell(const QROperator *o, uint64_t offset, QRAudience audience,
+                      uint64_t now_ms,
                       void (*send)(void *to, const Qr__Fleet__Frame *frame),
                       void *to)
 {
+    unsigned most = g_hash_table_size(o->records), n = 0;
+    g_autofree Qr__Fleet__Record *rows = g_new(Qr__Fleet__Record, most + 1);
+    g_autofree Qr__Fleet__Record **list = g_new(Qr__Fleet__Record *, most + 1);
+    Qr__Fleet__Frame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
     GHashTableIter it;
     void *value;
 
     g_hash_table_iter_init(&it, o->records);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const QRHeldRecord *held = value;
-        Qr__Fleet__Frame frame = QR__FLEET__FRAME__INIT;
-        Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
-        Qr__Fleet__Record record = QR__FLEET__RECORD__INIT;
-        Qr__Fleet__Record *list[1] = {&record};
-        gsize len;
+        QRHeldRecord *held = value;
 
         if (held->record->offset < offset)
             continue;
-        record.key = held->record->key;
-        record.value.data =
-            (uint8_t *)g_bytes_get_data(held->record->value, &len);
-        record.value.len = len;
-        record.offset = held->record->offset;
-        record.age_ms =
-            held->since_ms ? now_ms - held->since_ms : QR_AGE_UNKNOWN_MS;
-        records.records = list;
-        records.n_records = 1;
-        records.end = o->end;
-        frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
-        frame.records = &records;
-        send(to, &frame);
+        record_fill(o, held, audience, now_ms, &rows[n]);
+        list[n] = &rows[n];
+        n++;
     }
+    if (n == 0)
+        return;
+    records.records = list;
+    records.n_records = n;
+    records.end = o->end;
+    frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
+    frame.records = &records;
+    send(to, &frame);
+}
+
+static GBytes *told_value(const Qr__Fleet__Record *told)
+{
+    GBytes *value;
+
+    if (told->packed.len == 0)
+        return g_bytes_new(told->value.data, told->value.len);
+    value = qr_unpack(told->packed.data, told->packed.len, told->size);
+    if (!value)
+        qr_logf(QR_LEVEL_WARN, "policy",
+                "told record cannot be unpacked key=%s bytes=%zu size=%u",
+                told->key, told->packed.len, told->size);
+    return value;
 }
 
 unsigned qr_operator_heard(QROperator *o, const Qr__Fleet__Records *records,
@@ -196,11 +246,11 @@
 
     for (size_t i = 0; i < records->n_records; i++) {
         const Qr__Fleet__Record *told = records->records[i];
-        QRStoreRecord r = {told->key, NULL, told->offset};
+        g_autoptr(GBytes) value = told_value(told);
+        QRStoreRecord r = {told->key, value, told->offset};
 
-        r.value = g_bytes_new(told->value.data, told->value.len);
-        news += qr_operator_take(o, &r, told->age_ms, now_ms);
-        g_bytes_unref(r.value);
+        if (value)
+            news += qr_operator_take(o, &r, told->age_ms, now_ms);
     }
     return news;
 }
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -20,12 +20,12 @@
 
 typedef struct QRHeldRecord {
     QRStoreRecord *record;
+    GBytes *packed;    /* the value compressed, once it was told; or NULL */
     uint64_t since_ms; /* may lie before the clock's zero: signed use */
 } QRHeldRecord;
 
 /* A record that was not known before, from wherever it came. */
-typedef void (*QROperatorNews)(void *owner, const QRStoreRecord *r,
-                               uint64_t age_ms);
+typedef void (*QROperatorNews)(void *owner, const QRStoreRecord *r);
 
 typedef struct QROperator {
     const QRPlatform *platform;
@@ -56,8 +56,15 @@
  */
 uint64_t qr_operator_version_due(const QROperator *o, const char *model,
                                  uint64_t bound_ms, uint64_t now_ms);
-/* Sends all records behind 'offset' by 'send'. */
-void qr_operator_tell(const QROperator *o, uint64_t offset, uint64_t now_ms,
+/* For whom records are: sidecars are not told what only calls need. */
+typedef enum QRAudience {
+    QR_FOR_GATEWAYS,
+    QR_FOR_SIDECARS,
+} QRAudience;
+
+/* Sends all records from 'offset' on by 'send', in one frame; none: nothing. */
+void qr_operator_tell(const QROperator *o, uint64_t offset, QRAudience audience,
+                      uint64_t now_ms,
                       void (*send)(void *to, const Qr__Fleet__Frame *frame),
                       void *to);
 /* Takes records that a peer told; returns how many were news. */
--- a/src/fleet/qr_policy.c
+++ b/src/fleet/qr_policy.c
@@ -75,6 +75,7 @@
     g_ptr_array_unref(p->routes);
     g_hash_table_unref(p->services);
     g_ptr_array_unref(p->teams);
+    g_bytes_unref(p->for_sidecars);
     g_free(p);
 }
 
--- a/src/fleet/qr_policy.h
+++ b/src/fleet/qr_policy.h
@@ -61,6 +61,7 @@
     GHashTable *hosts; /* host -> GPtrArray of QRPolicyRoute *, longest first */
     GHashTable *services;   /* name -> QRService * */
     uint64_t services_hash; /* of what sidecars need to know of them */
+    GBytes *for_sidecars;   /* the record without what only calls need */
     GPtrArray *teams;       /* QRPolicyTeam * */
     GHashTable *keys;       /* key -> QRPolicyTeam * */
     uint32_t head_max, body_max, head_timeout_ms, idle_timeout_ms;
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -82,8 +82,7 @@
 extern const QRServerHandlers qr_gateway_metrics_handlers;
 
 /* An operator's record that is news here goes on to those who follow us. */
-void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
-                              uint64_t age_ms);
+void qr_gateway_operator_news(void *owner, const QRStoreRecord *r);
 /* A gateway said that it knows the operator's records up to 'offset'. */
 void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member,
                            uint64_t offset);
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -33,34 +33,20 @@
     return true;
 }
 
-void qr_gateway_operator_news(void *owner, const QRStoreRecord *r,
-                              uint64_t age_ms)
+void qr_gateway_operator_news(void *owner, const QRStoreRecord *r)
 {
     QRGateway *g = owner;
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
-    Qr__Fleet__Record record = QR__FLEET__RECORD__INIT;
-    Qr__Fleet__Record *list[1] = {&record};
-    gsize len;
-
-    record.key = r->key;
-    record.value.data = (uint8_t *)g_bytes_get_data(r->value, &len);
-    record.value.len = len;
-    record.offset = r->offset;
-    record.age_ms = age_ms;
-    records.records = list;
-    records.n_records = 1;
-    frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
-    frame.records = &records;
+
     qr_gateway_apply_limits(g);
     /* gateways hear it from the store, or ask: see qr_gateway_catchup.c */
     if (!is_for_sidecars(g, r))
         return;
     for (unsigned i = 0; i < g->followers->len; i++) {
-        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
+        QRPeerConn *peer = g->followers->pdata[i];
 
-        if (is_sidecar(to))
-            qr_peer_send(g->followers->pdata[i], &frame);
+        if (is_sidecar(qr_peer_data(peer)))
+            qr_operator_tell(&g->operator, r->offset, QR_FOR_SIDECARS,
+                             qr_gateway_now(g), tell_follower, peer);
     }
 }
 
@@ -132,8 +118,8 @@
         send_held(peer, value);
     }
     if (to_sidecar)
-        qr_operator_tell(&g->operator, known, qr_gateway_now(g), tell_follower,
-                         peer);
+        qr_operator_tell(&g->operator, known, QR_FOR_SIDECARS,
+                         qr_gateway_now(g), tell_follower, peer);
 }
 
 /*
@@ -298,8 +284,8 @@
             qr_gateway_share_answer(g, peer, frame->fetch->offset);
             break;
         }
-        qr_operator_tell(&g->operator, frame->fetch->offset, qr_gateway_now(g),
-                         tell_follower, peer);
+        qr_operator_tell(&g->operator, frame->fetch->offset, QR_FOR_GATEWAYS,
+                         qr_gateway_now(g), tell_follower, peer);
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
         if (frame->records->engines) {
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -24,6 +24,7 @@
     char *id;
     bool head_only, answered;
     uint64_t due_ms; /* 0: none */
+    uint32_t pause_ms;
 };
 
 /* A connection. */
@@ -221,6 +222,11 @@
         link_break(l, QR_CALL_FAULT_BROKEN, uv_strerror((int)n));
         return;
     }
+    /* giving up bytes that still come, to ask for them again, only fills the
+       link that they are late on */
+    if (l->call && l->call->due_ms && l->call->pause_ms)
+        l->call->due_ms =
+            MAX(l->call->due_ms, uv_now(l->client->loop) + l->call->pause_ms);
     while (!l->closing && used < (size_t)n) {
         if (!l->call) { /* nothing was asked */
             link_break(l, QR_CALL_FAULT_GARBLED, "surplus bytes");
@@ -357,6 +363,7 @@
     g_byte_array_append(call->request, request->data, (guint)request->len);
     call->id = g_strdup(request->id);
     call->head_only = request->head_only;
+    call->pause_ms = request->pause_ms;
     if (request->timeout_ms)
         call->due_ms = uv_now(c->loop) + request->timeout_ms;
     call_start(call, request->address, request->connect_ms);
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -38,6 +38,8 @@
     bool head_only;      /* HEAD: the answer has no body */
     uint32_t connect_ms; /* to open a connection */
     uint32_t timeout_ms; /* to the end of the answer; 0: none */
+    uint32_t pause_ms;   /* an answer that has begun may pause for so long, and
+                            take as long as it needs; 0: 'timeout_ms' stands */
 } QRClientRequest;
 
 /* 'id_name' is the header in which an answer carries its id back. */
--- a/src/net/qr_whole.c
+++ b/src/net/qr_whole.c
@@ -109,6 +109,7 @@
     r.len = text->len;
     r.connect_ms = request->connect_ms;
     r.timeout_ms = request->timeout_ms;
+    r.pause_ms = request->pause_ms;
     w->call = qr_client_send(client, &r, &whole_handlers, w);
     return w;
 }
--- a/src/net/qr_whole.h
+++ b/src/net/qr_whole.h
@@ -26,7 +26,7 @@
     const char *content_type;            /* of the body, or NULL */
     const void *body;                    /* NULL: none */
     size_t body_len;
-    uint32_t connect_ms, timeout_ms;
+    uint32_t connect_ms, timeout_ms, pause_ms; /* as in QRClientRequest */
 } QRWholeRequest;
 
 QRWhole *qr_whole_send(QRClient *client, const QRWholeRequest *request,
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -14,6 +14,9 @@
 #define CONNECT_MS 400
 #define STORE_TIMEOUT_MS 800
 #define STORE_WAIT_MS 2000
+/* Without a gateway to tell us: a gateway that starts is reached and has a
+   configuration in well under a second; a version's bound is many. */
+#define ALONE_MS 2000
 
 uint64_t qr_sidecar_now(const QRSidecar *s)
 {
@@ -138,10 +141,9 @@
     qr_operator_take(&s->operator, r, age, qr_sidecar_now(s));
 }
 
-static void operator_news(void *owner, const QRStoreRecord *r, uint64_t age_ms)
+static void operator_news(void *owner, const QRStoreRecord *r)
 {
     (void)r;
-    (void)age_ms;
     qr_weights_retarget(owner);
 }
 
@@ -161,6 +163,27 @@
 static const QRFollowerHandlers operator_handlers = {
     operator_record, operator_listed, operator_reached};
 
+/*
+ * The gateway that we follow tells us what concerns us. What the store would
+ * send is many times as long, and crosses regions: it is read only once no
+ * gateway has told us anything for a while.
+ */
+static void choose_reading(QRSidecar *s, uint64_t now)
+{
+    bool reads;
+
+    if (s->followed && s->operator.policy)
+        s->told_ms = now;
+    reads = now >= s->told_ms + ALONE_MS;
+    if (reads == s->reads_store)
+        return;
+    s->reads_store = reads;
+    qr_logf(QR_LEVEL_INFO, "store", "%s alone_ms=%" G_GUINT64_FORMAT,
+            reads ? "read by ourselves" : "heard from a gateway",
+            now - s->told_ms);
+    qr_follower_pause(s->follow_operator, !reads);
+}
+
 static void sidecar_tick(uv_timer_t *timer)
 {
     QRSidecar *s = timer->data;
@@ -179,8 +202,7 @@
     s->slow_tick_ms = now + SLOW_TICK_MS;
     qr_peers_tick(s->peers, now);
     qr_sidecar_peers_tick(s);
-    qr_follower_pause(s->follow_operator,
-                      s->followed != NULL && s->operator.policy != NULL);
+    choose_reading(s, now);
     qr_follower_tick(s->follow_operator, now);
     qr_sidecar_tell_state(s, false);
     if (s->metrics)
@@ -271,6 +293,8 @@
     s->to_store = qr_client_new(s->loop, s->platform->headers.call_id);
     s->follow_operator = qr_follower_new(s->to_store, s->platform,
                                          &operator, & operator_handlers, s);
+    qr_follower_pause(s->follow_operator, true);
+    s->told_ms = qr_sidecar_now(s);
     for (unsigned i = 0; i < s->set->seeds->len; i++)
         qr_peers_dial(s->peers, s->set->seeds->pdata[i]);
 }
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -78,6 +78,9 @@
     QRFollower *follow_operator;
     QRPeerNet *peers;
     QRPeerConn *followed; /* the gateway that tells us what it hears */
+    uint64_t told_ms;     /* when a gateway that knows a configuration was last
+                             followed, or the process began */
+    bool reads_store;     /* we read the operator's records ourselves */
     GPtrArray *gateways;  /* QRPeerConn *: dialled and open */
     QRServer *metrics;
     uv_timer_t timer;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1043,7 +1043,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[6] =
 {
   {
     "key",
@@ -1093,17 +1093,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Record, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Record, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__record__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
+  4,   /* field[4] = packed */
+  5,   /* field[5] = size */
   1,   /* field[1] = value */
 };
 static const ProtobufCIntRange qr__fleet__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qr__fleet__record__descriptor =
 {
@@ -1113,7 +1139,7 @@
   "Qr__Fleet__Record",
   "qr.fleet",
   sizeof(Qr__Fleet__Record),
-  4,
+  6,
   qr__fleet__record__field_descriptors,
   qr__fleet__record__field_indices_by_name,
   1,  qr__fleet__record__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -224,10 +224,18 @@
    * since the sender first saw it
    */
   uint64_t age_ms;
+  /*
+   * in place of a long value: compressed by zlib
+   */
+  ProtobufCBinaryData packed;
+  /*
+   * of the value that is packed
+   */
+  uint32_t size;
 };
 #define QR__FLEET__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0 }
 
 
 struct  Qr__Fleet__Records
@@ -235,6 +243,9 @@
   ProtobufCMessage base;
   size_t n_records;
   Qr__Fleet__Record **records;
+  /*
+   * who has these and what it asked from has all up to it
+   */
   uint64_t end;
   /*
    * engines' records in place of the operator's
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -381,11 +381,10 @@
 
 static unsigned news_count;
 
-static void count_news(void *owner, const QRStoreRecord *r, uint64_t age_ms)
+static void count_news(void *owner, const QRStoreRecord *r)
 {
     (void)owner;
     (void)r;
-    (void)age_ms;
     news_count++;
 }
 
@@ -445,12 +444,12 @@
     qr_operator_init(&b, qr_platform_find("log-store"), count_news, NULL);
     name_version(&a, 2, 7, 0, 4000);
     told_count = news_count = 0;
-    qr_operator_tell(&a, b.end, 5000, count_told, &b);
+    qr_operator_tell(&a, b.end, QR_FOR_GATEWAYS, 5000, count_told, &b);
     ck_assert_uint_eq(told_count, 1);
     ck_assert_uint_eq(news_count, 1); /* heard from a peer: news as well */
     ck_assert_uint_eq(b.end, a.end);
     ck_assert_uint_eq(qr_operator_version_due(&b, "m", 1000, 5000), 2);
-    qr_operator_tell(&a, b.end, 5000, count_told, &b);
+    qr_operator_tell(&a, b.end, QR_FOR_GATEWAYS, 5000, count_told, &b);
     ck_assert_uint_eq(told_count, 1);
     qr_operator_clear(&a);
     qr_operator_clear(&b);
