The operator's records cross a narrow link twice, not once for each gateway

Engines' records, hello and connections waited in the same queue; reads of them failed, and a gateway whose own reading failed took nothing from others that knew. The class: one source alone per kind of news, drawn by everyone at once over a shared narrow link, with retries that add to the load they are late from. Now, in the design: - The two gateways that read engines' records for all read the operator's too. The others rest both readings, a waiting read is taken back. - Who is behind asks a gateway of its own region. Those of other regions are asked by the first of the region, by the next one 300 ms later if nobody near knows by then. What was told is not read again. - A gateway that starts gives others 250 to 550 ms to tell it before it lists the operator's records. - Without readers, the first two in the order begin at once, the others by turns of 250 ms: not all, and not all at the store's return. - Engines' changes are asked for whenever our own reading is not fresh, and taken by offset whoever tells them. - A reader is fresh for 1.5 s in place of 1 (one lost read), if it is alive. Ruled out: one reader a region (a cut of it from the store would be found after 2.8 s); asking for differences (a base would have to be agreed on). Tests: 40 unit, test_gateway, test_members, test_sidecar, test_region_links.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -8,6 +8,9 @@
 #include <string.h>
 
 #define CONNECT_MS 700
+/* Longest pause in an answer that has begun: on a full link the windows of a
+   dozen readers, 64 kB each, take turns at 3 MB/s and less. */
+#define PAUSE_MS 2000
 #define BACKOFF_FIRST_MS 200
 #define BACKOFF_MOST_MS 1000
 /* Answers that are logged: slower than a few round trips, or a good part of a
@@ -88,6 +91,9 @@
     for (unsigned i = 0; i < records->len; i++)
         g_hash_table_add(keys, ((QRStoreRecord *)records->pdata[i])->key);
     take_records(f, records);
+    /* what changed while pages were read stands behind the first end */
+    f->offset = MAX(f->offset, f->list_end);
+    f->listed = true;
     f->handlers->listed(f->owner, keys);
 }
 
@@ -105,9 +111,6 @@
         return;
     }
     g_clear_pointer(&f->after, g_free);
-    /* what changed while pages were read stands behind the first end */
-    f->offset = MAX(f->offset, f->list_end);
-    f->listed = true;
     listing_done(f);
     if (f->options.wait_ms == 0)
         f->next_ms = f->now_ms + f->options.interval_ms;
@@ -193,7 +196,7 @@
     r.path = path;
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = f->options.timeout_ms + (f->listing ? 0 : wait);
-    r.pause_ms = f->options.timeout_ms;
+    r.pause_ms = PAUSE_MS;
     f->calls++;
     f->wait_ms = f->listing ? 0 : wait;
     f->sent_ms = f->now_ms;
@@ -270,6 +273,11 @@
     f->paused = paused;
     if (!paused)
         f->next_ms = 0;
+    /* one that only waits would bring what others are to tell us */
+    if (paused && f->call && f->wait_ms > 0 && !qr_whole_began(f->call)) {
+        qr_whole_cancel(f->call);
+        f->call = NULL;
+    }
 }
 
 uint64_t qr_follower_calls(const QRFollower *f)
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -24,8 +24,7 @@
     const char *address;  /* ip:port of the store */
     unsigned wait_ms;     /* how long a read waits for records; 0: not */
     unsigned interval_ms; /* between two reads */
-    unsigned timeout_ms;  /* for an answer to begin, beyond wait_ms, and for
-                             any pause in it */
+    unsigned timeout_ms;  /* for an answer to begin, beyond wait_ms */
 } QRFollowerOptions;
 
 typedef struct QRFollower QRFollower;
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -13,6 +13,11 @@
 #define STORE_TIMEOUT_MS 800
 #define END_MARGIN_MS 400 /* of the grace time, kept for the end itself */
 #define RESERVED_DESCRIPTORS 200
+/* A gateway that starts asks others for the operator's records before it reads
+   them from the store, in time for two heartbeats. Where nobody knows any, the
+   first to read tells the others: they do not all begin at once. */
+#define OPERATOR_HOLD_MS 250
+#define OPERATOR_SPREAD_MS 300
 #define ADDRESS_LIVES 3     /* callers keep an answer up to so many times */
 #define HOLD_ENGINE_MS 1200 /* until measured */
 #define HOLD_PLAIN_MS 50
@@ -115,7 +120,8 @@
 
     qr_client_tick(g->to_engines, now);
     qr_client_tick(g->to_store, now);
-    qr_follower_tick(g->follow_operator, now);
+    if (now >= g->operator_hold_ms)
+        qr_follower_tick(g->follow_operator, now);
     qr_follower_tick(g->follow_engines, now);
     qr_relay_tick(g, now);
     if (now >= g->heartbeat_ms) {
@@ -243,6 +249,9 @@
     g->random = g->incarnation;
     g->gateways_most = 1;
     g->started_ms = uv_now(g->loop);
+    g->operator_hold_ms =
+        g->started_ms + OPERATOR_HOLD_MS +
+        qr_hash_str(set->host, g->incarnation) % OPERATOR_SPREAD_MS;
     qr_operator_init(&g->operator, g->platform, qr_gateway_operator_news, g);
     qr_engines_init(&g->engines);
     g->engine_changes = qr_gateway_changes_new();
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -36,16 +36,19 @@
     bool engines_known;           /* a whole listing was taken */
     uint64_t engines_regained_ms; /* the store was away until then; 0: long ago
                                    */
-    /* engines' records shared among gateways: see qr_gateway_share.c */
+    /* records of the store shared among gateways: see qr_gateway_share.c */
     GHashTable *engine_changes;                     /* id -> last change */
     uint64_t engines_changed, engines_changed_told; /* offset of the last one */
-    uint64_t engines_since;    /* all changes from that offset on are known */
-    bool engines_shared;       /* heard from others, our own reading rests */
-    uint64_t engines_seen;     /* offset of the last change heard then */
-    uint64_t engines_asked_ms; /* when a reader was asked last */
-    uint64_t
-        engines_unseen_ms;     /* since when others know more; 0: they do not */
-    uint64_t readers_since_ms; /* others read in our place; 0: they do not */
+    uint64_t engines_since;     /* all changes from that offset on are known */
+    bool reading_rests;         /* others read the store for us */
+    uint64_t engines_seen;      /* offset of the last change heard from them */
+    uint64_t engines_asked_ms;  /* when a reader was asked last */
+    uint64_t engines_unseen_ms; /* since when others know more; 0: they do not
+                                 */
+    uint64_t readers_since_ms;  /* others read in our place; 0: they do not */
+    uint64_t readers_lack_ms;   /* since when too few do; 0: enough do */
+    uint64_t operator_told;     /* the last offset that was told to others */
+    uint64_t operator_hold_ms;  /* others may tell us until then: not read */
     QRFleetMembers members;
     GHashTable *regions;  /* zone -> region */
     GHashTable *services; /* name -> QRServiceStats * */
@@ -88,6 +91,8 @@
                            uint64_t offset);
 /* Asks one that knows more, when due. */
 void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
+/* Operator's records that we asked another gateway for. */
+void qr_gateway_operator_heard(QRGateway *g, const Qr__Fleet__Records *records);
 /* An engine's record, from the store or from a gateway that reads it. */
 void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r);
 /* Takes engines for gone whose records lapsed and did not come back. */
@@ -96,6 +101,9 @@
 /* Keeps a record that says more than that the engine is still there. */
 void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r);
 void qr_gateway_forget_changes(QRGateway *g, uint64_t now_ms);
+/* Whether a newer change of the engine's record is known than 'offset'. */
+bool qr_gateway_engine_is_outdated(const QRGateway *g, const char *id,
+                                   uint64_t offset);
 /* Decides who reads the store, and asks for what readers know. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
 void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -61,7 +61,8 @@
     QREngine *e = qr_engines_get(&g->engines, id);
     QRStoreRecord r = {(char *)id, NULL, offset};
 
-    if (!e || e->gone || e->lapsed_ms > 0)
+    if (!e || e->gone || e->lapsed_ms > 0 ||
+        qr_gateway_engine_is_outdated(g, id, offset))
         return;
     r.value = g_bytes_new_static("", 0);
     qr_gateway_engine_changed(g, &r);
@@ -86,6 +87,9 @@
         engine_gone(g, r->key, r->offset);
         return;
     }
+    /* another gateway has told us more than our own reading has come to */
+    if (qr_gateway_engine_is_outdated(g, r->key, r->offset))
+        return;
     record = g->platform->parse_engine(r->key, data, len);
     if (!record) {
         qr_logf(QR_LEVEL_WARN, "engines", "unreadable record engine=%s",
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -1,16 +1,25 @@
 /*
- * Operator's records from other gateways, for one that the store leaves out.
+ * Operator's records from other gateways.
  *
  * Each gateway tells by hello and heartbeat which record it knows last. One
- * that is behind for a moment asks one of those that know more, and then the
- * next: were all to tell it, the same configuration would come from each.
+ * that is behind asks one of those that know more, and then the next: were all
+ * to tell it, the same configuration would come from each.
+ *
+ * A configuration is long, and the links between regions are narrow. So one of
+ * its own region is asked if any knows more; gateways of other regions are
+ * asked by the first of the region, and by the next ones only when that one
+ * still does not know after a moment.
  */
 #include "qr_gateway.h"
 
 #include <string.h>
 
 #define BEHIND_MS 100 /* the store may take so long to tell us itself */
-#define ASK_AGAIN_MS 250
+/* A configuration of a few thousand routes, compressed, on a busy link. */
+#define ASK_AGAIN_MS 500
+/* For the answer to one that asked another region, and the heartbeat by which
+   its neighbours learn of it. */
+#define FAR_TURN_MS 300
 
 void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member, uint64_t offset)
 {
@@ -19,13 +28,35 @@
         g->behind_ms = MAX(qr_gateway_now(g), 1);
 }
 
+static bool is_near(const QRGateway *g, const QRFleetMember *m)
+{
+    return g_strcmp0(m->region, g->set->region) == 0;
+}
+
+/* Gateways of our region that ask other regions before we do. */
+static unsigned near_before(const QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    uint64_t own = qr_hash_str(g->set->host, g->operator.end);
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        n += is_near(g, m) &&
+             qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms) &&
+             qr_hash_str(m->name, g->operator.end) < own;
+    }
+    return n;
+}
+
 /* How gladly a gateway is asked: the nearer, then any, by turns. */
 static uint64_t preference(const QRGateway *g, const QRFleetMember *m)
 {
-    bool near = g_strcmp0(m->region, g->set->region) == 0;
     uint64_t dice = qr_hash_str(m->name, g->fetches) >> 1;
 
-    return near ? dice : dice | UINT64_C(1) << 63;
+    return is_near(g, m) ? dice : dice | UINT64_C(1) << 63;
 }
 
 /* The connection of a gateway that knows more than we do, or NULL. */
@@ -49,20 +80,11 @@
     return best;
 }
 
-void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms)
+static void ask_teller(QRGateway *g, QRPeerConn *teller, uint64_t now_ms)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
-    QRPeerConn *teller;
 
-    if (g->behind_ms == 0 || now_ms < g->behind_ms + BEHIND_MS ||
-        now_ms < g->fetch_ms + ASK_AGAIN_MS)
-        return;
-    teller = choose_teller(g);
-    if (!teller) {
-        g->behind_ms = 0;
-        return;
-    }
     g->fetch_ms = now_ms;
     g->fetches++;
     fetch.offset = g->operator.end;
@@ -75,3 +97,30 @@
             g->operator.end, now_ms - g->behind_ms,
             ((const QRFleetMember *)qr_peer_data(teller))->name);
 }
+
+void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms)
+{
+    uint64_t due = g->behind_ms + (g->reading_rests ? 0 : BEHIND_MS);
+    QRPeerConn *teller;
+
+    if (g->behind_ms == 0 || now_ms < due ||
+        (g->fetch_ms > 0 && now_ms < g->fetch_ms + ASK_AGAIN_MS))
+        return;
+    teller = choose_teller(g);
+    if (!teller) {
+        g->behind_ms = 0;
+        return;
+    }
+    if (is_near(g, qr_peer_data(teller)) ||
+        now_ms >= due + near_before(g, now_ms) * FAR_TURN_MS)
+        ask_teller(g, teller, now_ms);
+}
+
+void qr_gateway_operator_heard(QRGateway *g, const Qr__Fleet__Records *records)
+{
+    qr_operator_heard(&g->operator, records, qr_gateway_now(g));
+    g->fetch_ms = g->behind_ms = 0; /* who still knows more says so again */
+    /* what a peer told is not read once more from the store */
+    if (g->operator.end >= records->end)
+        qr_follower_skip(g->follow_operator, records->end);
+}
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -292,7 +292,7 @@
             qr_gateway_share_records(g, member, frame->records);
             break;
         }
-        qr_operator_heard(&g->operator, frame->records, qr_gateway_now(g));
+        qr_gateway_operator_heard(g, frame->records);
         break;
     default:
         break;
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -1,20 +1,27 @@
 /*
- * Engines' records shared among gateways.
+ * Records of the store shared among gateways.
  *
- * Two gateways read them from the store: of those whose reading is fresh, the
- * first in an order that all agree on. The others pause theirs, and ask a
- * reader when its heartbeat says that something changed. Who no longer hears
- * of two fresh readers before it reads for itself again, so the death of both
- * costs no more than the time in which a reading stays fresh.
+ * Two gateways read them: of those whose reading is fresh, the first in an
+ * order that all agree on. The others rest theirs. Readers tell in heartbeats
+ * what they know; who knows less asks for engines' changes here, and for the
+ * operator's records in qr_gateway_catchup.c. So what is long crosses the link
+ * to the store's region twice, not once for each gateway.
+ *
+ * Who no longer hears of two fresh readers before it reads for itself. The
+ * first in the order do so at once, the others one after the other: were all to
+ * begin, the store's return would find all of them asking for everything.
  */
 #include "qr_gateway.h"
 
 #include <string.h>
 
 #define READERS 2
-#define FRESH_MS 1000       /* a reading answered so long ago is not */
+/* A reading answered so long ago is not fresh: one read may be lost (a read
+   each 500 ms, given up after 800). */
+#define FRESH_MS 1500
 #define PAUSE_AFTER_MS 1500 /* there have been two readers for so long */
 #define ASK_AGAIN_MS 150
+#define TURN_MS 250 /* between two that begin to read for want of others */
 #define UNSEEN_MOST_MS 500 /* a change that no reader tells us for so long */
 #define FORGET_MS 600000   /* engines that are gone */
 
@@ -48,6 +55,14 @@
     g->engines_changed = MAX(g->engines_changed, r->offset);
 }
 
+bool qr_gateway_engine_is_outdated(const QRGateway *g, const char *id,
+                                   uint64_t offset)
+{
+    const EngineChange *c = g_hash_table_lookup(g->engine_changes, id);
+
+    return c && c->offset > offset;
+}
+
 static gboolean is_forgotten(void *key, void *value, void *now)
 {
     const EngineChange *c = value;
@@ -67,10 +82,12 @@
     return qr_hash_str(name, 7);
 }
 
-static bool is_fresh(const QRFleetMember *m, uint64_t now_ms)
+static bool is_fresh(const QRGateway *g, const QRFleetMember *m,
+                     uint64_t now_ms)
 {
     return m->engines_read_ms > 0 && !m->leaving &&
-           now_ms < m->engines_read_ms + FRESH_MS;
+           now_ms < m->engines_read_ms + FRESH_MS &&
+           qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms);
 }
 
 /* Readers that come before us in the order. */
@@ -83,39 +100,91 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        n += is_fresh(m, now_ms) && rank(m->name) < rank(g->set->host);
+        n += is_fresh(g, m, now_ms) && rank(m->name) < rank(g->set->host);
     }
     return n;
 }
 
+/* Gateways heard from lately that come before us in the order. */
+static unsigned alive_before(const QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        n += qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms) &&
+             !m->leaving && rank(m->name) < rank(g->set->host);
+    }
+    return n;
+}
+
+/* Too few read: is it for us to begin? */
+static bool is_our_turn(const QRGateway *g, uint64_t now_ms)
+{
+    unsigned before = alive_before(g, now_ms);
+
+    return before < READERS ||
+           now_ms >= g->readers_lack_ms + (before - READERS + 1) * TURN_MS;
+}
+
+/* Offset of the last change of engines' records that we know of. */
+static uint64_t seen(const QRGateway *g)
+{
+    uint64_t next = qr_follower_offset(g->follow_engines);
+    uint64_t read = next > 0 ? next - 1 : 0;
+
+    if (g->reading_rests)
+        return g->engines_seen;
+    return MAX(g->engines_seen, MAX(g->engines_changed, read));
+}
+
 static void set_reading(QRGateway *g, bool reads)
 {
-    qr_logf(QR_LEVEL_INFO, "engines", "%s seen=%" G_GUINT64_FORMAT,
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "%s seen=%" G_GUINT64_FORMAT " operator=%" G_GUINT64_FORMAT,
             reads ? "read from the store" : "heard from other gateways",
-            g->engines_seen);
-    g->engines_shared = !reads;
+            g->engines_seen, g->operator.end);
+    g->reading_rests = !reads;
     qr_follower_pause(g->follow_engines, !reads);
+    qr_follower_pause(g->follow_operator, !reads);
     if (reads)
         qr_follower_restart(g->follow_engines);
 }
 
-static void choose_reading(QRGateway *g, uint64_t now_ms)
+/* Our own reading was answered a moment ago. */
+static bool is_reading_fresh(const QRGateway *g, uint64_t now_ms)
+{
+    return !g->reading_rests && qr_follower_reached(g->follow_engines) &&
+           now_ms < qr_follower_answered_ms(g->follow_engines) + FRESH_MS;
+}
+
+/* Others read in our place: ours rests once that has been so for a while. */
+static void choose_rest(QRGateway *g, uint64_t now_ms)
 {
-    if (readers_before(g, now_ms) < READERS) {
-        g->readers_since_ms = 0;
-        if (g->engines_shared)
-            set_reading(g, true);
-        return;
-    }
     if (g->readers_since_ms == 0)
         g->readers_since_ms = now_ms;
-    if (!g->engines_shared && g->engines_known &&
-        now_ms >= g->readers_since_ms + PAUSE_AFTER_MS) {
-        uint64_t next = qr_follower_offset(g->follow_engines);
+    if (g->reading_rests || !g->engines_known ||
+        !g->operator.policy || now_ms<g->readers_since_ms + PAUSE_AFTER_MS)
+        return;
+    g->engines_seen = seen(g);
+    set_reading(g, false);
+}
 
-        g->engines_seen = MAX(g->engines_changed, next > 0 ? next - 1 : 0);
-        set_reading(g, false);
+static void choose_reading(QRGateway *g, uint64_t now_ms)
+{
+    if (readers_before(g, now_ms) >= READERS) {
+        g->readers_lack_ms = 0;
+        choose_rest(g, now_ms);
+        return;
     }
+    g->readers_since_ms = 0;
+    if (g->readers_lack_ms == 0)
+        g->readers_lack_ms = now_ms;
+    if (g->reading_rests && is_our_turn(g, now_ms))
+        set_reading(g, true);
 }
 
 /*
@@ -126,13 +195,14 @@
 static QRPeerConn *choose_reader(const QRGateway *g, uint64_t now_ms)
 {
     QRPeerConn *best = NULL;
+    uint64_t known = seen(g);
 
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *m = qr_peer_data(g->followers->pdata[i]);
 
         if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 ||
-            !is_fresh(m, now_ms) || m->engines_changed <= g->engines_seen ||
-            m->engines_since > g->engines_seen + 1)
+            !is_fresh(g, m, now_ms) || m->engines_changed <= known ||
+            m->engines_since > known + 1)
             continue;
         if (!best || g_strcmp0(m->region, g->set->region) == 0)
             best = g->followers->pdata[i];
@@ -149,7 +219,7 @@
     if (!reader || now_ms < g->engines_asked_ms + ASK_AGAIN_MS)
         return;
     g->engines_asked_ms = now_ms;
-    fetch.offset = g->engines_seen; /* once more: two may share an offset */
+    fetch.offset = seen(g); /* once more: two may share an offset */
     fetch.engines = true;
     frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
     frame.fetch = &fetch;
@@ -166,7 +236,8 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        unseen |= is_fresh(m, now_ms) && m->engines_changed > g->engines_seen;
+        unseen |=
+            is_fresh(g, m, now_ms) && m->engines_changed > g->engines_seen;
     }
     if (!unseen)
         g->engines_unseen_ms = 0;
@@ -178,10 +249,11 @@
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms)
 {
     choose_reading(g, now_ms);
-    if (!g->engines_shared)
+    /* a reading that the store does not answer is no reason to know less */
+    if (is_reading_fresh(g, now_ms) || !g->engines_known)
         return;
     ask_reader(g, now_ms);
-    if (is_left_out(g, now_ms)) {
+    if (g->reading_rests && is_left_out(g, now_ms)) {
         g->readers_since_ms = g->engines_unseen_ms = 0;
         set_reading(g, true);
     }
@@ -197,7 +269,7 @@
                                   : 0;
     member->engines_changed = load->engines_changed;
     member->engines_since = load->engines_since;
-    if (g->engines_shared)
+    if (g->engines_known && !is_reading_fresh(g, now))
         ask_reader(g, now);
 }
 
@@ -205,15 +277,17 @@
 {
     uint64_t answered = qr_follower_answered_ms(g->follow_engines);
     bool news = g->engines_changed != g->engines_changed_told;
+    bool operator_news = g->operator.end != g->operator_told;
 
-    load->reads_engines = !g->engines_shared && g->engines_known &&
+    load->reads_engines = !g->reading_rests && g->engines_known &&
                           qr_follower_reached(g->follow_engines);
     load->engines_age_ms =
         (uint32_t)(qr_gateway_now(g) - MIN(answered, qr_gateway_now(g)));
     load->engines_changed = g->engines_changed;
     load->engines_since = g->engines_since;
     g->engines_changed_told = g->engines_changed;
-    return load->reads_engines && news;
+    g->operator_told = g->operator.end;
+    return (load->reads_engines && news) || operator_news;
 }
 
 void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset)
@@ -252,8 +326,6 @@
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records)
 {
-    if (!g->engines_shared)
-        return; /* the store says it itself by now */
     for (size_t i = 0; i < records->n_records; i++) {
         const Qr__Fleet__Record *told = records->records[i];
         QRStoreRecord r = {told->key, NULL, told->offset};
--- a/src/net/qr_whole.c
+++ b/src/net/qr_whole.c
@@ -114,6 +114,11 @@
     return w;
 }
 
+bool qr_whole_began(const QRWhole *w)
+{
+    return w->status != 0;
+}
+
 void qr_whole_cancel(QRWhole *w)
 {
     if (!w)
--- a/src/net/qr_whole.h
+++ b/src/net/qr_whole.h
@@ -31,6 +31,8 @@
 
 QRWhole *qr_whole_send(QRClient *client, const QRWholeRequest *request,
                        QRWholeDone done, void *owner, unsigned ref);
+/* Whether the head of the answer has come. */
+bool qr_whole_began(const QRWhole *w);
 /* 'done' is not called. NULL is allowed. */
 void qr_whole_cancel(QRWhole *w);
 
