--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -56,6 +56,90 @@
         assert f.log("g1").count("in force version=1") == 1
 
 
+def test_the_first_of_a_region_asks_other_regions():
+    """Bench: CONFIG. What only other regions knew, each gateway of a region
+    asked for over the same narrow link."""
+    with Fleet(gateways=3, plain=0, dark_stores=(0, 1, 2)) as f:
+        names = [f"g{i}" for i in range(3)]
+        for n in names:
+            wait_for("all to meet", lambda n=n: all(
+                f"new name={m}" in f.log(n) for m in names if m != n))
+        time.sleep(0.5)  # heartbeats of each have come
+        know = [Peer(p, hello("know", "gateway", region="r9",
+                              control_offset=3)) for p in f.peers]
+        end = time.monotonic() + 0.35
+        while time.monotonic() < end and not any(
+                "asked=know" in f.log(n) for n in names):
+            time.sleep(0.01)
+        time.sleep(0.1)
+        assert sum("asked=know" in f.log(n) for n in names) == 1
+        # one that is given no answer is not all that the region has
+        wait_for("the others' turns", lambda: all(
+            "asked=know" in f.log(n) for n in names), 1.5)
+        for p in know:
+            p.conn.close()
+
+
+def test_half_a_listing_says_nothing():
+    """A gateway that has taken the first page of a listing must not tell
+    others that it knows all up to the newest record on it."""
+    with Fleet(gateways=0, plain=0) as f:
+        f.store.put("keyed.op", "version/m1", {"model": "m1", "version": 2})
+        f.store.put("keyed.op", "config", policy(2, f.origin.address))
+        f.store.page = 1
+        f.store.next_page.clear()
+        f.add_gateways(1)
+        wait_for("a second page to be asked for",
+                 lambda: f.store.reads.get("keyed.op", 0) >= 2)
+        half = Peer(f.peers[0], hello("half", "gateway"))
+        assert half.frame().hello.control_offset == 0
+        f.store.next_page.set()
+        f.wait_ready()
+        whole = Peer(f.peers[0], hello("whole", "gateway"))
+        assert whole.frame().hello.control_offset == 3
+        wait_for("the second page",
+                 lambda: "named model=m1 version=2" in f.log("g0"), 2)
+
+
+def tell_for(peers, load, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for p in peers:
+            p.send(load=load)
+        time.sleep(0.1)
+
+
+def test_who_the_store_leaves_out_asks_those_who_read():
+    """Bench: DRAIN. A gateway whose own reading failed for 3 s took nothing
+    from those that the store answered."""
+    with Fleet(plain=2) as f:
+        f.wait_ready()
+        f.store.take_down()
+        wait_for("the store to be lost", lambda: "lost topic=engines"
+                 in f.log("g0"))
+        reader = Peer(f.peers[0], hello("reader", "gateway"))
+        load = fleet_pb2.Load(whole=True, reads_engines=True,
+                              engines_age_ms=10, engines_changed=7)
+        tell_for([reader], load, 0.5)
+        assert any(x.HasField("fetch") and x.fetch.engines
+                   for x in reader.frames_for(0.5))
+        leaving = json.dumps(f.plain[0].record("draining")).encode()
+        reader.send(records=fleet_pb2.Records(
+            engines=True, end=7, records=[fleet_pb2.Record(
+                key="p0", value=leaving, offset=7)]))
+        wait_for("the told change", lambda: "draining engine=p0"
+                 in f.log("g0"), 1)
+        # the store comes back with a record that is older than that
+        f.store.bring_up()
+        f.store.put("keyed.servers", "p0", f.plain[0].record())
+        wait_for("the store", lambda: f.log("g0").count(
+            "reached topic=engines") == 2)
+        f.store.put("keyed.servers", "p1", f.plain[1].record("draining"))
+        wait_for("what stands behind it",
+                 lambda: "draining engine=p1" in f.log("g0"), 3)
+        assert "ready again engine=p0" not in f.log("g0")
+
+
 def test_a_gateway_that_lost_power_is_dialled_again():
     """Bench: DRAIN. Its old connection stood open at the other side, so it
     was never dialled again, nor told what it asked for."""
