Gateways ask for one another's names; nobody is sent them unasked

Now hello and heartbeat say how many gateways one knows; who knows fewer asks one that knows more, one every 300 ms, nobody twice for the same number, and gets one frame. test_gateways_are_told_of_gateways_only had rested on the push; it now asks, and checks that nothing comes unasked. Ruled out: passing newcomers on to all (was hearsay that went round for ever).

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -69,6 +69,7 @@
     uint64_t services_told; /* hash of what sidecars were told of services */
     uint64_t behind_ms;     /* since when a peer knows more; 0: none does */
     uint64_t fetch_ms;      /* when one was asked last */
+    uint64_t meet_ms;       /* when one was asked for gateways last */
     uint64_t fetches;
     unsigned heartbeats;    /* so far */
     unsigned gateways_most; /* seen at once, this one too */
@@ -91,6 +92,12 @@
                            uint64_t offset);
 /* Asks one that knows more, when due. */
 void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
+/* Gateways that are known and stay, this one too. */
+unsigned qr_gateway_count(const QRGateway *g);
+/* Asks one that knows more gateways, when due. */
+void qr_gateway_meet(QRGateway *g, uint64_t now_ms);
+/* Tells one that asked which gateways there are. */
+void qr_gateway_introduce(const QRGateway *g, QRPeerConn *peer);
 /* Operator's records that we asked another gateway for. */
 void qr_gateway_operator_heard(QRGateway *g, const Qr__Fleet__Records *records);
 /* An engine's record, from the store or from a gateway that reads it. */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -64,6 +64,7 @@
     hello->incarnation = g->incarnation;
     hello->control_offset = g->operator.end;
     hello->leaving = g->stopping_ms > 0;
+    hello->gateways = qr_gateway_count(g);
 }
 
 static void send_member(QRPeerConn *peer, const QRFleetMember *member,
@@ -99,12 +100,11 @@
 }
 
 /*
- * All that a process needs to know that has just come. Gateways are told of
- * gateways only: each sidecar greets every gateway itself.
+ * All that a sidecar needs to know that has just come. Gateways ask for what
+ * they lack: see qr_gateway_meet.c and qr_gateway_catchup.c.
  */
-static void welcome(QRGateway *g, QRPeerConn *peer, uint64_t known)
+static void welcome_sidecar(QRGateway *g, QRPeerConn *peer, uint64_t known)
 {
-    bool to_sidecar = is_sidecar(qr_peer_data(peer));
     GHashTableIter it;
     void *value;
 
@@ -112,20 +112,19 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QRFleetMember *member = value;
 
-        if (is_sidecar(member) ? !to_sidecar : member->leaving)
+        if (!is_sidecar(member) && member->leaving)
             continue;
         send_member(peer, value, false);
         send_held(peer, value);
     }
-    if (to_sidecar)
-        qr_operator_tell(&g->operator, known, QR_FOR_SIDECARS,
-                         qr_gateway_now(g), tell_follower, peer);
+    qr_operator_tell(&g->operator, known, QR_FOR_SIDECARS, qr_gateway_now(g),
+                     tell_follower, peer);
 }
 
 /*
- * A member is new. A new gateway is dialled, and welcomes us with all that it
- * knows, as we do when it dials back; so gateways need not pass it on to other
- * gateways. Sidecars have only the one gateway that they follow.
+ * A member is new. A new gateway is dialled, and dials back; other gateways
+ * see that we know more than they do, and ask. Sidecars have only the one
+ * gateway that they follow.
  */
 static void heard_of(QRGateway *g, const QRFleetMember *member)
 {
@@ -159,8 +158,10 @@
     qr_peer_set_far(peer, g_strcmp0(h->region, g->set->region) != 0);
     if (news)
         heard_of(g, news);
-    if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer))
+    if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer)) {
         qr_gateway_peer_knows(g, qr_peer_data(peer), h->control_offset);
+        ((QRFleetMember *)qr_peer_data(peer))->gateways = h->gateways;
+    }
     if (qr_peer_dialled(peer))
         return; /* the other side welcomes us */
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
@@ -172,7 +173,8 @@
     if (!g_ptr_array_find(g->followers, peer, NULL) &&
         (h->follow || strcmp(h->role, QR_ROLE_GATEWAY) == 0)) {
         g_ptr_array_add(g->followers, peer);
-        welcome(g, peer, h->control_offset);
+        if (is_sidecar(qr_peer_data(peer)))
+            welcome_sidecar(g, peer, h->control_offset);
     }
 }
 
@@ -199,6 +201,7 @@
                       const Qr__Fleet__Load *load)
 {
     qr_gateway_peer_knows(g, member, load->control_offset);
+    member->gateways = load->gateways;
     qr_gateway_share_told(g, member, load);
     if (load->whole)
         qr_engines_forget_gateway(&g->engines, member->name);
@@ -280,6 +283,10 @@
         peer_engine_state(g, member, frame->engine_state);
         break;
     case QR__FLEET__FRAME__BODY_FETCH:
+        if (frame->fetch->gateways) {
+            qr_gateway_introduce(g, peer);
+            break;
+        }
         if (frame->fetch->engines) {
             qr_gateway_share_answer(g, peer, frame->fetch->offset);
             break;
@@ -437,6 +444,7 @@
     load->n_engines = rows->len;
     load->leaving = g->stopping_ms > 0;
     load->control_offset = g->operator.end;
+    load->gateways = qr_gateway_count(g);
     frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
     frame.load = load;
     /* gateways that dialled us hear us on that connection */
@@ -456,6 +464,7 @@
     unsigned turn = ++g->heartbeats;
     bool is_due, is_news;
 
+    qr_gateway_meet(g, now_ms);
     qr_gateway_catch_up(g, now_ms);
     qr_gateway_share_tick(g, now_ms);
     g->gateways_most = MAX(g->gateways_most, qr_gateway_peers_alive(g, now_ms));
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &qr__fleet__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[12] =
+static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[13] =
 {
   {
     "name",
@@ -648,12 +648,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gateways",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = availability_zone */
   7,   /* field[7] = control_offset */
   9,   /* field[9] = follow */
+  12,   /* field[12] = gateways */
   11,   /* field[11] = gone */
   5,   /* field[5] = incarnation */
   10,   /* field[10] = leaving */
@@ -666,7 +679,7 @@
 static const ProtobufCIntRange qr__fleet__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor qr__fleet__hello__descriptor =
 {
@@ -676,7 +689,7 @@
   "Qr__Fleet__Hello",
   "qr.fleet",
   sizeof(Qr__Fleet__Hello),
-  12,
+  13,
   qr__fleet__hello__field_descriptors,
   qr__fleet__hello__field_indices_by_name,
   1,  qr__fleet__hello__number_ranges,
@@ -785,7 +798,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[9] =
 {
   {
     "engines",
@@ -883,6 +896,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gateways",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
@@ -890,6 +915,7 @@
   5,   /* field[5] = engines_age_ms */
   6,   /* field[6] = engines_changed */
   7,   /* field[7] = engines_since */
+  8,   /* field[8] = gateways */
   2,   /* field[2] = leaving */
   4,   /* field[4] = reads_engines */
   1,   /* field[1] = whole */
@@ -897,7 +923,7 @@
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -907,7 +933,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  8,
+  9,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
@@ -1210,7 +1236,7 @@
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[3] =
 {
   {
     "offset",
@@ -1236,15 +1262,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gateways",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
   1,   /* field[1] = engines */
+  2,   /* field[2] = gateways */
   0,   /* field[0] = offset */
 };
 static const ProtobufCIntRange qr__fleet__fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor =
 {
@@ -1254,7 +1293,7 @@
   "Qr__Fleet__Fetch",
   "qr.fleet",
   sizeof(Qr__Fleet__Fetch),
-  2,
+  3,
   qr__fleet__fetch__field_descriptors,
   qr__fleet__fetch__field_indices_by_name,
   1,  qr__fleet__fetch__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -99,10 +99,14 @@
    * the sender lost it
    */
   protobuf_c_boolean gone;
+  /*
+   * that the sender knows, itself too
+   */
+  uint32_t gateways;
 };
 #define QR__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -170,10 +174,14 @@
    * it knows all changes from this offset on
    */
   uint64_t engines_since;
+  /*
+   * as in Hello
+   */
+  uint32_t gateways;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -268,10 +276,14 @@
    * engines' records in place of the operator's
    */
   protobuf_c_boolean engines;
+  /*
+   * no records: which gateways there are
+   */
+  protobuf_c_boolean gateways;
 };
 #define QR__FLEET__FETCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__fetch__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Qr__Fleet__Want
