--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -121,7 +121,10 @@
 void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset);
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records);
-/* Tells peers our load and who is there, when due. */
+/* What another gateway said at its heartbeat. */
+void qr_gateway_load_told(QRGateway *g, QRFleetMember *member,
+                          const Qr__Fleet__Load *load);
+/* Tells peers our load and what we know, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /*
  * An engine leaves, or stays after all: the sidecar beside it will soon be no
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -7,8 +7,6 @@
 
 #define SIDECAR_LEASE_MS 2500 /* it tells its state once a second */
 #define REDIAL_MS 700         /* for a lost connection to come back */
-#define HEARTBEAT_REST 8      /* heartbeats between two that say all anew */
-#define READER_REST 2         /* ... of one in whose place others do not read */
 
 static bool is_sidecar(const QRFleetMember *member)
 {
@@ -197,27 +195,6 @@
     }
 }
 
-static void peer_load(QRGateway *g, QRFleetMember *member,
-                      const Qr__Fleet__Load *load)
-{
-    qr_gateway_peer_knows(g, member, load->control_offset);
-    member->gateways = load->gateways;
-    qr_gateway_share_told(g, member, load);
-    if (load->whole)
-        qr_engines_forget_gateway(&g->engines, member->name);
-    for (size_t i = 0; i < load->n_engines; i++) {
-        QRToldLoad told = {load->engines[i]->open, load->engines[i]->reading,
-                           qr_gateway_now(g)};
-
-        qr_engines_told_load(&g->engines, load->engines[i]->engine,
-                             member->name, &told);
-    }
-    if (member->leaving != load->leaving)
-        qr_logf(QR_LEVEL_INFO, "members", "%s name=%s",
-                load->leaving ? "leaving" : "staying", member->name);
-    member->leaving = load->leaving;
-}
-
 static void engine_told(QRGateway *g, const Qr__Fleet__EngineState *state)
 {
     QREngine *e = qr_engines_at(&g->engines, state->engine_address);
@@ -277,7 +254,7 @@
         peer_members(g, frame->members);
         break;
     case QR__FLEET__FRAME__BODY_LOAD:
-        peer_load(g, member, frame->load);
+        qr_gateway_load_told(g, member, frame->load);
         break;
     case QR__FLEET__FRAME__BODY_ENGINE_STATE:
         peer_engine_state(g, member, frame->engine_state);
@@ -407,81 +384,3 @@
             qr_member_alive(list->pdata[i], (uint64_t)g->set->lease_ms, now_ms);
     return alive;
 }
-
-/* The load message: engines whose open calls changed since it was last told. */
-static void load_collect(QRGateway *g, GArray *rows, bool whole)
-{
-    GHashTableIter it;
-    void *value;
-
-    g_hash_table_iter_init(&it, g->engines.by_id);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        QREngine *e = value;
-        Qr__Fleet__EngineLoad row = QR__FLEET__ENGINE_LOAD__INIT;
-
-        bool changed = e->own != e->own_told || e->reading != e->reading_told;
-
-        e->own_told = e->own;
-        e->reading_told = e->reading;
-        if (whole ? e->own == 0 : !changed)
-            continue;
-        row.engine = e->record->id;
-        row.open = e->own;
-        row.reading = e->reading;
-        g_array_append_val(rows, row);
-    }
-}
-
-static void load_send(QRGateway *g, GArray *rows, Qr__Fleet__Load *load)
-{
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    g_autofree Qr__Fleet__EngineLoad **list =
-        g_new0(Qr__Fleet__EngineLoad *, rows->len + 1);
-
-    for (unsigned i = 0; i < rows->len; i++)
-        list[i] = &g_array_index(rows, Qr__Fleet__EngineLoad, i);
-    load->engines = list;
-    load->n_engines = rows->len;
-    load->leaving = g->stopping_ms > 0;
-    load->control_offset = g->operator.end;
-    load->gateways = qr_gateway_count(g);
-    frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
-    frame.load = load;
-    /* gateways that dialled us hear us on that connection */
-    for (unsigned i = 0; i < g->followers->len; i++) {
-        const QRFleetMember *to = qr_peer_data(g->followers->pdata[i]);
-
-        if (to && strcmp(to->role, QR_ROLE_GATEWAY) == 0)
-            qr_peer_send(g->followers->pdata[i], &frame);
-    }
-}
-
-void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms)
-{
-    g_autoptr(GArray) rows =
-        g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
-    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
-    unsigned turn = ++g->heartbeats;
-    bool is_due, is_news;
-
-    qr_gateway_meet(g, now_ms);
-    qr_gateway_catch_up(g, now_ms);
-    qr_gateway_share_tick(g, now_ms);
-    g->gateways_most = MAX(g->gateways_most, qr_gateway_peers_alive(g, now_ms));
-    load.whole = turn % HEARTBEAT_REST == 0;
-    load_collect(g, rows, load.whole);
-    is_news = qr_gateway_share_tell(g, &load);
-    is_due = load.reads_engines && turn % READER_REST == 0;
-    if (rows->len > 0 || load.whole || is_news || is_due)
-        load_send(g, rows, &load);
-}
-
-void qr_gateway_tell_leaving(QRGateway *g)
-{
-    g_autoptr(GArray) rows =
-        g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__EngineLoad));
-    Qr__Fleet__Load load = QR__FLEET__LOAD__INIT;
-
-    qr_gateway_share_tell(g, &load);
-    load_send(g, rows, &load);
-}
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -82,31 +82,26 @@
     return qr_hash_str(name, 7);
 }
 
-static bool is_fresh(const QRGateway *g, const QRFleetMember *m,
+static bool is_alive(const QRGateway *g, const QRFleetMember *m,
                      uint64_t now_ms)
 {
-    return m->engines_read_ms > 0 && !m->leaving &&
-           now_ms < m->engines_read_ms + FRESH_MS &&
+    return !m->leaving &&
            qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms);
 }
 
-/* Readers that come before us in the order. */
-static unsigned readers_before(const QRGateway *g, uint64_t now_ms)
+static bool is_fresh(const QRGateway *g, const QRFleetMember *m,
+                     uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) list =
-        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < list->len; i++) {
-        const QRFleetMember *m = list->pdata[i];
-
-        n += is_fresh(g, m, now_ms) && rank(m->name) < rank(g->set->host);
-    }
-    return n;
+    return m->engines_read_ms > 0 && now_ms < m->engines_read_ms + FRESH_MS &&
+           is_alive(g, m, now_ms);
 }
 
-/* Gateways heard from lately that come before us in the order. */
-static unsigned alive_before(const QRGateway *g, uint64_t now_ms)
+typedef bool (*MemberTest)(const QRGateway *g, const QRFleetMember *m,
+                           uint64_t now_ms);
+
+/* Gateways of which 'test' is true that come before us in the order. */
+static unsigned count_before(const QRGateway *g, MemberTest test,
+                             uint64_t now_ms)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
@@ -115,8 +110,7 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        n += qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms) &&
-             !m->leaving && rank(m->name) < rank(g->set->host);
+        n += test(g, m, now_ms) && rank(m->name) < rank(g->set->host);
     }
     return n;
 }
@@ -124,7 +118,7 @@
 /* Too few read: is it for us to begin? */
 static bool is_our_turn(const QRGateway *g, uint64_t now_ms)
 {
-    unsigned before = alive_before(g, now_ms);
+    unsigned before = count_before(g, is_alive, now_ms);
 
     return before < READERS ||
            now_ms >= g->readers_lack_ms + (before - READERS + 1) * TURN_MS;
@@ -175,7 +169,7 @@
 
 static void choose_reading(QRGateway *g, uint64_t now_ms)
 {
-    if (readers_before(g, now_ms) >= READERS) {
+    if (count_before(g, is_fresh, now_ms) >= READERS) {
         g->readers_lack_ms = 0;
         choose_rest(g, now_ms);
         return;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -189,7 +189,7 @@
      "if (g->reading_rests && is_left_out(g, now_ms)) {", "if (false) {",
      "members::nobody_tells"),
     ("all-read-engines", 5, "gateway/qr_gateway_share.c",
-     "if (readers_before(g, now_ms) >= READERS) {", "if (false) {",
+     "if (count_before(g, is_fresh, now_ms) >= READERS) {", "if (false) {",
      "members::two_gateways"),
     ("who-knows-less-is-asked", 5, "gateway/qr_gateway_share.c",
      "m->engines_since > known + 1)", "false)",
--- a/tests/narrow_link.py
+++ b/tests/narrow_link.py
@@ -4,30 +4,26 @@
 import threading
 import time
 
+from standin_platform import Server
+
 PART_BYTES = 65536  # a connection has so much in the queue, as its window
 
 
-class NarrowLink:
+class NarrowLink(Server):
     def __init__(self, target, bytes_per_s):
         self.target = target
         self.bytes_per_s = bytes_per_s
         self.sent = 0
         self.free_at = 0.0  # when the link has sent all that it was given
-        self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
+        super().__init__()
 
-    def accept(self):
-        while True:
-            try:
-                near, _ = self.listener.accept()
-                far = self.dial()
-            except OSError:
-                return
-            for args in ((near, far, False), (far, near, True)):
-                threading.Thread(target=self.forward, args=args,
-                                 daemon=True).start()
+    def serve(self, conn):
+        with self.dial() as far:
+            threading.Thread(target=self.forward, args=(conn, far, False),
+                             daemon=True).start()
+            self.forward(far, conn, True)
+        self.open.discard(conn)
+        conn.close()
 
     def dial(self):
         host, port = self.target.rsplit(":", 1)
@@ -61,6 +57,3 @@
             self.free_at = max(self.free_at, now) + size / self.bytes_per_s
             until = self.free_at
         time.sleep(max(until - now, 0))
-
-    def close(self):
-        self.listener.close()
