Sidecars read the store only when they follow no gateway

Now a gateway that knows none is enough: it hears from others as soon as any does. Ruled out: a longer patience, which only moves the moment. Test: test_sidecars_do_not_read_the_store_for_a_gateway_that_knows_nothing, red with the mechanism switched off (mutant).

--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -158,10 +158,12 @@
 /* Others read in our place: ours rests once that has been so for a while. */
 static void choose_rest(QRGateway *g, uint64_t now_ms)
 {
+    bool knows_all = g->engines_known && g->operator.policy;
+
     if (g->readers_since_ms == 0)
         g->readers_since_ms = now_ms;
-    if (g->reading_rests || !g->engines_known ||
-        !g->operator.policy || now_ms<g->readers_since_ms + PAUSE_AFTER_MS)
+    if (g->reading_rests || !knows_all ||
+        now_ms - g->readers_since_ms < PAUSE_AFTER_MS)
         return;
     g->engines_seen = seen(g);
     set_reading(g, false);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -14,8 +14,8 @@
 #define CONNECT_MS 400
 #define STORE_TIMEOUT_MS 800
 #define STORE_WAIT_MS 2000
-/* Without a gateway to tell us: a gateway that starts is reached and has a
-   configuration in well under a second; a version's bound is many. */
+/* Without a gateway to tell us: one that starts is reached in well under a
+   second; a version's bound is many. */
 #define ALONE_MS 2000
 
 uint64_t qr_sidecar_now(const QRSidecar *s)
@@ -165,22 +165,24 @@
 
 /*
  * The gateway that we follow tells us what concerns us. What the store would
- * send is many times as long, and crosses regions: it is read only once no
- * gateway has told us anything for a while.
+ * send is many times as long, and crosses regions: it is read only once we have
+ * followed none for a while. One that knows no configuration hears of it from
+ * others as soon as any does; were all sidecars to read for themselves then,
+ * the store's return would find them all asking for everything.
  */
 static void choose_reading(QRSidecar *s, uint64_t now)
 {
     bool reads;
 
-    if (s->followed && s->operator.policy)
-        s->told_ms = now;
-    reads = now >= s->told_ms + ALONE_MS;
+    if (s->followed)
+        s->followed_ms = now;
+    reads = now >= s->followed_ms + ALONE_MS;
     if (reads == s->reads_store)
         return;
     s->reads_store = reads;
     qr_logf(QR_LEVEL_INFO, "store", "%s alone_ms=%" G_GUINT64_FORMAT,
             reads ? "read by ourselves" : "heard from a gateway",
-            now - s->told_ms);
+            now - s->followed_ms);
     qr_follower_pause(s->follow_operator, !reads);
 }
 
@@ -294,7 +296,7 @@
     s->follow_operator = qr_follower_new(s->to_store, s->platform,
                                          &operator, & operator_handlers, s);
     qr_follower_pause(s->follow_operator, true);
-    s->told_ms = qr_sidecar_now(s);
+    s->followed_ms = qr_sidecar_now(s);
     for (unsigned i = 0; i < s->set->seeds->len; i++)
         qr_peers_dial(s->peers, s->set->seeds->pdata[i]);
 }
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -78,8 +78,7 @@
     QRFollower *follow_operator;
     QRPeerNet *peers;
     QRPeerConn *followed; /* the gateway that tells us what it hears */
-    uint64_t told_ms;     /* when a gateway that knows a configuration was last
-                             followed, or the process began */
+    uint64_t followed_ms; /* until when one was followed, or the start */
     bool reads_store;     /* we read the operator's records ourselves */
     GPtrArray *gateways;  /* QRPeerConn *: dialled and open */
     QRServer *metrics;
--- a/tests/test_region_links.py
+++ b/tests/test_region_links.py
@@ -121,3 +121,18 @@
         time.sleep(0.5)
         # the gateway itself waits for news in one read after the other
         assert f.store.reads["keyed.op"] - reads <= 2
+
+
+def test_sidecars_do_not_read_the_store_for_a_gateway_that_knows_nothing():
+    """Once the store returns, gateways tell one another; a hundred sidecars
+    that had begun to ask would all be sent everything."""
+    with Fleet(gateways=1, plain=0, dark_stores=(0,)) as f:
+        engine = f.add_engine("e0", "engines", "m1", 1)
+        f.start_sidecar(0, engine)
+        wait_for("the sidecar to reach the gateway",
+                 lambda: "gateway reached" in f.log("s0"))
+        time.sleep(2.5)
+        assert "keyed.op" not in f.store.reads
+        f.procs["g0"].kill()
+        wait_for("the sidecar to read for itself",
+                 lambda: "in force version=1" in f.log("s0"), 6)
