Tests: packing, what each audience is told, bytes by kind and reach in metrics

Unit: a packed text comes back, anything else does not; a configuration of 200 routes reaches a gateway whole (compressed) and a sidecar without routes, at the same offset and with the same services.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -267,6 +267,13 @@
         assert told_of(frames, "side") == told_of(frames, "side-3") == 0
         told = other.frames_until_silence(0.5)
         assert told_of(told, "side") == told_of(told, "side-3") == 1
+        # what was sent can be told apart by kind and by where it went
+        far = Peer(f.peers[0], hello("far", "gateway", region="r9"))
+        assert any(x.HasField("load") for x in far.frames_for(1.0))
+        sent = f.metrics()
+        for kind, reach in (("members", "region"), ("load", "far")):
+            name = "quayring_peer_sent_bytes_total{kind=\"%s\",reach=\"%s\"}"
+            assert sent[name % (kind, reach)] > 0
         late.conn.close()
         side.conn.close()
 
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -3,6 +3,7 @@
  */
 #include "unit_fleet.h"
 
+#include "base/qr_pack.h"
 #include "fleet/qr_fleet_settings.h"
 #include "fleet/qr_operator.h"
 #include "gateway/qr_attempt.h"
@@ -456,6 +457,70 @@
 }
 END_TEST
 
+START_TEST(pack_gives_back_what_it_took)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_autoptr(GBytes) plain = NULL;
+    g_autoptr(GBytes) packed = NULL;
+    g_autoptr(GBytes) again = NULL;
+    const void *data;
+    gsize len;
+
+    for (unsigned i = 0; i < 2000; i++)
+        g_string_append_printf(text, "{\"name\":\"route-%u\"},", i);
+    plain = g_bytes_new(text->str, text->len);
+    packed = qr_pack(plain);
+    ck_assert_ptr_nonnull(packed);
+    data = g_bytes_get_data(packed, &len);
+    ck_assert_uint_lt(len * 4, text->len);
+    again = qr_unpack(data, len, text->len);
+    ck_assert_ptr_nonnull(again);
+    ck_assert(g_bytes_equal(plain, again));
+    /* what another process tells may be anything */
+    ck_assert_ptr_null(qr_unpack(data, len, text->len - 1));
+    ck_assert_ptr_null(qr_unpack(data, len, text->len + 1));
+    ck_assert_ptr_null(qr_unpack(data, len / 2, text->len));
+    ck_assert_ptr_null(qr_unpack("no zlib", 7, 100));
+    ck_assert_ptr_null(qr_unpack(data, len, QR_PACK_MOST_BYTES + 1));
+}
+END_TEST
+
+START_TEST(operator_tells_each_audience_what_it_needs)
+{
+    g_autoptr(GString) text = g_string_new(
+        "{\"version\":4,\"services\":[{\"name\":\"s\"}],\"routes\":[");
+    QROperator a = {0}, b = {0}, c = {0};
+    QRStoreRecord r = {(char *)"config", NULL, 9};
+
+    for (unsigned i = 0; i < 200; i++)
+        g_string_append_printf(text,
+                               "%s{\"name\":\"r%u\",\"hostname\":\"h\","
+                               "\"path-prefix\":\"/%u/\",\"service\":\"s\","
+                               "\"route-type\":\"safe\"}",
+                               i ? "," : "", i, i);
+    g_string_append(text, "]}");
+    r.value = g_bytes_new(text->str, text->len);
+    qr_operator_init(&a, qr_platform_find("log-store"), count_news, NULL);
+    qr_operator_init(&b, qr_platform_find("log-store"), count_news, NULL);
+    qr_operator_init(&c, qr_platform_find("log-store"), count_news, NULL);
+    qr_operator_take(&a, &r, 0, 1000);
+    /* long enough to go compressed */
+    ck_assert_uint_gt(text->len, QR_PACK_LEAST_BYTES);
+    qr_operator_tell(&a, 0, QR_FOR_GATEWAYS, 1000, count_told, &b);
+    ck_assert_uint_eq(b.policy->routes->len, 200);
+    ck_assert_uint_eq(b.end, a.end);
+    qr_operator_tell(&a, 0, QR_FOR_SIDECARS, 1000, count_told, &c);
+    ck_assert_uint_eq(c.policy->routes->len, 0);
+    ck_assert_uint_eq(c.policy->version, 4);
+    ck_assert_uint_eq(c.policy->services_hash, a.policy->services_hash);
+    ck_assert_uint_eq(c.end, a.end);
+    g_bytes_unref(r.value);
+    qr_operator_clear(&a);
+    qr_operator_clear(&b);
+    qr_operator_clear(&c);
+}
+END_TEST
+
 #define SIDECARS 18
 #define REGIONS 3
 
@@ -892,6 +957,8 @@
     tcase_add_test(t, engine_others_calls_count);
     tcase_add_test(t, operator_versions_keep_their_bounds);
     tcase_add_test(t, operator_records_go_from_peer_to_peer);
+    tcase_add_test(t, operator_tells_each_audience_what_it_needs);
+    tcase_add_test(t, pack_gives_back_what_it_took);
     tcase_add_test(t, sources_one_copy_from_the_origin);
     tcase_add_test(t, sources_end_at_the_origin_whoever_gave_nothing);
     tcase_add_test(t, sources_next_relay_same_root);
