A listing that was overtaken is given up

Nobody had seen it; it takes a listing of two pages (over 1 MB) at a start. Now the listing under way is given up. Test: test_a_listing_that_was_overtaken_is_not_taken; red with the mechanism switched off.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -259,10 +259,20 @@
     return f->answered_ms;
 }
 
+static void call_cancel(QRFollower *f)
+{
+    qr_whole_cancel(f->call);
+    f->call = NULL;
+}
+
 void qr_follower_skip(QRFollower *f, uint64_t offset)
 {
     if (f->listed && offset <= f->offset)
         return;
+    /* of a listing under way the pages so far are dropped: its end says nothing
+       of what stood on them */
+    if (f->call && f->listing)
+        call_cancel(f);
     f->listed = true;
     listing_reset(f);
     f->offset = MAX(f->offset, offset);
@@ -274,10 +284,8 @@
     if (!paused)
         f->next_ms = 0;
     /* one that only waits would bring what others are to tell us */
-    if (paused && f->call && f->wait_ms > 0 && !qr_whole_began(f->call)) {
-        qr_whole_cancel(f->call);
-        f->call = NULL;
-    }
+    if (paused && f->call && f->wait_ms > 0 && !qr_whole_began(f->call))
+        call_cancel(f);
 }
 
 uint64_t qr_follower_calls(const QRFollower *f)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -212,6 +212,9 @@
     ("what-peers-told-is-read-again", 7, "gateway/qr_gateway_catchup.c",
      "qr_follower_skip(g->follow_operator, records->end);", "(void)0;",
      "region_links::is_not_read_again"),
+    ("overtaken-listing-counts", 7, "fleet/qr_follower.c",
+     "if (f->call && f->listing)\n        call_cancel(f);", "",
+     "members::overtaken"),
     ("half-a-listing-counts", 7, "fleet/qr_follower.c",
      "    if (page->more && f->pages->len > 0) {",
      "    if (page->more && f->pages->len > 0) {\n"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -101,6 +101,30 @@
                  lambda: "named model=m1 version=2" in f.log("g0"), 2)
 
 
+def test_a_listing_that_was_overtaken_is_not_taken():
+    """Its last page tells an end up to which nobody has listed the first."""
+    with Fleet(gateways=0, plain=0) as f:
+        f.store.put("keyed.op", "version/m1", {"model": "m1", "version": 2})
+        f.store.page = 1
+        f.store.next_page.clear()
+        f.add_gateways(1)
+        wait_for("a second page to be asked for",
+                 lambda: f.store.reads.get("keyed.op", 0) >= 2)
+        know = Peer(f.peers[0], hello("know", "gateway"))
+        policy_1 = json.dumps(policy(1, f.origin.address)).encode()
+        version = json.dumps({"model": "m1", "version": 2}).encode()
+        know.send(records=fleet_pb2.Records(end=2, records=[
+            fleet_pb2.Record(key="config", value=policy_1, offset=0),
+            fleet_pb2.Record(key="version/m1", value=version, offset=1)]))
+        wait_for("what the neighbour told",
+                 lambda: "in force version=1" in f.log("g0"), 2)
+        f.store.put("keyed.op", "config", policy(5, f.origin.address))
+        f.store.next_page.set()
+        wait_for("what came after it",
+                 lambda: "in force version=5" in f.log("g0"), 4)
+        know.conn.close()
+
+
 def tell_for(peers, load, seconds):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
