Versions not begun are passed over; the whole link where the engine has no calls

And pieces left at 20 a second where the link carries 25: time between two looks was never made up for. Now a version of which nothing has come is dropped when a newer one is named, and a sidecar whose engine has no calls sends at the whole link's rate and saves a tick (QRPace).

--- /dev/null
+++ b/src/sidecar/qr_pace.h
@@ -0,0 +1,29 @@
+/*
+ * How fast pieces are sent over a machine's link: a token bucket that may go
+ * into debt by one piece, and by default saves nothing.
+ */
+#ifndef QR_PACE_H
+#define QR_PACE_H
+
+#include "base/qr_base.h"
+
+typedef struct QRPace {
+    double bytes;   /* that may be sent now; below 0: in debt */
+    uint64_t at_ms; /* when that was last looked at */
+} QRPace;
+
+/*
+ * Time passes, at 'rate' bytes a ms. What was not used is kept for at most
+ * 'saved_ms': a burst delays whatever else uses the link.
+ */
+void qr_pace_refill(QRPace *p, double rate, unsigned saved_ms, uint64_t now_ms);
+static inline bool qr_pace_open(const QRPace *p)
+{
+    return p->bytes >= 0;
+}
+static inline void qr_pace_sent(QRPace *p, size_t bytes)
+{
+    p->bytes -= (double)bytes;
+}
+
+#endif
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -14,6 +14,7 @@
 #include "net/qr_peer.h"
 #include "net/qr_server.h"
 #include "net/qr_whole.h"
+#include "qr_pace.h"
 #include "qr_sources.h"
 
 #include <uv.h>
@@ -98,8 +99,7 @@
     GArray *waiters;          /* QRWaiter: their pieces are not here yet */
     GQueue uploads;          /* QRWaiter *: pieces to send, first asked first */
     GArray *sent;            /* pieces sent that have not arrived yet */
-    double upload_bytes;     /* that may be sent now; below 0: in debt */
-    uint64_t upload_ms;      /* when that was last looked at */
+    QRPace upload_pace;
     uint64_t slow_until_ms;  /* see qr_link_is_slow() */
     uint64_t refresh_ms;     /* when those who wait here are told so next */
     uint64_t origin_next_ms; /* the origin failed: not asked before */
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -10,6 +10,7 @@
     1500                    /* then the peer may be dead: no longer counted    \
                              */
 #define ARRIVED_SLOW_MS 500 /* two that take so long: our own link is slow */
+#define SAVED_MOST_MS 25    /* a tick: the link is looked at no more often */
 #define GROUPS 3            /* of sidecars, by when they switch */
 
 QRTarget *qr_target_of(const QRSidecar *s, const char *model, uint64_t version)
@@ -150,16 +151,22 @@
     }
 }
 
+/* Calls of the engine share its machine's link with the pieces that we send. */
+static bool engine_has_calls(const QRSidecar *s)
+{
+    return s->reachable && s->report.active + s->report.queued > 0;
+}
+
 void qr_weights_upload(QRSidecar *s, uint64_t now_ms)
 {
-    double rate = s->set->link_mbit_s * 1e6 / 8 / 1000 *
-                  (double)s->set->weights_link_percent / 100; /* bytes a ms */
-    double elapsed = (double)(now_ms - MIN(s->upload_ms, now_ms));
+    bool yields = engine_has_calls(s);
+    double share = yields ? (double)s->set->weights_link_percent / 100 : 1;
+    double rate = s->set->link_mbit_s * 1e6 / 8 / 1000 * share; /* bytes a ms */
 
-    s->upload_ms = now_ms;
-    s->upload_bytes = MIN(s->upload_bytes + rate * elapsed, 0);
+    /* time unused since the last look is made up for where no calls wait */
+    qr_pace_refill(&s->upload_pace, rate, yields ? 0 : SAVED_MOST_MS, now_ms);
     sent_check(s, now_ms);
-    while (rate <= 0 || s->upload_bytes >= 0) {
+    while (rate <= 0 || qr_pace_open(&s->upload_pace)) {
         g_autofree QRWaiter *w = upload_next(s);
         Sent sent;
         GBytes *data;
@@ -169,7 +176,7 @@
         data = qr_piece(w->target, w->index)->data;
         send_piece(w->peer, s->model, w->target->version, w->index,
                    QR__FLEET__PIECE__STATE__DATA, data);
-        s->upload_bytes -= (double)g_bytes_get_size(data);
+        qr_pace_sent(&s->upload_pace, g_bytes_get_size(data));
         sent = (Sent){w->peer, now_ms};
         g_array_append_val(s->sent, sent);
     }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -58,6 +58,20 @@
     }
 }
 
+/*
+ * A version of which nothing has come yet is passed over when a newer one is
+ * named: the newer one is as near, and meets the bounds of both.
+ */
+static void drop_not_begun(QRSidecar *s)
+{
+    for (unsigned i = s->targets->len; i > 0; i--) {
+        QRTarget *t = s->targets->pdata[i - 1];
+
+        if (t->held == 0 && !qr_sidecar_serves(s, t->version))
+            target_drop(s, t);
+    }
+}
+
 void qr_weights_clear(QRSidecar *s)
 {
     g_clear_pointer(&s->targets, g_ptr_array_unref);
@@ -80,6 +94,7 @@
         return;
     if (!s->model)
         s->model = g_strdup(model);
+    drop_not_begun(s);
     t = g_new0(QRTarget, 1);
     t->sidecar = s;
     t->manifest_piece = g_new0(QRPiece, 1);
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -163,6 +163,23 @@
     check_orders(fleet.models)
 
 
+def test_a_version_not_begun_is_passed_over(fleet):
+    """Bench, trouble-3 of the third site: of two versions named in an outage
+    both were drawn, and the newer, which meets both bounds, came late."""
+    fleet.origin.take_down()
+    name_version(fleet, 2)
+    wait_for("version 2 to be heard of", lambda: all(
+        "target model=m1 version=2" in fleet.log(n) for n in fleet.procs
+        if n.startswith("s")))
+    name_version(fleet, 3)
+    wait_for("version 3 to be heard of", lambda: all(
+        "target model=m1 version=3" in fleet.log(n) for n in fleet.procs
+        if n.startswith("s")))
+    fleet.origin.bring_up()
+    wait_for("version 3", lambda: serving(fleet, 3), 15)
+    assert all((2, i) not in fleet.origin.answered for i in range(CHUNKS))
+
+
 def test_a_dead_sidecar_holds_nobody_up(fleet):
     fleet.procs["s2"].kill()
     fleet.procs["s2"].wait()
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -11,6 +11,7 @@
 #include "gateway/qr_budget.h"
 #include "gateway/qr_sse.h"
 #include "net/qr_message.h"
+#include "sidecar/qr_pace.h"
 #include "sidecar/qr_sources.h"
 
 #include <check.h>
@@ -826,6 +827,29 @@
 }
 END_TEST
 
+START_TEST(pace_saves_what_it_is_told_to)
+{
+    QRPace p = {0, 1000};
+
+    qr_pace_refill(&p, 10, 0, 2000); /* a rest saves nothing */
+    ck_assert(qr_pace_open(&p));
+    qr_pace_sent(&p, 300);
+    qr_pace_refill(&p, 10, 0, 2029);
+    ck_assert(!qr_pace_open(&p));
+    /* paid back at 2030; what is left of the tick is lost ... */
+    qr_pace_refill(&p, 10, 0, 2050);
+    ck_assert(qr_pace_open(&p));
+    qr_pace_sent(&p, 300);
+    qr_pace_refill(&p, 10, 0, 2079);
+    ck_assert(!qr_pace_open(&p));
+    /* ... or not: 20 ms of it pay for a part of the next piece */
+    qr_pace_refill(&p, 10, 25, 2100);
+    qr_pace_sent(&p, 300);
+    qr_pace_refill(&p, 10, 25, 2110);
+    ck_assert(qr_pace_open(&p));
+}
+END_TEST
+
 START_TEST(switches_follow_one_another)
 {
     QRFleetMembers m;
@@ -988,6 +1012,7 @@
     tcase_add_test(t, sources_holders_stand_in);
     tcase_add_test(t, sources_forget_who_is_gone);
     tcase_add_test(t, sources_pass_over_who_leaves);
+    tcase_add_test(t, pace_saves_what_it_is_told_to);
     tcase_add_test(t, switches_follow_one_another);
     tcase_add_test(t, message_torn_anywhere);
     tcase_add_test(t, message_hostile);
