Sources are waited for while nothing comes; staged pieces are checked in turn

Then all 64 pieces were read back once more since the first check was older than 2 s, and an engine that nobody used was drained: half a second more. Now only time counts in which other pieces come (QRProgress); only pieces whose check is old are read again, eight at once; an engine out of use with no calls is ordered at once. A test with processes was tried and dropped: with 3 sidecars and 6 pieces the code before passes it too.

--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -15,7 +15,7 @@
 #define ASKED_MOST_MS 4000      /* a peer is given so long in any case */
 #define UNHEARD_MOST_MS 900     /* ... that does not answer at all */
 #define PENDING_MOST_MS 1500    /* ... that said that it will have it */
-#define ROOT_WAIT_MOST_MS 5000  /* ... and goes on saying so: a root */
+#define ROOT_WAIT_MOST_MS 5000  /* ... while others come: a root */
 #define RELAY_WAIT_MOST_MS 9000 /* ... a relay, which waits for a root */
 #define REFRESH_MS 500   /* between two words to those who wait for a piece */
 #define MANIFEST_SHARE 3 /* of these times, for the small manifest */
@@ -57,7 +57,7 @@
             "whole version=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
             " origin_bytes=%" G_GUINT64_FORMAT
             " peer_pieces=%" G_GUINT64_FORMAT,
-            t->version, t->since_ms ? t->progress_ms - t->since_ms : 0,
+            t->version, t->since_ms ? t->progress.last_ms - t->since_ms : 0,
             s->origin_bytes, s->peer_pieces);
     qr_sidecar_tell_state(s, true);
 }
@@ -91,7 +91,7 @@
     }
     p->data = g_bytes_new(data, len);
     p->asked = false;
-    t->progress_ms = qr_sidecar_now(t->sidecar);
+    qr_progress_note(&t->progress, qr_sidecar_now(t->sidecar));
     t->held += index != QR_MANIFEST_INDEX;
     qr_piece_came(t, index);
     if (qr_target_whole(t))
@@ -260,11 +260,7 @@
     return true;
 }
 
-/*
- * Time to look for another source. One that goes on saying that it will have
- * the piece is waited for: while the origin is away, others fare no better, and
- * each that took over would draw the piece once more.
- */
+/* Time to look for another source. */
 static bool is_overdue(const QRTarget *t, uint32_t index, uint64_t now)
 {
     const QRPiece *p = qr_piece(t, index);
@@ -273,12 +269,13 @@
 
     if (p->pending)
         return now > p->asked_ms + PENDING_MOST_MS ||
-               now > p->first_asked_ms + wait;
+               qr_progress_passed_by(&t->progress, p->first_asked_ms, wait,
+                                     now);
     if (p->asked && !p->heard)
         return now > p->asked_ms + UNHEARD_MOST_MS / share;
     if (now > p->asked_ms + ASKED_MOST_MS / share)
         return true;
-    return now > p->asked_ms + STALL_MS && now > t->progress_ms + STALL_MS;
+    return now > p->asked_ms + STALL_MS && now > t->progress.last_ms + STALL_MS;
 }
 
 void qr_pieces_refresh(QRSidecar *s, uint64_t now_ms)
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -15,6 +15,7 @@
 #include "net/qr_server.h"
 #include "net/qr_whole.h"
 #include "qr_pace.h"
+#include "qr_progress.h"
 #include "qr_sources.h"
 
 #include <uv.h>
@@ -53,8 +54,8 @@
     QRPiece *manifest_piece; /* its bytes, and how they are drawn; owned */
     GArray *pieces;          /* QRPiece; NULL without a manifest */
     unsigned held;           /* pieces here */
-    uint64_t progress_ms;    /* when a piece last came */
-    uint64_t told_ms;        /* when its progress was last logged */
+    QRProgress progress;
+    uint64_t told_ms; /* when its progress was last logged */
     bool scanning;
     bool scanned; /* what lay at the engine was looked at */
 } QRTarget;
@@ -97,8 +98,8 @@
     uint64_t staged_version;  /* that we last put at the engine; 0: not known */
     uint64_t staging_version; /* whose turn it is to be staged */
     GArray *waiters;          /* QRWaiter: their pieces are not here yet */
-    GQueue uploads;          /* QRWaiter *: pieces to send, first asked first */
-    GArray *sent;            /* pieces sent that have not arrived yet */
+    GQueue uploads; /* QRWaiter *: pieces to send, first asked first */
+    GArray *sent;   /* pieces sent that have not arrived yet */
     QRPace upload_pace;
     uint64_t slow_until_ms;  /* see qr_link_is_slow() */
     uint64_t refresh_ms;     /* when those who wait here are told so next */
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -8,7 +8,7 @@
 
 #define CONNECT_MS 500
 #define STAGE_TIMEOUT_MS 2000
-#define STAGE_AT_ONCE 4
+#define STAGE_AT_ONCE 8 /* on the machine itself; 64 pieces in a few ticks */
 #define ORDER_TIMEOUT_MS 1500
 #define ORDER_AGAIN_MS 300
 #define VERIFY_FRESH_MS 2000  /* a check is good for so long */
@@ -206,8 +206,21 @@
     qr_sidecar_tell_state(s, true);
 }
 
+/* Whether gateways still send calls to the engine, for the version it has. */
+static bool is_in_use(const QRSidecar *s, uint64_t now_ms)
+{
+    uint64_t bound = (uint64_t)s->set->version_ms;
+    uint64_t due = qr_operator_version_due(
+        &s->operator, s->model, bound - MIN(bound, OUT_OF_USE_MS), now_ms);
+
+    return s->report.version > 0 && s->report.version >= due;
+}
+
 static bool order_may_go(const QRSidecar *s, uint64_t now_ms)
 {
+    /* nobody sends calls there any more, and none is left */
+    if (!is_in_use(s, now_ms) && s->report.queued + s->report.active == 0)
+        return true;
     if (now_ms > s->announced_ms + SETTLE_MOST_MS || s->report.version == 0)
         return true;
     return s->report_asked_ms >= s->announced_ms + ANNOUNCED_MS &&
@@ -235,16 +248,6 @@
     s->order_call = qr_whole_send(s->to_engine, &r, order_done, s, 0);
 }
 
-/* Whether gateways still send calls to the engine, for the version it has. */
-static bool is_in_use(const QRSidecar *s, uint64_t now_ms)
-{
-    uint64_t bound = (uint64_t)s->set->version_ms;
-    uint64_t due = qr_operator_version_due(
-        &s->operator, s->model, bound - MIN(bound, OUT_OF_USE_MS), now_ms);
-
-    return s->report.version > 0 && s->report.version >= due;
-}
-
 /* An engine that is of no use as it is starts at once; the others in turn. */
 static uint64_t start_due_ms(const QRTarget *t, uint64_t now_ms)
 {
@@ -278,14 +281,20 @@
     return chosen;
 }
 
-/* When the piece was read back whose reading back is longest ago. */
-static uint64_t oldest_check_ms(const QRTarget *t)
+/* Has pieces read back once more whose check is too old; true: none is. */
+static bool checks_fresh(QRTarget *t, uint64_t now_ms)
 {
-    uint64_t oldest = UINT64_MAX;
+    bool fresh = true;
 
-    for (unsigned i = 0; i < t->pieces->len; i++)
-        oldest = MIN(oldest, qr_piece(t, i)->verified_ms);
-    return oldest;
+    for (unsigned i = 0; i < t->pieces->len; i++) {
+        QRPiece *p = qr_piece(t, i);
+
+        if (now_ms <= p->verified_ms + VERIFY_FRESH_MS)
+            continue;
+        p->verified = false;
+        fresh = false;
+    }
+    return fresh;
 }
 
 static void order_tick(QRSidecar *s, QRTarget *t, uint64_t now_ms)
@@ -296,9 +305,7 @@
     if (!s->announced_ms)
         order_announce(s, now_ms);
     /* read back once more while the engine empties */
-    if (now_ms > oldest_check_ms(t) + VERIFY_FRESH_MS)
-        mark_staged(t, true);
-    else if (order_may_go(s, now_ms))
+    if (checks_fresh(t, now_ms) && order_may_go(s, now_ms))
         order_start(s, t);
 }
 
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -100,7 +100,7 @@
     t->manifest_piece = g_new0(QRPiece, 1);
     t->version = named->version;
     t->since_ms = named->since_ms;
-    t->progress_ms = qr_sidecar_now(s);
+    t->progress.last_ms = qr_sidecar_now(s);
     g_ptr_array_add(s->targets, t);
     qr_upload_target_came(s, t);
     if (s->window <= 0)
@@ -109,7 +109,8 @@
             "target model=%s version=%" G_GUINT64_FORMAT
             " since_ms=%" G_GUINT64_FORMAT " targets=%u",
             s->model, t->version,
-            t->since_ms ? t->progress_ms - t->since_ms : 0, s->targets->len);
+            t->since_ms ? t->progress.last_ms - t->since_ms : 0,
+            s->targets->len);
     qr_sidecar_tell_state(s, true); /* the engine may hold it already */
 }
 
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -13,6 +13,7 @@
 #include "gateway/qr_sse.h"
 #include "net/qr_message.h"
 #include "sidecar/qr_pace.h"
+#include "sidecar/qr_progress.h"
 #include "sidecar/qr_sources.h"
 
 #include <check.h>
@@ -937,6 +938,29 @@
 }
 END_TEST
 
+/* Bench, scale-1 of the third site: after 5 s without the origin its roots were
+   given up, and 1.7 copies were drawn when it came back. */
+START_TEST(progress_tells_one_source_from_the_origin)
+{
+    QRProgress p = {1000, 0};
+
+    /* pieces come, one does not */
+    for (uint64_t now = 1100; now < 7000; now += 100)
+        qr_progress_note(&p, now);
+    ck_assert(!qr_progress_passed_by(&p, 2000, 5000, 6900));
+    ck_assert(qr_progress_passed_by(&p, 1500, 5000, 6900));
+    /* none come: all wait */
+    ck_assert(!qr_progress_passed_by(&p, 1500, 5000, 7900));
+    ck_assert(!qr_progress_passed_by(&p, 1500, 5000, 15000));
+    /* they come again: time counts from there */
+    qr_progress_note(&p, 16000);
+    ck_assert(!qr_progress_passed_by(&p, 1500, 5000, 16100));
+    for (uint64_t now = 16100; now < 21200; now += 100)
+        qr_progress_note(&p, now);
+    ck_assert(qr_progress_passed_by(&p, 1500, 5000, 21200));
+}
+END_TEST
+
 START_TEST(switches_follow_one_another)
 {
     QRFleetMembers m;
@@ -1103,6 +1127,7 @@
     tcase_add_test(t, sources_forget_who_is_gone);
     tcase_add_test(t, sources_pass_over_who_leaves);
     tcase_add_test(t, pace_saves_what_it_is_told_to);
+    tcase_add_test(t, progress_tells_one_source_from_the_origin);
     tcase_add_test(t, switches_follow_one_another);
     tcase_add_test(t, message_torn_anywhere);
     tcase_add_test(t, message_hostile);
