The last engine is ordered 1.2 s before a version's bound, not 2 s

Hypothesis: engines that switch within 3.8 s of one another take a third of all places away; gateways leave engines with the older version alone only 1 s before the bound, so an engine ordered 1.2 s before it costs no more than one ordered 2 s before it, and fewer switch at once.

--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -17,7 +17,7 @@
 #define RUNNING_FEW 4         /* streams that may be cut */
 #define SWITCH_LEAD_MS 2200   /* by then the first have all pieces */
 #define OUT_OF_USE_MS 1000    /* before a bound, gateways ask for the new one */
-#define SWITCH_MARGIN_MS 2000 /* before the bound, the last one is ordered */
+#define SWITCH_MARGIN_MS 1200 /* before the bound, the last one is ordered */
 
 /* What was read back is right: it lies at the engine, and is here too. */
 static void piece_read_back(QRTarget *t, unsigned index, const QRWholeAnswer *a)
