Of the engines that may take a call a few are drawn, and the best of them taken

The random cost of 8 ms was no match for a forecast 50 ms apart. Now each call looks at two engines of its zone and one of others, drawn at random of those that may take it. Ties go by the draw. Test: unit balance_does_not_send_all_to_the_one_that_seems_best (red with all drawn).

--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -5,7 +5,8 @@
  * the pass that runs, all prompts that wait to be read and this one's, the
  * first token steps. Reading holds up everything that the engine writes
  * meanwhile, so the pause that the others there would see is predicted too. The
- * least first byte wins; no engine gets more calls than it has slots, a call
+ * least first byte of a few engines drawn at random wins; no engine gets more
+ * calls than it has slots, a call
  * that would miss its objective, or one whose reading would make others miss
  * theirs. Calls that are late already get what is to spare.
  */
@@ -15,8 +16,13 @@
 
 #define ZONE_COST_MS 6 /* later first byte that a nearer engine may have */
 #define REGION_COST_MS 12
-#define RANDOM_COST_MS 8 /* keeps gateways from choosing alike */
-#define OPEN_COST_MS 3   /* a call: keeps slots even */
+#define OPEN_COST_MS 3 /* a call: keeps slots even */
+/* Of the engines that may take a call a few are drawn, and the best of them
+   taken: all gateways know of one another's calls a heartbeat late, and would
+   all choose the one that seems best. Two of the own zone and one of others:
+   trials of 2 + 1, 2 + 2, 3 + 1 on two sites. */
+#define NEAR_DRAWN 2
+#define FAR_DRAWN 1
 #define FIRST_SHARE 0.92 /* of the objectives, what may be planned on */
 #define GAP_SHARE 0.85
 /* Late calls leave one place in so many, and engines on which a call that comes
@@ -141,38 +147,97 @@
     return !in->gap_ms || f->gap_ms <= in->gap_ms * GAP_SHARE;
 }
 
+/* An engine that may take the call. */
+typedef struct Candidate {
+    QREngine *engine;
+    Forecast forecast;
+    uint64_t dice;
+} Candidate;
+
+/* A few candidates, drawn at random. */
+typedef struct Draw {
+    Candidate rows[MAX(NEAR_DRAWN, FAR_DRAWN)];
+    unsigned count, most;
+} Draw;
+
+/* Keeps those with the least dice. */
+static void draw_add(Draw *d, const Candidate *c)
+{
+    unsigned at = 0;
+
+    if (d->count < d->most) {
+        d->rows[d->count++] = *c;
+        return;
+    }
+    for (unsigned i = 1; i < d->count; i++) {
+        if (d->rows[i].dice > d->rows[at].dice)
+            at = i;
+    }
+    if (c->dice < d->rows[at].dice)
+        d->rows[at] = *c;
+}
+
+static double cost_of(const Candidate *c, const QRBalanceInput *in)
+{
+    return c->forecast.first_ms + distance_ms(c->engine, in) +
+           OPEN_COST_MS * c->forecast.open;
+}
+
+static bool is_better(const Candidate *x, const Candidate *y,
+                      const QRBalanceInput *in)
+{
+    double cost_x = cost_of(x, in), cost_y = cost_of(y, in);
+
+    return cost_x < cost_y || (cost_x <= cost_y && x->dice < y->dice);
+}
+
+/* The one of the least cost, if it is better than 'best'. */
+static const Candidate *draw_best(const Draw *d, const Candidate *best,
+                                  const QRBalanceInput *in)
+{
+    for (unsigned i = 0; i < d->count; i++) {
+        if (!best || is_better(&d->rows[i], best, in))
+            best = &d->rows[i];
+    }
+    return best;
+}
+
+static void choose(QRBalanceChoice *c, const Candidate *best)
+{
+    c->engine = best->engine;
+    c->predicted_ms = best->forecast.first_ms;
+    c->gap_ms = best->forecast.gap_ms;
+    c->engine_open = best->forecast.open;
+    c->engine_slots = best->forecast.slots;
+}
+
 QRBalanceChoice qr_balance_choose(const QREngines *engines,
                                   const QRBalanceInput *in)
 {
     const GPtrArray *list = qr_engines_of(engines, in->service);
+    Draw near = {.most = NEAR_DRAWN}, far = {.most = FAR_DRAWN};
+    const Candidate *best = NULL;
     QRBalanceChoice c = {0};
-    double best = 0, cost;
 
     for (unsigned i = 0; list && i < list->len; i++) {
-        QREngine *e = list->pdata[i];
-        uint64_t dice;
-        Forecast f;
+        Candidate x = {.engine = list->pdata[i]};
 
-        if (!is_usable(e, in))
+        if (!is_usable(x.engine, in))
             continue;
-        f = forecast(e, in);
+        x.forecast = forecast(x.engine, in);
         c.usable++;
-        c.open += MIN(f.open, f.slots);
-        c.places += f.slots;
-        if (is_tried(in, e->record->id) || in->now_ms < e->refused_until_ms ||
-            !may_take(&f, in))
+        c.open += MIN(x.forecast.open, x.forecast.slots);
+        c.places += x.forecast.slots;
+        if (is_tried(in, x.engine->record->id) ||
+            in->now_ms < x.engine->refused_until_ms ||
+            !may_take(&x.forecast, in))
             continue;
-        dice = qr_hash64(&in->random, sizeof(in->random), i) % 1000;
-        cost = f.first_ms + distance_ms(e, in) + OPEN_COST_MS * f.open +
-               RANDOM_COST_MS * (double)dice / 1000;
-        if (!c.engine || cost < best) {
-            best = cost;
-            c.engine = e;
-            c.predicted_ms = f.first_ms;
-            c.gap_ms = f.gap_ms;
-            c.engine_open = f.open;
-            c.engine_slots = f.slots;
-        }
+        x.dice = qr_hash64(&in->random, sizeof(in->random), i);
+        draw_add(distance_ms(x.engine, in) > 0 ? &far : &near, &x);
     }
+    best = draw_best(&near, best, in);
+    best = draw_best(&far, best, in);
+    if (best)
+        choose(&c, best);
     return c;
 }
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -335,6 +335,38 @@
 }
 END_TEST
 
+/* Bench, third site grown: 39 gateways sent all calls of a heartbeat to the one
+   engine that had just come up, where first bytes took a second. */
+START_TEST(balance_does_not_send_all_to_the_one_that_seems_best)
+{
+    unsigned counts[8] = {0}, least = G_MAXUINT, most = 0;
+    Balance b;
+
+    balance_init(&b);
+    for (unsigned i = 0; i < 8; i++) {
+        char id[2] = {(char)('a' + i), '\0'};
+
+        /* all have one call, but for the last */
+        add_engine(&b.engines, id, "z1", 1)->own = i < 7;
+    }
+    for (uint64_t i = 0; i < 800; i++) {
+        const QREngine *e;
+
+        b.in.random = qr_hash64(&i, sizeof(i), 5);
+        e = qr_balance_choose(&b.engines, &b.in).engine;
+        counts[e->record->id[0] - 'a']++;
+    }
+    for (unsigned i = 0; i < 7; i++) {
+        least = MIN(least, counts[i]);
+        most = MAX(most, counts[i]);
+    }
+    /* it is among two of eight drawn once in four, and then taken */
+    ck_assert(counts[7] > 120 && counts[7] < 320);
+    ck_assert(least > 40 && most < 160);
+    balance_clear(&b);
+}
+END_TEST
+
 START_TEST(balance_leaves_out)
 {
     Balance b;
@@ -1109,6 +1141,7 @@
     tcase_add_test(t, balance_spares_readers);
     tcase_add_test(t, balance_late_calls_get_what_is_to_spare);
     tcase_add_test(t, deadlines_tell_who_came_back);
+    tcase_add_test(t, balance_does_not_send_all_to_the_one_that_seems_best);
     tcase_add_test(t, balance_leaves_out);
     tcase_add_test(t, balance_leaves_out_who_is_not_heard_before_a_bound);
     tcase_add_test(t, engine_ejected_and_tried_again);
