--- a/src/net/qr_traffic.h
+++ b/src/net/qr_traffic.h
@@ -19,7 +19,8 @@
     X(RECORDS, records)                                                        \
     X(WANT, want)                                                              \
     X(PIECE, piece)                                                            \
-    X(FETCH, fetch)
+    X(FETCH, fetch)                                                            \
+    X(PROBE, probe)
 
 typedef enum QRFrameKind {
 #define X(upper, lower) QR_FRAME_##upper,
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,195 @@
+"""Open connections go silent for good, while new ones work.
+
+Seen: a third of the usual calls were answered to the end of the day, most
+engines stood idle while gateways refused calls for want of room; on such days
+calls also began on weights that were no longer in force.
+
+Course: each gateway hears the load of another on the connection that it has
+dialled, and writes nothing there. When that went silent nothing was left
+unacknowledged, so no timer of the kernel ran; the other side's close did not
+come through either. What had been told last stood for good: all places taken.
+Kept connections to engines and to the store were handed request after request,
+each of which waited for its own time-out.
+
+Cause: only the writing side of a connection could find out that it was dead,
+and what had been heard on it had no age at which it stops to count.
+
+Proof: the age of the load that choices rested on grew with the clock after the
+silence, and places were full in every refusal while engines turned nobody away.
+"""
+import json
+import socket
+import threading
+import time
+
+from bench import wait_for
+from fleet import MODEL, Fleet
+from gen import fleet_pb2
+from peer import Peer, hello
+from silent_link import SilentLink
+
+HEARTBEAT_S = 0.1
+NOTICED_S = 3.0  # a connection that went silent is known by then to be dead
+
+
+class Gateway:
+    """A gateway of the test's own. It is dialled, greets, and says with every
+    heartbeat what it has open, on connections that did not go silent."""
+
+    def __init__(self, name, greets, frames):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        port = self.listener.getsockname()[1]
+        self.hello = hello(name, "gateway", address="127.0.0.1:%d" % port)
+        self.frames = frames  # a function: frames to send at a heartbeat
+        self.dialled = 0      # connections that greeted us
+        self.silenced = 0     # the first so many of them say nothing more
+        self.ended = False
+        self.conns = []
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.out = Peer(greets, self.hello)
+
+    def accept(self):
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            self.conns.append(conn)
+            threading.Thread(target=self.serve, args=(conn,),
+                             daemon=True).start()
+
+    def serve(self, conn):
+        peer = Peer.__new__(Peer)
+        peer.conn = conn
+        try:
+            assert peer.frame().HasField("hello")
+            self.dialled += 1
+            number = self.dialled
+            peer.send(hello=self.hello)
+            while not self.ended:
+                if number <= self.silenced:
+                    peer.frames_for(HEARTBEAT_S)  # is heard, not answered
+                    continue
+                for body in self.frames():
+                    peer.send(**body)
+                for frame in peer.frames_for(HEARTBEAT_S):
+                    if frame.HasField("probe") and not frame.probe.answer:
+                        peer.send(probe=fleet_pb2.Probe(answer=True))
+        except (OSError, AssertionError):
+            pass
+
+    def silence(self):
+        """What is open now says nothing more."""
+        self.silenced = self.dialled
+
+    def close(self):
+        self.ended = True
+        self.listener.close()
+        for conn in self.conns + [self.out.conn]:
+            conn.close()
+
+
+def load(engine, opened):
+    rows = [fleet_pb2.EngineLoad(engine=engine, open=opened)] if opened else []
+    return {"load": fleet_pb2.Load(engines=rows, whole=True, gateways=2)}
+
+
+def wait_for_room(f, room, ident):
+    """Until calls get room at the engine, or get none any more."""
+    n = [0]
+
+    def asked():
+        n[0] += 1
+        status, _, _ = f.call("/unsafe/x", f"{ident}-{n[0]}")
+        return (status == 200) == room
+    return asked
+
+
+def test_load_is_forgotten_when_its_connection_goes_silent():
+    with Fleet(plain=1) as f:
+        f.wait_ready()
+        opened = [f.plain[0].slots]
+        other = Gateway("other", f.peers[0],
+                        lambda: [load(f.plain[0].id, opened[0])])
+        wait_for("no room", wait_for_room(f, False, "before"), 5)
+        other.silence()
+        opened[0] = 0
+        wait_for("room again", wait_for_room(f, True, "after"), NOTICED_S)
+        other.close()
+
+
+def test_load_is_heard_again_on_a_new_connection():
+    with Fleet(plain=1) as f:
+        f.wait_ready()
+        opened = [0]
+        other = Gateway("other", f.peers[0],
+                        lambda: [load(f.plain[0].id, opened[0])])
+        wait_for("the other to be dialled", lambda: other.dialled == 1, 5)
+        assert f.call("/unsafe/x", "before")[0] == 200
+        other.silence()
+        opened[0] = f.plain[0].slots
+        wait_for("no room", wait_for_room(f, False, "after"), NOTICED_S)
+        assert other.dialled == 2
+        # one that rests between its words is not dialled again and again
+        time.sleep(2.0)
+        assert other.dialled == 2
+        other.close()
+
+
+def test_a_quiet_peer_that_answers_keeps_its_connection():
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        quiet = Gateway("quiet", f.peers[0], lambda: [])
+        wait_for("the other to be dialled", lambda: quiet.dialled == 1, 5)
+        time.sleep(4.0)
+        assert quiet.dialled == 1
+        quiet.close()
+
+
+def version_record(version, offset):
+    value = json.dumps({"model": MODEL, "version": version}).encode()
+    return fleet_pb2.Record(key=f"version/{MODEL}", value=value,
+                            offset=offset, age_ms=0)
+
+
+def test_a_sidecar_hears_of_a_version_though_its_gateway_went_silent():
+    """It knew a version named in a silence only behind the version's bound,
+    and its engine went on with the old weights."""
+    with Fleet(gateways=0, plain=0) as f:
+        listener = socket.create_server(("127.0.0.1", 0))
+        f.peers = ["127.0.0.1:%d" % listener.getsockname()[1]]
+        engine = f.add_engine("e0", "engines", MODEL, 1)
+        f.start_sidecar(0, engine)
+        conn, _ = listener.accept()
+        first = Peer.__new__(Peer)
+        first.conn = conn
+        greeting = hello("only", "gateway", address=f.peers[0])
+        first.send(hello=greeting)
+        wait_for("the sidecar to follow", lambda: any(
+            frame.HasField("hello") and frame.hello.follow
+            for frame in first.frames_for(0.2)), 5)
+        listener.settimeout(NOTICED_S)
+        again, _ = listener.accept()  # the first one says nothing more
+        second = Peer.__new__(Peer)
+        second.conn = again
+        second.send(hello=greeting)
+        wait_for("the sidecar to follow anew", lambda: any(
+            frame.HasField("hello") and frame.hello.follow
+            for frame in second.frames_for(0.2)), NOTICED_S)
+        for sock in (conn, again, listener):
+            sock.close()
+
+
+def test_a_silent_connection_to_the_store_costs_one_read():
+    with Fleet(gateways=0, plain=0) as f:
+        link = SilentLink(f.store.address)
+        f.add_gateways(1, {"store": link.address})
+        f.wait_ready()
+        time.sleep(0.5)
+        link.silence()
+        f.store.put("keyed.op", f"version/{MODEL}",
+                    {"model": MODEL, "version": 2})
+        # one read that waits (2 s) and is given up (0.8 s), then a new one
+        wait_for("the version", lambda: "named model=m1 version=2"
+                 in f.log("g0"), 4.0)
+        link.close()
