--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &qr__fleet__fetch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qr__fleet__probe__init
+                     (Qr__Fleet__Probe         *message)
+{
+  static const Qr__Fleet__Probe init_value = QR__FLEET__PROBE__INIT;
+  *message = init_value;
+}
+size_t qr__fleet__probe__get_packed_size
+                     (const Qr__Fleet__Probe *message)
+{
+  assert(message->base.descriptor == &qr__fleet__probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qr__fleet__probe__pack
+                     (const Qr__Fleet__Probe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qr__fleet__probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qr__fleet__probe__pack_to_buffer
+                     (const Qr__Fleet__Probe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qr__fleet__probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qr__Fleet__Probe *
+       qr__fleet__probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qr__Fleet__Probe *)
+     protobuf_c_message_unpack (&qr__fleet__probe__descriptor,
+                                allocator, len, data);
+}
+void   qr__fleet__probe__free_unpacked
+                     (Qr__Fleet__Probe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qr__fleet__probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qr__fleet__want__init
                      (Qr__Fleet__Want         *message)
 {
@@ -1300,6 +1345,44 @@
   (ProtobufCMessageInit) qr__fleet__fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qr__fleet__probe__field_descriptors[1] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Probe, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qr__fleet__probe__field_indices_by_name[] = {
+  0,   /* field[0] = answer */
+};
+static const ProtobufCIntRange qr__fleet__probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qr__fleet__probe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qr.fleet.Probe",
+  "Probe",
+  "Qr__Fleet__Probe",
+  "qr.fleet",
+  sizeof(Qr__Fleet__Probe),
+  1,
+  qr__fleet__probe__field_descriptors,
+  qr__fleet__probe__field_indices_by_name,
+  1,  qr__fleet__probe__number_ranges,
+  (ProtobufCMessageInit) qr__fleet__probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[5] =
 {
   {
@@ -1516,7 +1599,7 @@
   (ProtobufCMessageInit) qr__fleet__piece__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[9] =
 {
   {
     "hello",
@@ -1614,6 +1697,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probe",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qr__Fleet__Frame, body_case),
+    offsetof(Qr__Fleet__Frame, probe),
+    &qr__fleet__probe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__frame__field_indices_by_name[] = {
   3,   /* field[3] = engine_state */
@@ -1622,13 +1717,14 @@
   2,   /* field[2] = load */
   1,   /* field[1] = members */
   6,   /* field[6] = piece */
+  8,   /* field[8] = probe */
   4,   /* field[4] = records */
   5,   /* field[5] = want */
 };
 static const ProtobufCIntRange qr__fleet__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qr__fleet__frame__descriptor =
 {
@@ -1638,7 +1734,7 @@
   "Qr__Fleet__Frame",
   "qr.fleet",
   sizeof(Qr__Fleet__Frame),
-  8,
+  9,
   qr__fleet__frame__field_descriptors,
   qr__fleet__frame__field_indices_by_name,
   1,  qr__fleet__frame__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Qr__Fleet__Record Qr__Fleet__Record;
 typedef struct Qr__Fleet__Records Qr__Fleet__Records;
 typedef struct Qr__Fleet__Fetch Qr__Fleet__Fetch;
+typedef struct Qr__Fleet__Probe Qr__Fleet__Probe;
 typedef struct Qr__Fleet__Want Qr__Fleet__Want;
 typedef struct Qr__Fleet__Piece Qr__Fleet__Piece;
 typedef struct Qr__Fleet__Frame Qr__Fleet__Frame;
@@ -286,6 +287,20 @@
     , 0, 0, 0 }
 
 
+/*
+ * Nothing has been heard on this connection for a while: is it still good? Each
+ * probe is answered at once.
+ */
+struct  Qr__Fleet__Probe
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean answer;
+};
+#define QR__FLEET__PROBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__probe__descriptor) \
+    , 0 }
+
+
 struct  Qr__Fleet__Want
 {
   ProtobufCMessage base;
@@ -332,7 +347,8 @@
   QR__FLEET__FRAME__BODY_RECORDS = 5,
   QR__FLEET__FRAME__BODY_WANT = 6,
   QR__FLEET__FRAME__BODY_PIECE = 7,
-  QR__FLEET__FRAME__BODY_FETCH = 8
+  QR__FLEET__FRAME__BODY_FETCH = 8,
+  QR__FLEET__FRAME__BODY_PROBE = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__FRAME__BODY__CASE)
 } Qr__Fleet__Frame__BodyCase;
 
@@ -349,6 +365,7 @@
     Qr__Fleet__Want *want;
     Qr__Fleet__Piece *piece;
     Qr__Fleet__Fetch *fetch;
+    Qr__Fleet__Probe *probe;
   };
 };
 #define QR__FLEET__FRAME__INIT \
@@ -508,6 +525,25 @@
 void   qr__fleet__fetch__free_unpacked
                      (Qr__Fleet__Fetch *message,
                       ProtobufCAllocator *allocator);
+/* Qr__Fleet__Probe methods */
+void   qr__fleet__probe__init
+                     (Qr__Fleet__Probe         *message);
+size_t qr__fleet__probe__get_packed_size
+                     (const Qr__Fleet__Probe   *message);
+size_t qr__fleet__probe__pack
+                     (const Qr__Fleet__Probe   *message,
+                      uint8_t             *out);
+size_t qr__fleet__probe__pack_to_buffer
+                     (const Qr__Fleet__Probe   *message,
+                      ProtobufCBuffer     *buffer);
+Qr__Fleet__Probe *
+       qr__fleet__probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qr__fleet__probe__free_unpacked
+                     (Qr__Fleet__Probe *message,
+                      ProtobufCAllocator *allocator);
 /* Qr__Fleet__Want methods */
 void   qr__fleet__want__init
                      (Qr__Fleet__Want         *message);
@@ -591,6 +627,9 @@
 typedef void (*Qr__Fleet__Fetch_Closure)
                  (const Qr__Fleet__Fetch *message,
                   void *closure_data);
+typedef void (*Qr__Fleet__Probe_Closure)
+                 (const Qr__Fleet__Probe *message,
+                  void *closure_data);
 typedef void (*Qr__Fleet__Want_Closure)
                  (const Qr__Fleet__Want *message,
                   void *closure_data);
@@ -614,6 +653,7 @@
 extern const ProtobufCMessageDescriptor qr__fleet__record__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__records__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor;
+extern const ProtobufCMessageDescriptor qr__fleet__probe__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__want__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__piece__descriptor;
 extern const ProtobufCEnumDescriptor    qr__fleet__piece__state__descriptor;
