A peer connection that has gone silent is found out by who listens on it

Cause: a gateway hears another's load on the connection that it dialled, and writes nothing there; gone silent, it stayed open for good, and the load told last was believed for good. The side that dialled now asks when it has heard nothing for 500 ms, dials a second connection after 900 ms, and takes that one once it is greeted while the first is mute: no verdict by time-out, so a peer that stands still or a full link loses nothing. Load counts for 2 s after it was told. Accepted connections expire after 5 s; a new follower is told all load.

Ruled out: a shorter time-out of the kernel (nothing is unacknowledged on the hearing side); closing on silence alone (cuts pieces on squeezed links).

--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -22,6 +22,7 @@
     uint64_t engines_read_ms; /* when the store last answered; 0: reads none */
     uint64_t engines_changed; /* offset of the last change */
     uint64_t engines_since;   /* it knows all changes from that offset on */
+    uint64_t load_ms;         /* when it told its load last; 0: none counts */
     unsigned gateways;        /* how many it knows */
     unsigned gateways_asked;  /* how many when we asked it for them last */
     bool leaving;
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -103,6 +103,7 @@
         qr_server_tick(g->metrics, now);
     qr_peers_tick(g->peers, now);
     qr_gateway_check_sidecars(g, now);
+    qr_gateway_check_loads(g, now);
     qr_gateway_check_lapsed(g);
     if (now >= g->sweep_ms) {
         g->sweep_ms = now + SWEEP_MS;
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -86,6 +86,7 @@
     uint64_t meet_ms;       /* when one was asked for gateways last */
     uint64_t fetches;
     unsigned heartbeats;    /* so far */
+    bool follower_is_new;   /* a gateway that knows nothing of our load yet */
     unsigned gateways_most; /* seen at once, this one too */
     bool stopped;
 } QRGateway;
@@ -138,6 +139,8 @@
 /* What another gateway said at its heartbeat. */
 void qr_gateway_load_told(QRGateway *g, QRFleetMember *member,
                           const Qr__Fleet__Load *load);
+/* Forgets the load of gateways that have told none lately. */
+void qr_gateway_check_loads(QRGateway *g, uint64_t now_ms);
 /* Tells peers our load and what we know, when due. */
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms);
 /*
--- a/src/gateway/qr_gateway_heartbeat.c
+++ b/src/gateway/qr_gateway_heartbeat.c
@@ -8,6 +8,10 @@
 
 #define HEARTBEAT_REST 8 /* heartbeats between two that say all anew */
 #define READER_REST 2    /* ... of one in whose place others do not read */
+/* What a gateway told counts for so long: two of its whole lists, which come
+   every 800 ms, may be late or lost. Longer, and its calls, which are over by
+   then, keep places from those of others. */
+#define LOAD_LEASE_MS 2000
 
 void qr_gateway_load_told(QRGateway *g, QRFleetMember *member,
                           const Qr__Fleet__Load *load)
@@ -15,6 +19,7 @@
     qr_gateway_peer_knows(g, member, load->control_offset);
     member->gateways = load->gateways;
     qr_gateway_share_told(g, member, load);
+    member->load_ms = qr_gateway_now(g);
     if (load->whole)
         qr_engines_forget_gateway(&g->engines, member->name);
     for (size_t i = 0; i < load->n_engines; i++) {
@@ -30,6 +35,24 @@
     member->leaving = load->leaving;
 }
 
+void qr_gateway_check_loads(QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+
+    for (unsigned i = 0; i < list->len; i++) {
+        QRFleetMember *m = list->pdata[i];
+
+        if (m->load_ms == 0 || now_ms <= m->load_ms + LOAD_LEASE_MS)
+            continue;
+        qr_logf(QR_LEVEL_WARN, "members",
+                "load expired name=%s age_ms=%" G_GUINT64_FORMAT, m->name,
+                now_ms - m->load_ms);
+        m->load_ms = 0;
+        qr_engines_forget_gateway(&g->engines, m->name);
+    }
+}
+
 /* The load message: engines whose open calls changed since it was last told. */
 static void load_collect(QRGateway *g, GArray *rows, bool whole)
 {
@@ -90,7 +113,8 @@
     qr_gateway_catch_up(g, now_ms);
     qr_gateway_share_tick(g, now_ms);
     g->gateways_most = MAX(g->gateways_most, qr_gateway_peers_alive(g, now_ms));
-    load.whole = turn % HEARTBEAT_REST == 0;
+    load.whole = turn % HEARTBEAT_REST == 0 || g->follower_is_new;
+    g->follower_is_new = false;
     load_collect(g, rows, load.whole);
     is_news = qr_gateway_share_tell(g, &load);
     is_due = load.reads_engines && turn % READER_REST == 0;
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -171,6 +171,7 @@
     if (!g_ptr_array_find(g->followers, peer, NULL) &&
         (h->follow || strcmp(h->role, QR_ROLE_GATEWAY) == 0)) {
         g_ptr_array_add(g->followers, peer);
+        g->follower_is_new |= !is_sidecar(qr_peer_data(peer));
         if (is_sidecar(qr_peer_data(peer)))
             welcome_sidecar(g, peer, h->control_offset);
     }
@@ -324,6 +325,16 @@
     qr_members_remove(&g->members, member->name);
 }
 
+/* The connection of a sidecar that is left when another one has gone. */
+static QRPeerConn *sidecar_conn(const QRGateway *g, const QRFleetMember *member)
+{
+    for (unsigned i = 0; i < g->sidecars->len; i++) {
+        if (qr_peer_data(g->sidecars->pdata[i]) == member)
+            return g->sidecars->pdata[i];
+    }
+    return NULL;
+}
+
 static void peer_closed(void *owner, QRPeerConn *peer)
 {
     QRGateway *g = owner;
@@ -332,9 +343,10 @@
     g_ptr_array_remove_fast(g->followers, peer);
     g_ptr_array_remove_fast(g->sidecars, peer);
     if (is_sidecar(member) && member->conn == peer) {
+        member->conn = sidecar_conn(g, member);
         /* it may only have to dial again; see qr_gateway_check_sidecars() */
-        member->conn = NULL;
-        member->lost_ms = MAX(qr_gateway_now(g), 1);
+        if (!member->conn)
+            member->lost_ms = MAX(qr_gateway_now(g), 1);
         return;
     }
     /* a gateway tells its load on the connection that we dialled */
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -1,10 +1,20 @@
 /*
  * Connections between our own processes: protobuf-c frames over TCP, kept
- * open, dialled again when they break.
+ * open, dialled again when they break or go silent.
+ *
+ * A connection may go silent for good without a reset, and the kernel finds out
+ * on the side that writes only. So the side that dialled asks when it has heard
+ * nothing for a moment. If no answer comes either it does not judge the old
+ * connection: it dials a second one. When that is greeted while the old one is
+ * still mute, it takes its place; when the old one speaks again, the second is
+ * closed. A peer that stands still, or whose link is full, answers on neither
+ * and loses nothing.
  */
 #include "qr_peer.h"
 #include "qr_socket.h"
 
+#include "io/qr_log.h"
+
 #include <arpa/inet.h>
 #include <string.h>
 
@@ -16,14 +26,29 @@
 #define REDIAL_FIRST_MS 200
 #define HURRY_MS 100 /* an attempt younger than that is left alone */
 #define REDIAL_MOST_MS 2000
+/* Nothing heard for so long: the other side is asked. Gateways under load tell
+   theirs every 100 ms, at rest every 800. */
+#define PROBE_MS 500
+/* No answer either: a second connection is tried. A round trip takes some 10
+   ms, and a lost packet is sent again after 200. */
+#define DOUBT_MS 900
+#define DOUBT_AGAIN_MS 1000 /* between two such tries */
+/* The side that dialled says something at least so often... */
+#define KEEPALIVE_MS 1500
+/* ... and the other side closes what was not heard for three times as long. */
+#define ACCEPTED_LEASE_MS 5000
+/* Between two ticks, which come every 100 ms: this process stood still, and
+   what came meanwhile is not read yet. */
+#define STOOD_STILL_MS 400
 #define TRAFFIC_LOG_MS 1000   /* between two log lines of what was sent */
 #define UNSENT_MAX (4u << 20) /* a peer that does not read is cut off */
 
 /* An address to which a connection is kept open. */
 typedef struct Target {
     char *address;
-    QRPeerConn *peer; /* or NULL */
-    uint64_t next_ms;
+    QRPeerConn *peer;   /* or NULL */
+    QRPeerConn *second; /* tried because 'peer' is mute, or NULL */
+    uint64_t next_ms, second_next_ms;
     uint32_t pause_ms;
 } Target;
 
@@ -34,7 +59,9 @@
     Target *target; /* or NULL: the other side dialled */
     GByteArray *in;
     uint64_t since_ms;
-    uint64_t frame_since_ms; /* when the frame being read began to come */
+    uint64_t heard_ms, sent_ms; /* when bytes came, and were sent, last */
+    uint64_t probed_ms;         /* when the other side was asked last */
+    uint64_t frame_since_ms;    /* when the frame being read began to come */
     bool open, closing;
     bool far; /* the other side is in another region */
     void *data;
@@ -49,6 +76,7 @@
     GHashTable *targets; /* address -> Target */
     QRTraffic traffic, traffic_logged;
     uint64_t traffic_log_ms; /* when due next */
+    uint64_t tick_ms;        /* of the last tick; 0: none yet */
     bool closing;
 };
 
@@ -68,6 +96,19 @@
     g_free(peer);
 }
 
+/* The target has one connection less. */
+static void target_lost(Target *t, const QRPeerConn *peer, uint64_t now_ms)
+{
+    if (t->second == peer) {
+        t->second = NULL;
+        t->second_next_ms = now_ms + DOUBT_AGAIN_MS;
+        return;
+    }
+    t->peer = g_steal_pointer(&t->second);
+    t->next_ms = now_ms + t->pause_ms;
+    t->pause_ms = MIN(t->pause_ms * 2, REDIAL_MOST_MS);
+}
+
 void qr_peer_close(QRPeerConn *peer)
 {
     QRPeerNet *p = peer->peers;
@@ -76,17 +117,48 @@
         return;
     peer->closing = true;
     g_ptr_array_remove_fast(p->all, peer);
-    if (peer->target) {
-        peer->target->peer = NULL;
-        peer->target->next_ms = uv_now(p->loop) + peer->target->pause_ms;
-        peer->target->pause_ms =
-            MIN(peer->target->pause_ms * 2, REDIAL_MOST_MS);
-    }
+    if (peer->target)
+        target_lost(peer->target, peer, uv_now(p->loop));
     uv_close((uv_handle_t *)&peer->tcp, peer_freed);
     if (peer->open && !p->closing)
         p->handlers->closed(p->owner, peer);
 }
 
+static uint64_t quiet_ms(const QRPeerConn *peer)
+{
+    uint64_t now = uv_now(peer->peers->loop);
+
+    return now - MIN(peer->heard_ms, now);
+}
+
+static void peer_probe(QRPeerConn *peer, bool answer)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Probe probe = QR__FLEET__PROBE__INIT;
+
+    if (!answer)
+        peer->probed_ms = uv_now(peer->peers->loop);
+    probe.answer = answer;
+    frame.body_case = QR__FLEET__FRAME__BODY_PROBE;
+    frame.probe = &probe;
+    qr_peer_send(peer, &frame);
+}
+
+/* The second connection is answered while the first is mute: that is dead. */
+static void second_proven(QRPeerConn *second)
+{
+    Target *t = second->target;
+    QRPeerConn *mute = t->peer;
+
+    qr_logf(QR_LEVEL_WARN, "peers",
+            "replaced address=%s quiet_ms=%" G_GUINT64_FORMAT, t->address,
+            quiet_ms(mute));
+    t->peer = second;
+    t->second = NULL;
+    mute->target = NULL; /* the peer is not lost */
+    qr_peer_close(mute);
+}
+
 static void peer_take(QRPeerConn *peer, const uint8_t *data, size_t len)
 {
     QRPeerNet *p = peer->peers;
@@ -98,7 +170,12 @@
         qr_peer_close(peer);
         return;
     }
-    p->handlers->frame(p->owner, peer, frame);
+    if (peer->target && peer->target->second == peer)
+        second_proven(peer);
+    if (frame->body_case != QR__FLEET__FRAME__BODY_PROBE)
+        p->handlers->frame(p->owner, peer, frame);
+    else if (!frame->probe->answer)
+        peer_probe(peer, true);
     qr__fleet__frame__free_unpacked(frame, NULL);
 }
 
@@ -111,8 +188,9 @@
         qr_peer_close(peer);
         return;
     }
+    peer->heard_ms = uv_now(peer->peers->loop);
     if (peer->in->len == 0)
-        peer->frame_since_ms = uv_now(peer->peers->loop);
+        peer->frame_since_ms = peer->heard_ms;
     g_byte_array_append(peer->in, (const guint8 *)buf->base, (guint)n);
     while (!peer->closing && peer->in->len - used >= HEAD_BYTES) {
         uint32_t len;
@@ -140,6 +218,7 @@
     Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
 
     peer->open = true;
+    peer->heard_ms = uv_now(p->loop);
     if (peer->target)
         peer->target->pause_ms = REDIAL_FIRST_MS;
     qr_socket_tune(&peer->tcp, SILENT_MS);
@@ -237,14 +316,15 @@
     uv_close((uv_handle_t *)&p->tcp, peers_freed);
 }
 
-static void target_dial(QRPeerNet *p, Target *t)
+/* Dials into 'slot' of the target: its connection, or the second one. */
+static void target_dial(QRPeerNet *p, Target *t, QRPeerConn **slot)
 {
     struct sockaddr_in at;
     QRPeerConn *peer = peer_new(p);
     int rc = UV_EINVAL;
 
     peer->target = t;
-    t->peer = peer;
+    *slot = peer;
     if (qr_socket_address(t->address, &at))
         rc = uv_tcp_connect(&peer->connect, &peer->tcp,
                             (const struct sockaddr *)&at, peer_opened);
@@ -280,7 +360,7 @@
     t->address = g_strdup(address);
     t->pause_ms = REDIAL_FIRST_MS;
     g_hash_table_insert(p->targets, t->address, t);
-    target_dial(p, t);
+    target_dial(p, t, &t->peer);
 }
 
 void qr_peers_redial(QRPeerNet *p, const char *address)
@@ -292,21 +372,6 @@
     qr_peers_dial(p, address);
 }
 
-void qr_peers_forget(QRPeerNet *p, const char *address)
-{
-    Target *t = g_hash_table_lookup(p->targets, address);
-    QRPeerConn *peer;
-
-    if (!t)
-        return;
-    peer = t->peer;
-    if (peer)
-        qr_peer_close(peer);
-    g_hash_table_remove(p->targets, address);
-    if (peer)
-        peer->target = NULL;
-}
-
 QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address)
 {
     Target *t;
@@ -319,8 +384,73 @@
     return t->peer && t->peer->open ? t->peer : NULL;
 }
 
+/* What is being dialled for too long is given up. */
+static void check_dialled(QRPeerConn *peer, uint64_t now_ms)
+{
+    if (peer && !peer->open && now_ms >= peer->since_ms + CONNECT_MS)
+        qr_peer_close(peer);
+}
+
+/* An open connection that we dialled: asks, doubts, or doubts no longer. */
+static void check_quiet(QRPeerNet *p, Target *t, uint64_t now_ms)
+{
+    QRPeerConn *peer = t->peer;
+    uint64_t quiet = quiet_ms(peer);
+
+    if ((quiet >= PROBE_MS && now_ms >= peer->probed_ms + PROBE_MS) ||
+        now_ms >= peer->sent_ms + KEEPALIVE_MS)
+        peer_probe(peer, false);
+    if (peer->closing)
+        return;
+    if (quiet < DOUBT_MS) {
+        if (t->second)
+            qr_peer_close(t->second);
+    } else if (!t->second && now_ms >= t->second_next_ms) {
+        qr_logf(QR_LEVEL_INFO, "peers",
+                "doubted address=%s quiet_ms=%" G_GUINT64_FORMAT, t->address,
+                quiet);
+        target_dial(p, t, &t->second);
+    }
+}
+
+static void target_tick(QRPeerNet *p, Target *t, uint64_t now_ms)
+{
+    if (!t->peer && now_ms >= t->next_ms)
+        target_dial(p, t, &t->peer);
+    check_dialled(t->second, now_ms);
+    check_dialled(t->peer, now_ms);
+    if (t->peer && t->peer->open)
+        check_quiet(p, t, now_ms);
+}
+
+/* Connections that the other side dialled and lets rest. */
+static void check_accepted(QRPeerNet *p)
+{
+    for (unsigned i = p->all->len; i > 0; i--) {
+        QRPeerConn *peer = p->all->pdata[i - 1];
+
+        if (peer->target || !peer->open || quiet_ms(peer) < ACCEPTED_LEASE_MS)
+            continue;
+        qr_logf(QR_LEVEL_WARN, "peers",
+                "accepted connection expired quiet_ms=%" G_GUINT64_FORMAT,
+                quiet_ms(peer));
+        qr_peer_close(peer);
+    }
+}
+
+/* Whoever spoke while we stood still could not be heard. */
+static void check_stood_still(QRPeerNet *p, uint64_t now_ms)
+{
+    bool stood = p->tick_ms > 0 && now_ms > p->tick_ms + STOOD_STILL_MS;
+
+    p->tick_ms = now_ms;
+    for (unsigned i = 0; stood && i < p->all->len; i++)
+        ((QRPeerConn *)p->all->pdata[i])->heard_ms = now_ms;
+}
+
 void qr_peers_tick(QRPeerNet *p, uint64_t now_ms)
 {
+    g_autoptr(GPtrArray) all = g_ptr_array_new();
     GHashTableIter it;
     void *value;
 
@@ -328,16 +458,14 @@
         p->traffic_log_ms = now_ms + TRAFFIC_LOG_MS;
         qr_traffic_log(&p->traffic, &p->traffic_logged);
     }
+    check_stood_still(p, now_ms);
+    check_accepted(p);
+    /* what is told of a connection that closes may have others dialled */
     g_hash_table_iter_init(&it, p->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Target *t = value;
-
-        if (!t->peer && now_ms >= t->next_ms)
-            target_dial(p, t);
-        else if (t->peer && !t->peer->open &&
-                 now_ms >= t->peer->since_ms + CONNECT_MS)
-            qr_peer_close(t->peer);
-    }
+    while (g_hash_table_iter_next(&it, NULL, &value))
+        g_ptr_array_add(all, value);
+    for (unsigned i = 0; i < all->len; i++)
+        target_tick(p, all->pdata[i], now_ms);
 }
 
 void qr_peer_send(QRPeerConn *peer, const QRFrame *frame)
@@ -348,6 +476,7 @@
 
     if (!peer->open || peer->closing)
         return;
+    peer->sent_ms = uv_now(peer->peers->loop);
     memcpy(buf, &head, HEAD_BYTES);
     qr__fleet__frame__pack(frame, buf + HEAD_BYTES);
     qr_traffic_add(&peer->peers->traffic, frame, peer->far, HEAD_BYTES + len);
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -34,8 +34,6 @@
 void qr_peers_dial(QRPeerNet *p, const char *address);
 /* The process there has started anew: what we dialled before is of no use. */
 void qr_peers_redial(QRPeerNet *p, const char *address);
-/* Closes connections to 'address' and no longer dials it. */
-void qr_peers_forget(QRPeerNet *p, const char *address);
 /* As qr_peers_dial(); returns the connection if it is open by now, else NULL.
  */
 QRPeerConn *qr_peers_open_at(QRPeerNet *p, const char *address);
