Red: kept connections after a silence, and a gateway that asks in vain

A gateway that rests its reading hears of version 2 named at 11.84 s only at 18.93 s, when an engine's record has changed, and takes it for named just then (age 0): it sends calls on version 1 until 23.1 s, 11.2 s after the naming.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -180,6 +180,63 @@
             sock.close()
 
 
+def fill_pool(f, link, count):
+    """Leaves 'count' kept connections, by calls that are open at once."""
+    threads = [threading.Thread(target=f.call, args=("/safe/x", f"fill-{i}"))
+               for i in range(count)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    assert link.accepted >= 2
+
+
+def answers(f, count):
+    """(status, seconds) of so many calls at once."""
+    took = []
+
+    def one(i):
+        begun = time.monotonic()
+        status, _, _ = f.call("/safe/x", f"after-{i}")
+        took.append((status, time.monotonic() - begun))
+
+    threads = [threading.Thread(target=one, args=(i,)) for i in range(count)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    return took
+
+
+def slow_work(engine, conn, request):
+    time.sleep(0.1)
+    return engine.work(conn, request)
+
+
+def test_kept_connections_to_an_engine_are_not_used_once_one_was_mute():
+    """Each of them was handed a call, which waited for its own time-out."""
+    with Fleet(plain=2) as f:
+        links = [SilentLink(e.address) for e in f.plain]
+        for engine, link in zip(f.plain, links):
+            engine.behave = slow_work
+            record = engine.record() | {"address": link.address}
+            f.store.put("keyed.servers", engine.id, record)
+        f.wait_ready()
+        wait_for("engines behind links",
+                 lambda: f.log("g0").count("engine=p") >= 2)
+        fill_pool(f, links[0], 8)
+        for link in links:
+            link.silence()
+        begun = time.monotonic()
+        f.call("/safe/x", "first")  # finds out
+        assert time.monotonic() - begun < 3
+        took = answers(f, 6)
+        assert [status for status, _ in took] == [200] * 6, took
+        assert max(seconds for _, seconds in took) < 1.0, took
+        for link in links:
+            link.close()
+
+
 def test_a_silent_connection_to_the_store_costs_one_read():
     with Fleet(gateways=0, plain=0) as f:
         link = SilentLink(f.store.address)
@@ -193,3 +250,55 @@
         wait_for("the version", lambda: "named model=m1 version=2"
                  in f.log("g0"), 4.0)
         link.close()
+
+
+def test_a_sidecar_reaches_its_engine_again_on_a_new_connection():
+    """Each of its kept connections waited for a report in vain; gateways took
+    the engine for unreachable meanwhile."""
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        engine = f.add_engine("e0", "engines", MODEL, 1)
+        link = SilentLink(engine.address)
+        engine.address = link.address
+        f.store.put("keyed.servers", engine.id, engine.record())
+        f.start_sidecar(0, engine)
+        f.store.put("keyed.op", f"version/{MODEL}",
+                    {"model": MODEL, "version": 2})
+        # pieces are put and read back over several connections at once
+        wait_for("the new version", lambda:
+                 "told engine=e0 version=2" in f.log("g0"), 10)
+        assert link.accepted >= 4
+        link.silence()
+        wait_for("the sidecar to miss it", lambda:
+                 "reports reachable=0" in f.log("s0"), 3)
+        wait_for("the sidecar to reach it again", lambda:
+                 f.log("s0").rindex("reports reachable=1") >
+                 f.log("s0").rindex("reports reachable=0"), 1.2)
+        link.close()
+
+
+def test_who_is_behind_and_is_told_nothing_reads_the_store():
+    """A gateway let its reading rest, as two others read. It heard from them
+    that a version had been named; its questions went over connections that had
+    gone silent. It knew the version 7 s later, when an engine had changed."""
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        known = [len(f.store.records("keyed.op"))]
+        changed = len(f.store.records("keyed.servers"))
+
+        def reader():
+            return [{"load": fleet_pb2.Load(
+                whole=True, gateways=3, control_offset=known[0],
+                reads_engines=True, engines_changed=changed)}]
+
+        # so many that two of them come before it in the order of readers
+        readers = [Gateway(f"reader{i}", f.peers[0], reader) for i in range(9)]
+        wait_for("the gateway to let its reading rest", lambda:
+                 "heard from other gateways" in f.log("g0"), 8)
+        f.store.put("keyed.op", f"version/{MODEL}",
+                    {"model": MODEL, "version": 2})
+        known[0] += 1
+        wait_for("the version", lambda: "named model=m1 version=2"
+                 in f.log("g0"), 3)
+        for r in readers:
+            r.close()
