--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -217,9 +217,12 @@
         out,
         "quayring_calls_open %u\n"
         "quayring_engine_connections_opened_total %" G_GUINT64_FORMAT "\n"
+        "quayring_engine_requests_mute_total %" G_GUINT64_FORMAT "\n"
+        "quayring_peer_connections_replaced_total %" G_GUINT64_FORMAT "\n"
         "quayring_store_calls_total %" G_GUINT64_FORMAT "\n"
         "quayring_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
         g->relays->len, qr_client_opened(g->to_engines),
+        qr_client_mute(g->to_engines), qr_peers_replaced(g->peers),
         qr_follower_calls(g->follow_operator) +
             qr_follower_calls(g->follow_engines),
         qr_log_dropped());
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -62,8 +62,8 @@
 struct QRClient {
     uv_loop_t *loop;
     char *id_name;
-    GPtrArray *links; /* Link * */
-    uint64_t opened;
+    GPtrArray *links;           /* Link * */
+    uint64_t opened, mute;      /* connections so far; requests on dead ones */
     uint64_t tick_ms, awake_ms; /* last tick; since when they come in time */
 };
 
@@ -137,6 +137,7 @@
 static void distrust_resting(QRClient *c, const Link *mute)
 {
     mute->call->mute = true;
+    c->mute++;
     close_resting(c, MAX(mute->heard_ms, mute->call->sent_ms), mute->address,
                   uv_now(c->loop));
 }
@@ -522,8 +523,10 @@
     for (unsigned i = 0; i < c->links->len; i++) {
         Link *l = c->links->pdata[i];
 
-        if (had_worked(l) && l->call->sent_ms > 0)
-            l->call->mute = true;
+        if (!had_worked(l) || l->call->sent_ms == 0)
+            continue;
+        l->call->mute = true;
+        c->mute++;
     }
     close_resting(c, now - ALL_QUIET_MS, "all", now);
 }
@@ -563,3 +566,8 @@
 {
     return c->opened;
 }
+
+uint64_t qr_client_mute(const QRClient *c)
+{
+    return c->mute;
+}
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -69,5 +69,7 @@
 uint64_t qr_client_now(const QRClient *c);
 /* Connections opened so far. */
 uint64_t qr_client_opened(const QRClient *c);
+/* Requests so far whose connection went silent. */
+uint64_t qr_client_mute(const QRClient *c);
 
 #endif
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -77,6 +77,7 @@
     QRTraffic traffic, traffic_logged;
     uint64_t traffic_log_ms; /* when due next */
     uint64_t tick_ms;        /* of the last tick; 0: none yet */
+    uint64_t replaced;       /* connections that had gone silent */
     bool closing;
 };
 
@@ -153,6 +154,7 @@
     qr_logf(QR_LEVEL_WARN, "peers",
             "replaced address=%s quiet_ms=%" G_GUINT64_FORMAT, t->address,
             quiet_ms(mute));
+    second->peers->replaced++;
     t->peer = second;
     t->second = NULL;
     mute->target = NULL; /* the peer is not lost */
@@ -529,6 +531,11 @@
     peer->far = far;
 }
 
+uint64_t qr_peers_replaced(const QRPeerNet *p)
+{
+    return p->replaced;
+}
+
 const QRTraffic *qr_peers_traffic(const QRPeerNet *p)
 {
     return &p->traffic;
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -1,6 +1,6 @@
 /*
  * Connections between our own processes: protobuf-c frames over TCP, kept
- * open, dialled again when they break.
+ * open, dialled again when they break or go silent.
  */
 #ifndef QR_PEER_H
 #define QR_PEER_H
@@ -52,6 +52,8 @@
 uint64_t qr_peer_frame_ms(const QRPeerConn *peer);
 /* The other side is in another region. */
 void qr_peer_set_far(QRPeerConn *peer, bool far);
+/* Connections so far that had gone silent and were replaced. */
+uint64_t qr_peers_replaced(const QRPeerNet *p);
 /* What was sent over all connections so far. */
 const QRTraffic *qr_peers_traffic(const QRPeerNet *p);
 
