--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -250,7 +250,6 @@
     g->relays = g_ptr_array_new();
     g->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     g->random = g->incarnation;
-    g->gateways_most = 1;
     g->started_ms = uv_now(g->loop);
     g->operator_hold_ms =
         g->started_ms + OPERATOR_HOLD_MS +
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -85,9 +85,10 @@
     unsigned ages_asked;    /* how many were */
     uint64_t meet_ms;       /* when one was asked for gateways last */
     uint64_t fetches;
-    unsigned heartbeats;    /* so far */
-    bool follower_is_new;   /* a gateway that knows nothing of our load yet */
-    unsigned gateways_most; /* seen at once, this one too */
+    unsigned heartbeats;     /* so far */
+    bool follower_is_new;    /* a gateway that knows nothing of our load yet */
+    unsigned gateways_known; /* that share the retry budget, this one too; 0:
+                                not known yet */
     bool stopped;
 } QRGateway;
 
@@ -153,8 +154,6 @@
 void qr_gateway_check_sidecars(QRGateway *g, uint64_t now_ms);
 /* Sends our word to every gateway: we leave, or still stay. */
 void qr_gateway_tell_leaving(QRGateway *g);
-/* Gateways heard from lately, and this one. */
-unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms);
 /*
  * The oldest version that calls for 'service' may begin on, 'margin_ms' before
  * the bound of a newer one already; 0: any.
--- a/src/gateway/qr_gateway_heartbeat.c
+++ b/src/gateway/qr_gateway_heartbeat.c
@@ -12,6 +12,7 @@
    every 800 ms, may be late or lost. Longer, and its calls, which are over by
    then, keep places from those of others. */
 #define LOAD_LEASE_MS 2000
+#define LISTEN_LEASES 2 /* to know how many gateways there are */
 
 void qr_gateway_load_told(QRGateway *g, QRFleetMember *member,
                           const Qr__Fleet__Load *load)
@@ -101,6 +102,35 @@
     }
 }
 
+static bool has_other_seeds(const QRGateway *g)
+{
+    for (unsigned i = 0; i < g->set->seeds->len; i++) {
+        if (strcmp(g->set->seeds->pdata[i], g->set->peers) != 0)
+            return true;
+    }
+    return false;
+}
+
+/*
+ * Gateways that we know, or one that we know does: the most so far. 0: there
+ * are others, and nobody was heard of yet, or we have not listened for long
+ * enough to know how many.
+ */
+static unsigned gateways_known(const QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    uint64_t listen_ms = LISTEN_LEASES * (uint64_t)g->set->lease_ms;
+    unsigned known = MAX(g->gateways_known, list->len + 1);
+
+    if (has_other_seeds(g) &&
+        (list->len == 0 || now_ms < g->started_ms + listen_ms))
+        return 0;
+    for (unsigned i = 0; i < list->len; i++)
+        known = MAX(known, ((const QRFleetMember *)list->pdata[i])->gateways);
+    return known;
+}
+
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms)
 {
     g_autoptr(GArray) rows =
@@ -112,7 +142,7 @@
     qr_gateway_meet(g, now_ms);
     qr_gateway_catch_up(g, now_ms);
     qr_gateway_share_tick(g, now_ms);
-    g->gateways_most = MAX(g->gateways_most, qr_gateway_peers_alive(g, now_ms));
+    g->gateways_known = gateways_known(g, now_ms);
     load.whole = turn % HEARTBEAT_REST == 0 || g->follower_is_new;
     g->follower_is_new = false;
     load_collect(g, rows, load.whole);
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -384,15 +384,3 @@
     }
     check_lost(g, now_ms);
 }
-
-unsigned qr_gateway_peers_alive(const QRGateway *g, uint64_t now_ms)
-{
-    g_autoptr(GPtrArray) list =
-        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
-    unsigned alive = 1;
-
-    for (unsigned i = 0; i < list->len; i++)
-        alive +=
-            qr_member_alive(list->pdata[i], (uint64_t)g->set->lease_ms, now_ms);
-    return alive;
-}
