Red: an age that was told while one stood still

A version told with age 0 to a gateway that stands still for 2 s is taken at age 0 when it wakes (true: 2,001 ms).

--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -3,6 +3,7 @@
 A version's bound runs from its naming. Who takes one for younger than it is
 sends calls to engines with older weights behind the bound.
 """
+import json
 import re
 import signal
 import time
@@ -195,3 +196,28 @@
     """Seen: age 0 for a version named while the process stood still for less
     than a read may take (2.8 s), 2.8 s at most when it stood for longer."""
     check(stood_still_for_a_moment, stood_still_for_long)
+
+
+def told_while_standing_still(stopped_s=2.0):
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        end = end_of(f)
+        other = Peer(f.peers[0], hello("other", "gateway"))
+        other.frames_for(0.5)
+        f.procs["g0"].send_signal(signal.SIGSTOP)
+        put = time.monotonic()
+        value = json.dumps({"model": MODEL, "version": 2}).encode()
+        other.send(records=fleet_pb2.Records(end=end + 1, records=[
+            fleet_pb2.Record(key=f"version/{MODEL}", value=value, offset=end,
+                             age_ms=0)]))
+        time.sleep(stopped_s)
+        f.procs["g0"].send_signal(signal.SIGCONT)
+        age, truth = age_and_truth(f, "g0", 2, put)
+        other.conn.close()
+    return age, truth, 500
+
+
+def test_what_was_told_to_one_that_stood_still_is_as_old_as_that():
+    """Seen: the age that another gateway had told counted from when it was
+    read here, though it had lain in the connection while we stood still."""
+    check(told_while_standing_still)
