--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -347,6 +347,37 @@
      "if (d->counts[i] > 0 &&", "unit"),
     ("all-choose-the-one-that-seems-best", 5, "gateway/qr_balance.c",
      "#define NEAR_DRAWN 2", "#define NEAR_DRAWN 64", "unit"),
+    ("a-mute-peer-is-not-doubted", 7, "net/qr_peer.c",
+     "} else if (!t->second && now_ms >= t->second_next_ms) {",
+     "} else if (false) {", "silence::heard_again"),
+    ("the-second-connection-counts-at-once", 7, "net/qr_peer.c",
+     "if (quiet_ms(mute) < DOUBT_MS)", "if (false)", "silence::stood_still"),
+    ("what-was-told-counts-for-good", 7,
+     "gateway/qr_gateway_heartbeat.c",
+     "if (m->load_ms == 0 || heard_ms <= m->load_ms + LOAD_LEASE_MS)",
+     "if (true)", "silence::told_no_more"),
+    ("who-has-nobody-to-ask-rests-on", 7, "gateway/qr_gateway_share.c",
+     "qr_gateway_is_untold(g, now_ms)", "false", "silence::nobody_to_ask"),
+    ("kept-connections-are-trusted", 4, "net/qr_client.c",
+     "        link_close(l);\n        closed++;", "        closed++;",
+     "silence::kept_connections"),
+    ("a-dead-call-keeps-its-place", 4, "gateway/qr_relay.c",
+     "        qr_relay_free_place(r);\n}", "        ;\n}",
+     "silence::all_stop"),
+    ("a-verdict-is-final", 4, "net/qr_client.c",
+     "    if (l->call)\n        l->call->mute = false;", "",
+     "silence::pause_and_go_on"),
+    ("a-place-is-given-away-for-good", 4, "gateway/qr_relay_end.c",
+     "    if (e && !r->holds_place)\n        e->own++;",
+     "    if (e && r->mode == ANSWER_NONE && !r->started)\n"
+     "        e->own++;", "silence::pause_and_go_on"),
+    ("a-mute-call-is-not-cut-before-a-bound", 7, "gateway/qr_relay_end.c",
+     "    if (e && e->own > 0 && r->holds_place)\n        e->own--;",
+     "    qr_relay_read(r);\n    if (e && e->own > 0 && r->holds_place)\n"
+     "        e->own--;", "silence::cut_before"),
+    ("engines-are-blamed-for-silence", 4, "gateway/qr_relay_end.c",
+     "if (outcome == QR_OUTCOME_FAILURE && r->call && "
+     "qr_client_is_mute(r->call))", "if (false)", "silence::all_stop"),
 ]
 
 
