Silent connections are looked for where it matters, at three paces

What a sidecar asks of another for a piece, and what it tells gateways that it does not follow, was left to the kernel's time-out, which finds nothing where something on the way acknowledges. Now a connection is probed by what rests on it: heard (0.5 s), told (2 s), or nothing until something is asked there.

--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -162,7 +162,7 @@
     }
     if (qr_peer_dialled(
             peer)) { /* the other side welcomes us, tells its load */
-        qr_peer_watch(peer, true);
+        qr_peer_care(peer, QR_PEER_HEARS);
         return;
     }
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -26,12 +26,6 @@
 #define REDIAL_FIRST_MS 200
 #define HURRY_MS 100 /* an attempt younger than that is left alone */
 #define REDIAL_MOST_MS 2000
-/* Nothing heard for so long: the other side is asked. Gateways under load tell
-   theirs every 100 ms, at rest every 800. */
-#define PROBE_MS 500
-/* No answer either: a second connection is tried. A round trip takes some 10
-   ms, and a lost packet is sent again after 200. */
-#define DOUBT_MS 900
 #define DOUBT_AGAIN_MS 1000 /* between two such tries */
 /* An accepted connection on which nothing comes: the kernel asks. */
 #define ACCEPTED_IDLE_S 5
@@ -41,6 +35,22 @@
 #define TRAFFIC_LOG_MS 1000   /* between two log lines of what was sent */
 #define UNSENT_MAX (4u << 20) /* a peer that does not read is cut off */
 
+/*
+ * Nothing heard for 'probe_ms': the other side is asked. No answer either by
+ * 'doubt_ms': a second connection is tried. Gateways under load tell theirs
+ * every 100 ms, at rest every 800; a round trip takes some 10 ms, and a lost
+ * packet is sent again after 200. What we only tell goes to each gateway from
+ * each engine's host, and the kernel finds most dead connections there by
+ * itself in 2 s.
+ */
+static const struct {
+    uint64_t probe_ms, doubt_ms;
+} cares[QR_PEER_CARE_COUNT] = {
+    [QR_PEER_RESTS] = {UINT64_MAX, UINT64_MAX},
+    [QR_PEER_TELLS] = {2000, 3000},
+    [QR_PEER_HEARS] = {500, 900},
+};
+
 /* An address to which a connection is kept open. */
 typedef struct Target {
     char *address;
@@ -48,7 +58,7 @@
     QRPeerConn *second; /* tried because 'peer' is mute, or NULL */
     uint64_t next_ms, second_next_ms;
     uint32_t pause_ms;
-    bool watched; /* words are due there */
+    QRPeerCare care;
 } Target;
 
 struct QRPeerConn {
@@ -59,6 +69,7 @@
     GByteArray *in;
     uint64_t since_ms;
     uint64_t heard_ms;       /* when bytes came last */
+    uint64_t expect_ms;      /* since when an answer is due; 0: none is */
     uint64_t probed_ms;      /* when the other side was asked last */
     uint64_t frame_since_ms; /* when the frame being read began to come */
     bool open, closing;
@@ -124,11 +135,17 @@
         p->handlers->closed(p->owner, peer);
 }
 
+static QRPeerCare care_of(const QRPeerConn *peer)
+{
+    return peer->expect_ms > 0 ? QR_PEER_HEARS : peer->target->care;
+}
+
+/* How long nothing was heard that might have been. */
 static uint64_t quiet_ms(const QRPeerConn *peer)
 {
     uint64_t now = uv_now(peer->peers->loop);
 
-    return now - MIN(peer->heard_ms, now);
+    return now - MIN(MAX(peer->heard_ms, peer->expect_ms), now);
 }
 
 static void peer_probe(QRPeerConn *peer, bool answer)
@@ -153,7 +170,7 @@
     Target *t = second->target;
     QRPeerConn *mute = t->peer;
 
-    if (quiet_ms(mute) < DOUBT_MS)
+    if (quiet_ms(mute) < cares[care_of(mute)].doubt_ms)
         return false; /* it spoke again: the next tick closes the second */
     qr_logf(QR_LEVEL_WARN, "peers",
             "replaced address=%s quiet_ms=%" G_GUINT64_FORMAT, t->address,
@@ -202,6 +219,7 @@
         return;
     }
     peer->heard_ms = uv_now(peer->peers->loop);
+    peer->expect_ms = 0;
     if (peer->in->len == 0)
         peer->frame_since_ms = peer->heard_ms;
     g_byte_array_append(peer->in, (const guint8 *)buf->base, (guint)n);
@@ -411,12 +429,14 @@
 {
     QRPeerConn *peer = t->peer;
     uint64_t quiet = quiet_ms(peer);
+    uint64_t probe = cares[care_of(peer)].probe_ms;
+    uint64_t doubt = cares[care_of(peer)].doubt_ms;
 
-    if (quiet >= PROBE_MS && now_ms >= peer->probed_ms + PROBE_MS)
+    if (quiet >= probe && now_ms >= peer->probed_ms + probe)
         peer_probe(peer, false);
     if (peer->closing)
         return;
-    if (quiet < DOUBT_MS) {
+    if (quiet < doubt) {
         if (t->second)
             qr_peer_close(t->second);
     } else if (!t->second && now_ms >= t->second_next_ms) {
@@ -433,7 +453,7 @@
         target_dial(p, t, &t->peer);
     check_dialled(t->second, now_ms);
     check_dialled(t->peer, now_ms);
-    if (t->peer && t->peer->open && t->watched)
+    if (t->peer && t->peer->open)
         check_quiet(p, t, now_ms);
 }
 
@@ -502,10 +522,16 @@
     }
 }
 
-void qr_peer_watch(QRPeerConn *peer, bool watched)
+void qr_peer_care(QRPeerConn *peer, QRPeerCare care)
 {
     if (peer->target)
-        peer->target->watched = watched;
+        peer->target->care = care;
+}
+
+void qr_peer_expect(QRPeerConn *peer)
+{
+    if (peer->expect_ms == 0)
+        peer->expect_ms = uv_now(peer->peers->loop);
 }
 
 const char *qr_peer_dialled(const QRPeerConn *peer)
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -44,12 +44,17 @@
 void *qr_peer_data(const QRPeerConn *peer);
 /* 'data' is about to go: no connection may name it any more. */
 void qr_peers_clear_data(QRPeerNet *p, const void *data);
-/*
- * Whether words are due on a connection that we dialled: if none come, the
- * other side is asked, and the connection replaced once that has gone silent.
- * Costs a probe and its answer each half second without a word.
- */
-void qr_peer_watch(QRPeerConn *peer, bool watched);
+/* How soon it matters that a connection which we dialled has gone silent. */
+typedef enum QRPeerCare {
+    QR_PEER_RESTS, /* not at all, until something is asked there */
+    QR_PEER_TELLS, /* we tell on it what others rest on */
+    QR_PEER_HEARS, /* words come on it that we rest on */
+    QR_PEER_CARE_COUNT
+} QRPeerCare;
+
+void qr_peer_care(QRPeerConn *peer, QRPeerCare care);
+/* Something was asked there: until anything comes it is as if it were heard. */
+void qr_peer_expect(QRPeerConn *peer);
 /* The address that was dialled, or NULL if the other side did. */
 const char *qr_peer_dialled(const QRPeerConn *peer);
 /* Bytes written and not yet taken by the kernel. */
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -202,6 +202,7 @@
     frame.body_case = QR__FLEET__FRAME__BODY_WANT;
     frame.want = &want;
     qr_peer_send(peer, &frame);
+    qr_peer_expect(peer);
     p->asked = true;
     p->asked_on = peer;
     p->heard = p->pending = false;
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -45,8 +45,7 @@
     frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
     frame.hello = &hello;
     s->followed = peer;
-    /* to the other gateways we write, so the kernel finds out */
-    qr_peer_watch(peer, true);
+    qr_peer_care(peer, QR_PEER_HEARS);
     unlist_all(s); /* it will say who is there */
     qr_peer_send(peer, &frame);
 }
@@ -116,6 +115,7 @@
         return;
     qr_logf(QR_LEVEL_INFO, "members", "gateway reached name=%s", member->name);
     g_ptr_array_add(s->gateways, peer);
+    qr_peer_care(peer, QR_PEER_TELLS);
     if (s->report_ms)
         state_send(s, peer);
 }
@@ -207,7 +207,7 @@
     g_ptr_array_remove_fast(s->gateways, peer);
     if (s->followed == peer) {
         s->followed = NULL;
-        qr_peer_watch(peer, false);
+        qr_peer_care(peer, QR_PEER_TELLS);
     }
     if (member && strcmp(member->role, QR_ROLE_GATEWAY) == 0)
         qr_logf(QR_LEVEL_INFO, "members", "gateway lost name=%s", member->name);
