--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -223,3 +223,27 @@
     """Seen: the age that another gateway had told counted from when it was
     read here, though it had lain in the connection while we stood still."""
     check(told_while_standing_still)
+
+
+def test_one_that_starts_knows_of_older_versions_too():
+    """Seen: a gateway that was started while a version was new let calls begin
+    on weights whose bound was long past. The store keeps the newest version
+    only; of the one before, which was in force, the gateway knew nothing."""
+    with Fleet(plain=0, version_ms=3000) as f:
+        f.wait_ready()
+        engine = f.add_engine("e0", "engines", MODEL, 1)
+        f.start_sidecar(0, engine)
+        wait_for("the engine", lambda: "told engine=e0 version=1"
+                 in f.log("g0"))
+        f.origin.take_down()  # the engine stays on the old weights
+        name_version(f, 2)
+        time.sleep(3.2)
+        assert f.call("/model/x", "known")[0] == 503
+        name_version(f, 3)
+        wait_for("the version", lambda: "version=3" in f.log("g0"))
+        f.add_gateways(1)
+        wait_for("the engine", lambda: "told engine=e0 version=1"
+                 in f.log("g1"))
+        wait_for("it is ready", lambda: f.ready(1))
+        assert f.call("/model/x", "started", gateway=1)[0] == 503
+        assert engine.ran == []
