Who tells a version tells those before it, which have bounds of their own

Cause: the store keeps the newest record of a model, and peers told that one only, with its age. A gateway that started while a version was new knew of none before it, and let calls begin on any weights until the newest one's bound. Records of versions now carry the earlier ones with their ages, taken before the record itself; the least age counts for each. One that nobody can tell takes the newest for long in force, as before.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -72,35 +72,53 @@
     o->policy_since_ms = since(now_ms, age_ms);
 }
 
+/* Notes a version in its place; of one that is known the lesser age counts. */
+static void versions_add(QROperator *o, const char *model,
+                         const QRNamedVersion *named)
+{
+    GArray *list = g_hash_table_lookup(o->versions, model);
+    unsigned at;
+
+    if (!list) {
+        list = g_array_new(FALSE, FALSE, sizeof(QRNamedVersion));
+        g_hash_table_insert(o->versions, g_strdup(model), list);
+    }
+    for (at = list->len; at > 0; at--) {
+        QRNamedVersion *v = &g_array_index(list, QRNamedVersion, at - 1);
+
+        if (v->version < named->version)
+            break;
+        if (v->version == named->version) {
+            v->since_ms = MAX(v->since_ms, named->since_ms);
+            return;
+        }
+    }
+    g_array_insert_val(list, at, *named);
+    if (list->len > VERSIONS_KEPT)
+        g_array_remove_index(list, 0);
+}
+
 static void take_version(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
                          uint64_t now_ms)
 {
     g_autofree char *model = NULL;
     const QRNamedVersion *known;
-    QRNamedVersion new = {0, since(now_ms, age_ms)};
-    GArray *list;
+    QRNamedVersion named = {0, since(now_ms, age_ms)};
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
 
-    if (o->platform->parse_weights(data, len, &model, &new.version) != 0) {
+    if (o->platform->parse_weights(data, len, &model, &named.version) != 0) {
         qr_logf(QR_LEVEL_WARN, "weights", "unreadable record key=%s", r->key);
         return;
     }
     known = qr_operator_version(o, model);
-    if (known && new.version <= known->version)
+    if (known && named.version <= known->version)
         return;
     qr_logf(QR_LEVEL_INFO, "weights",
             "named model=%s version=%" G_GUINT64_FORMAT
             " age_ms=%" G_GUINT64_FORMAT,
-            model, new.version, age_ms);
-    list = g_hash_table_lookup(o->versions, model);
-    if (!list) {
-        list = g_array_new(FALSE, FALSE, sizeof(QRNamedVersion));
-        g_hash_table_insert(o->versions, g_strdup(model), list);
-    }
-    if (list->len >= VERSIONS_KEPT)
-        g_array_remove_index(list, 0);
-    g_array_append_val(list, new);
+            model, named.version, age_ms);
+    versions_add(o, model, &named);
 }
 
 static void version_is_younger(QROperator *o, const QRStoreRecord *r,
@@ -253,6 +271,44 @@
     }
 }
 
+/*
+ * Versions named before that of the record: one that starts finds the newest
+ * only in the store, and older ones have bounds of their own. What is sent
+ * stays in 'kept'.
+ */
+static void earlier_fill(const QROperator *o, const QRHeldRecord *held,
+                         uint64_t now_ms, Qr__Fleet__Record *out,
+                         GPtrArray *kept)
+{
+    g_autofree char *model = NULL;
+    Qr__Fleet__EarlierVersion *rows;
+    const GArray *list;
+    uint64_t version;
+    gsize len;
+    const char *data = g_bytes_get_data(held->record->value, &len);
+
+    if (o->platform->operator_kind(held->record->key) != QR_OPERATOR_WEIGHTS ||
+        o->platform->parse_weights(data, len, &model, &version) != 0)
+        return;
+    list = g_hash_table_lookup(o->versions, model);
+    if (!list)
+        return;
+    rows = g_new(Qr__Fleet__EarlierVersion, list->len);
+    out->earlier = g_new(Qr__Fleet__EarlierVersion *, list->len);
+    g_ptr_array_add(kept, rows);
+    g_ptr_array_add(kept, out->earlier);
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
+
+        if (v->version >= version)
+            break;
+        qr__fleet__earlier_version__init(&rows[i]);
+        rows[i].version = v->version;
+        rows[i].age_ms = v->since_ms ? now_ms - v->since_ms : QR_AGE_UNKNOWN_MS;
+        out->earlier[out->n_earlier++] = &rows[i];
+    }
+}
+
 void qr_operator_tell(const QROperator *o, uint64_t offset, QRAudience audience,
                       uint64_t now_ms,
                       void (*send)(void *to, const Qr__Fleet__Frame *frame),
@@ -261,6 +317,7 @@
     unsigned most = g_hash_table_size(o->records), n = 0;
     g_autofree Qr__Fleet__Record *rows = g_new(Qr__Fleet__Record, most + 1);
     g_autofree Qr__Fleet__Record **list = g_new(Qr__Fleet__Record *, most + 1);
+    g_autoptr(GPtrArray) kept = g_ptr_array_new_with_free_func(g_free);
     Qr__Fleet__Frame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
     GHashTableIter it;
@@ -273,6 +330,7 @@
         if (held->record->offset < offset)
             continue;
         record_fill(o, held, audience, now_ms, &rows[n]);
+        earlier_fill(o, held, now_ms, &rows[n], kept);
         list[n] = &rows[n];
         n++;
     }
@@ -300,6 +358,26 @@
     return value;
 }
 
+/* Before the record itself: a moment without them would let old weights in. */
+static void heard_earlier(QROperator *o, const Qr__Fleet__Record *told,
+                          GBytes *value, uint64_t now_ms)
+{
+    g_autofree char *model = NULL;
+    uint64_t version;
+    gsize len;
+    const char *data = g_bytes_get_data(value, &len);
+
+    if (told->n_earlier == 0 ||
+        o->platform->parse_weights(data, len, &model, &version) != 0)
+        return;
+    for (size_t i = 0; i < told->n_earlier; i++) {
+        QRNamedVersion named = {told->earlier[i]->version,
+                                since(now_ms, told->earlier[i]->age_ms)};
+
+        versions_add(o, model, &named);
+    }
+}
+
 unsigned qr_operator_heard(QROperator *o, const Qr__Fleet__Records *records,
                            uint64_t now_ms)
 {
@@ -310,8 +388,10 @@
         g_autoptr(GBytes) value = told_value(told);
         QRStoreRecord r = {told->key, value, told->offset};
 
-        if (value)
-            news += qr_operator_take(o, &r, told->age_ms, now_ms);
+        if (!value)
+            continue;
+        heard_earlier(o, told, value, now_ms);
+        news += qr_operator_take(o, &r, told->age_ms, now_ms);
     }
     return news;
 }
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -212,9 +212,16 @@
 {
     uint64_t now = qr_gateway_now(g);
 
+    uint64_t under_way = now - qr_gateway_sent_ms(g);
+
     /* ages are as of when they were sent */
-    for (size_t i = 0; i < records->n_records; i++)
-        records->records[i]->age_ms += now - qr_gateway_sent_ms(g);
+    for (size_t i = 0; i < records->n_records; i++) {
+        Qr__Fleet__Record *r = records->records[i];
+
+        r->age_ms += under_way;
+        for (size_t k = 0; k < r->n_earlier; k++)
+            r->earlier[k]->age_ms += under_way;
+    }
     qr_operator_heard(&g->operator, records, now);
     g->fetch_ms = g->behind_ms = 0; /* who still knows more says so again */
     /* what a peer told is not read once more from the store */
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &qr__fleet__engine_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qr__fleet__earlier_version__init
+                     (Qr__Fleet__EarlierVersion         *message)
+{
+  static const Qr__Fleet__EarlierVersion init_value = QR__FLEET__EARLIER_VERSION__INIT;
+  *message = init_value;
+}
+size_t qr__fleet__earlier_version__get_packed_size
+                     (const Qr__Fleet__EarlierVersion *message)
+{
+  assert(message->base.descriptor == &qr__fleet__earlier_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qr__fleet__earlier_version__pack
+                     (const Qr__Fleet__EarlierVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qr__fleet__earlier_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qr__fleet__earlier_version__pack_to_buffer
+                     (const Qr__Fleet__EarlierVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qr__fleet__earlier_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qr__Fleet__EarlierVersion *
+       qr__fleet__earlier_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qr__Fleet__EarlierVersion *)
+     protobuf_c_message_unpack (&qr__fleet__earlier_version__descriptor,
+                                allocator, len, data);
+}
+void   qr__fleet__earlier_version__free_unpacked
+                     (Qr__Fleet__EarlierVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qr__fleet__earlier_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qr__fleet__record__init
                      (Qr__Fleet__Record         *message)
 {
@@ -1127,7 +1172,58 @@
   (ProtobufCMessageInit) qr__fleet__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor qr__fleet__earlier_version__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EarlierVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EarlierVersion, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qr__fleet__earlier_version__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange qr__fleet__earlier_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qr__fleet__earlier_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qr.fleet.EarlierVersion",
+  "EarlierVersion",
+  "Qr__Fleet__EarlierVersion",
+  "qr.fleet",
+  sizeof(Qr__Fleet__EarlierVersion),
+  2,
+  qr__fleet__earlier_version__field_descriptors,
+  qr__fleet__earlier_version__field_indices_by_name,
+  1,  qr__fleet__earlier_version__number_ranges,
+  (ProtobufCMessageInit) qr__fleet__earlier_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[7] =
 {
   {
     "key",
@@ -1201,9 +1297,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qr__Fleet__Record, n_earlier),
+    offsetof(Qr__Fleet__Record, earlier),
+    &qr__fleet__earlier_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__record__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  6,   /* field[6] = earlier */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
   4,   /* field[4] = packed */
@@ -1213,7 +1322,7 @@
 static const ProtobufCIntRange qr__fleet__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qr__fleet__record__descriptor =
 {
@@ -1223,7 +1332,7 @@
   "Qr__Fleet__Record",
   "qr.fleet",
   sizeof(Qr__Fleet__Record),
-  6,
+  7,
   qr__fleet__record__field_descriptors,
   qr__fleet__record__field_indices_by_name,
   1,  qr__fleet__record__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Qr__Fleet__EngineLoad Qr__Fleet__EngineLoad;
 typedef struct Qr__Fleet__Load Qr__Fleet__Load;
 typedef struct Qr__Fleet__EngineState Qr__Fleet__EngineState;
+typedef struct Qr__Fleet__EarlierVersion Qr__Fleet__EarlierVersion;
 typedef struct Qr__Fleet__Record Qr__Fleet__Record;
 typedef struct Qr__Fleet__Records Qr__Fleet__Records;
 typedef struct Qr__Fleet__Fetch Qr__Fleet__Fetch;
@@ -224,6 +225,23 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A version of weights that was named before the one of a record.
+ */
+struct  Qr__Fleet__EarlierVersion
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  /*
+   * as in Record
+   */
+  uint64_t age_ms;
+};
+#define QR__FLEET__EARLIER_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__earlier_version__descriptor) \
+    , 0, 0 }
+
+
 /*
  * An operator's record as the store holds it.
  */
@@ -245,10 +263,15 @@
    * of the value that is packed
    */
   uint32_t size;
+  /*
+   * the store keeps the newest only
+   */
+  size_t n_earlier;
+  Qr__Fleet__EarlierVersion **earlier;
 };
 #define QR__FLEET__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0, 0,NULL }
 
 
 struct  Qr__Fleet__Records
@@ -472,6 +495,25 @@
 void   qr__fleet__engine_state__free_unpacked
                      (Qr__Fleet__EngineState *message,
                       ProtobufCAllocator *allocator);
+/* Qr__Fleet__EarlierVersion methods */
+void   qr__fleet__earlier_version__init
+                     (Qr__Fleet__EarlierVersion         *message);
+size_t qr__fleet__earlier_version__get_packed_size
+                     (const Qr__Fleet__EarlierVersion   *message);
+size_t qr__fleet__earlier_version__pack
+                     (const Qr__Fleet__EarlierVersion   *message,
+                      uint8_t             *out);
+size_t qr__fleet__earlier_version__pack_to_buffer
+                     (const Qr__Fleet__EarlierVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Qr__Fleet__EarlierVersion *
+       qr__fleet__earlier_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qr__fleet__earlier_version__free_unpacked
+                     (Qr__Fleet__EarlierVersion *message,
+                      ProtobufCAllocator *allocator);
 /* Qr__Fleet__Record methods */
 void   qr__fleet__record__init
                      (Qr__Fleet__Record         *message);
@@ -622,6 +664,9 @@
 typedef void (*Qr__Fleet__EngineState_Closure)
                  (const Qr__Fleet__EngineState *message,
                   void *closure_data);
+typedef void (*Qr__Fleet__EarlierVersion_Closure)
+                 (const Qr__Fleet__EarlierVersion *message,
+                  void *closure_data);
 typedef void (*Qr__Fleet__Record_Closure)
                  (const Qr__Fleet__Record *message,
                   void *closure_data);
@@ -654,6 +699,7 @@
 extern const ProtobufCMessageDescriptor qr__fleet__engine_load__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__load__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor qr__fleet__earlier_version__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__record__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__records__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor;
