--- /dev/null
+++ b/tests/soak_oracle.py
@@ -0,0 +1,489 @@
+"""What the program promises, checked on a recorded history: what callers got,
+what arrived and ran at engines, what the store acknowledged and when, which
+faults were injected. Nothing of the program's own logs is read.
+
+Promises that carry a time are checked where nothing is in trouble: from
+CONTACT_S after the end of each fault on. A silence or a reset ends at once.
+"""
+import copy
+import time
+from collections import defaultdict
+
+CONTACT_S = 3.0     # after a trouble nothing with a time bound is owed so long
+APPLY_S = 2.0       # a configuration is in force by then
+FORWARD_S = 0.25    # between an effect of a configuration and the check
+DRAIN_S = 2.0       # a leaving engine gets nothing new after this
+SLACK_S = 0.3       # of our own clocks: one busy process records everything
+LEFT_S = 0.5        # what a caller gave up is worked on no longer than this
+RECOVERY_S = 5.0    # after the faults calls are answered again
+SERVED_SHARE = 0.9  # of calls after that
+WARM_S = 1.5        # of a process's life, before it is measured
+FDS_MORE = 30
+RSS_MORE_KB = 48 << 10
+REFUSALS = (408, 421, 429, 503)
+REPEATABLE = ("safe", "stream", "model")
+STREAMS = ("stream", "once")
+ATTEMPTS = 2        # max-attempts of repeatable routes
+TEAM = "team-1"
+SERVICE = {"model": "engines", "order": "engines"}
+
+
+class History:
+    def __init__(self, version_s=4.0, grace_s=3.0, ratio=0.2, allowance=10,
+                 window_s=10.0):
+        self.start = time.monotonic()
+        self.version_s, self.grace_s = version_s, grace_s
+        self.ratio, self.allowance = ratio, allowance
+        self.window_s = window_s
+        self.calls = []     # what callers sent and got
+        self.probes = []    # calls on routes of one configuration each
+        self.arrivals = []  # at engines; 'ran' if work was begun
+        self.orders = []    # engine, version, digests of what lay there
+        self.digests = {}   # version -> those of its pieces
+        self.configs = []   # version, at
+        self.versions = []  # version, at: weights
+        self.troubles = []  # kind, target, at, until
+        self.leaving = []   # engine, at
+        self.stops = []     # planned: gateway, at, exited, code
+        self.lives = []     # gateway, at
+        self.ends = []      # processes that ended unasked: name, code
+        self.samples = []   # pid, name, at, rss_kb, fds
+        self.faults_over = self.callers_end = 0.0
+
+    def now(self):
+        return time.monotonic() - self.start
+
+    def calm_since(self, at):
+        """Since when nothing has been in trouble; after 'at' if not yet."""
+        return max([t["until"] + CONTACT_S for t in self.troubles
+                    if t["at"] <= at], default=0.0)
+
+    def runs(self):
+        """id -> arrivals that ran"""
+        by_id = defaultdict(list)
+        for a in self.arrivals:
+            if a["ran"]:
+                by_id[a["id"]].append(a)
+        return by_id
+
+    def is_stopping(self, gateway, at):
+        """Around a planned stop, until a second into the next life."""
+        return any(
+            s["gateway"] == gateway and s["at"] - SLACK_S <= at and
+            all(at < life["at"] + 1.0 for life in self.lives
+                if life["gateway"] == gateway and life["at"] > s["at"])
+            for s in self.stops)
+
+
+def check_once(h):
+    """A call that may not be repeated runs at most once."""
+    runs = h.runs()
+    for c in h.calls:
+        if c["kind"] not in REPEATABLE and len(runs[c["id"]]) > 1:
+            yield "%s ran %d times: %s" % (
+                c["id"], len(runs[c["id"]]),
+                [(r["engine"], round(r["at"], 3)) for r in runs[c["id"]]])
+
+
+def check_refused(h):
+    """A call that was refused has not run and never will."""
+    runs = h.runs()
+    for c in h.calls:
+        if c["status"] in REFUSALS and runs[c["id"]]:
+            r = runs[c["id"]][0]
+            yield "%s got %d at %.3f and ran at %.3f at %s" % (
+                c["id"], c["status"], c["ended"], r["at"], r["engine"])
+
+
+def check_whole(h):
+    """A success is the whole answer of an engine to that very call."""
+    runs = h.runs()
+    for c in h.calls:
+        if c["status"] is None or not 200 <= c["status"] < 300 or c["error"] \
+                or c["gave_up"]:
+            continue
+        mine = [r for r in runs[c["id"]]
+                if c["signature"] == "sig-" + r["engine"]]
+        if not mine:
+            yield "%s: nothing ran at %s" % (c["id"], c["signature"])
+        elif c["kind"] in STREAMS:
+            if c["foreign"] or c["events"] != list(range(mine[0]["events"])):
+                yield "%s: events %s of %d, %d foreign" % (
+                    c["id"], c["events"], mine[0]["events"], c["foreign"])
+        elif not any(r["whole"] and r["answer"] == c["answer"] for r in mine):
+            yield "%s: another body than the engine's" % c["id"]
+
+
+def check_asked(h):
+    """Engines get what a caller sent, unchanged."""
+    asked = {c["id"]: c for c in h.calls + h.probes}
+    for a in h.arrivals:
+        c = asked.get(a["id"])
+        if not c:
+            yield "%s arrived and was never sent" % a["id"]
+        elif (a["path"], a["sent"], a["method"], a["tenant"]) != \
+                (c["path"], c["sent"], "POST", TEAM):
+            yield "%s was changed on its way" % a["id"]
+
+
+def check_attempts(h):
+    """A call runs on as many engines as its route allows."""
+    runs = h.runs()
+    over = [c["id"] for c in h.calls
+            if len({r["engine"] for r in runs[c["id"]]}) > ATTEMPTS]
+    if len(over) > 3:
+        yield "more engines than max-attempts: %s" % over
+
+
+def check_version(h):
+    """No call begins on weights older than a version's bound allows."""
+    for a in h.arrivals:
+        if not a["ran"] or a["service"] != "engines":
+            continue
+        for v in h.versions:
+            since = max(v["at"], h.calm_since(a["at"]))
+            if v["version"] > a["version"] and \
+                    a["at"] - since > h.version_s + SLACK_S:
+                yield ("%s began on version %d at %.3f at %s; version %d was "
+                       "named at %.3f" % (a["id"], a["version"], a["at"],
+                                          a["engine"], v["version"], v["at"]))
+
+
+def check_weights(h):
+    """An order finds all pieces of its version, and no others."""
+    for o in h.orders:
+        if o["digests"] != h.digests[o["version"]]:
+            yield "%s was ordered to start version %d over others" % (
+                o["engine"], o["version"])
+
+
+def check_draining(h):
+    """A leaving engine gets nothing new after some seconds."""
+    for e in h.leaving:
+        for a in h.arrivals:
+            if a["engine"] == e["engine"] and \
+                    a["at"] > e["at"] + DRAIN_S + SLACK_S and \
+                    h.calm_since(a["at"]) <= e["at"]:
+                yield "%s arrived at %.3f at %s, which left at %.3f" % (
+                    a["id"], a["at"], a["engine"], e["at"])
+
+
+def check_stop(h):
+    """A planned stop cuts nothing in flight and ends in order, in time."""
+    runs = h.runs()
+    for s in h.stops:
+        if s["code"] != 0 or s["exited"] - s["at"] > h.grace_s + 1.0:
+            yield "gateway %d, asked to stop at %.3f: status %s at %.3f" % (
+                s["gateway"], s["at"], s["code"], s["exited"])
+        for c in h.calls:
+            if c["gateway"] == s["gateway"] and c["error"] and \
+                    c["at"] < s["exited"] and c["ended"] > s["at"] and \
+                    h.calm_since(c["ended"]) <= c["at"] and \
+                    any(r["at"] < s["exited"] for r in runs[c["id"]]):
+                yield "%s (%.3f to %.3f) was cut, %s: stopped at %.3f" % (
+                    c["id"], c["at"], c["ended"], c["error"], s["at"])
+
+
+def replaced_at(h, version):
+    return min([c["at"] for c in h.configs if c["version"] > version],
+               default=float("inf"))
+
+
+def check_in_force(h):
+    """A configuration is in force within seconds."""
+    named = {c["version"]: c["at"] for c in h.configs}
+    for p in h.probes:
+        if p["version"] not in named or p["status"] not in (200, 404):
+            continue
+        at, replaced = named[p["version"]], replaced_at(h, p["version"])
+        calm = h.calm_since(p["ended"])
+        if p["status"] == 404 and p["ended"] < replaced and \
+                p["at"] > max(at, calm) + APPLY_S + SLACK_S:
+            yield "gateway %d at %.3f: version %d of %.3f not in force" % (
+                p["gateway"], p["at"], p["version"], at)
+        if p["status"] == 200 and \
+                p["at"] > max(replaced, calm) + APPLY_S + SLACK_S:
+            yield "gateway %d at %.3f: version %d still in force" % (
+                p["gateway"], p["at"], p["version"])
+
+
+def check_forward(h):
+    """Within one life of a gateway configurations go forward only."""
+    seen = defaultdict(list)  # (gateway, life) -> (effect seen at, version)
+    for p in sorted(h.probes, key=lambda p: p["ended"]):
+        lives = [sum(x["gateway"] == p["gateway"] and x["at"] <= at
+                     for x in h.lives) for at in (p["at"], p["ended"])]
+        if lives[0] != lives[1]:
+            continue
+        key = (p["gateway"], lives[0])
+        before = max([v for at, v in seen[key]
+                      if at + FORWARD_S < p["at"]], default=0)
+        if p["status"] == 200:
+            if p["version"] < before:
+                yield "gateway %d at %.3f: version %d after %d" % (
+                    p["gateway"], p["at"], p["version"], before)
+            seen[key].append((p["ended"], p["version"]))
+        elif p["status"] == 404 and p["version"] == before and \
+                p["ended"] < replaced_at(h, before):
+            yield "gateway %d at %.3f: version %d is gone again" % (
+                p["gateway"], p["at"], before)
+
+
+def check_budget(h):
+    """Arrivals beyond the first of each call, in any window."""
+    repeats, sent = defaultdict(list), defaultdict(list)
+    met = set()
+    for a in sorted(h.arrivals, key=lambda a: a["at"]):
+        if a["id"] in met:
+            repeats[a["service"]].append(a["at"])
+        met.add(a["id"])
+    for c in h.calls + h.probes:
+        sent[SERVICE.get(c.get("kind"), "ledger")].append(c["at"])
+
+    def count(times, first, last):
+        return sum(first < t <= last for t in times)
+
+    w = h.window_s
+    for service, times in repeats.items():
+        for t in times:
+            got = count(times, t - w, t)
+            calls = max(count(sent[service], t - w - back, t - back)
+                        for back in (0, w / 2, w))
+            if got > h.ratio * calls + h.allowance:
+                yield "%s: %d repeats for %d calls up to %.3f" % (
+                    service, got, calls, t)
+                break
+
+
+def check_recovery(h):
+    """Once the faults are over calls are answered again."""
+    since = h.faults_over + RECOVERY_S
+    groups = defaultdict(list)
+    for c in h.calls:
+        if since <= c["at"] <= h.callers_end - 3.0 and not c["gave_up"] and \
+                not h.is_stopping(c["gateway"], c["at"]):
+            groups["kind " + c["kind"]].append(c)
+            groups["gateway %d" % c["gateway"]].append(c)
+    if not groups:
+        yield "nothing was called after the faults"
+    for name, calls in sorted(groups.items()):
+        served = sum(c["status"] == 200 and not c["error"] for c in calls)
+        if served < SERVED_SHARE * len(calls):
+            others = defaultdict(int)
+            for c in calls:
+                if c["status"] != 200 or c["error"]:
+                    others[c["error"] or c["status"]] += 1
+            yield "%s: %d of %d served from %.3f on, others %s" % (
+                name, served, len(calls), since, dict(others))
+
+
+def check_given_up(h):
+    """What a caller gave up is not worked on for long."""
+    runs = h.runs()
+    owed, worked, late = 0, [], []
+    for c in h.calls:
+        if not c["gave_up"] or c["kind"] not in REPEATABLE + STREAMS or \
+                h.calm_since(c["gave_up"] + LEFT_S) > c["at"]:
+            continue
+        for r in runs[c["id"]]:
+            if r["at"] > c["gave_up"] + LEFT_S:
+                late.append(c["id"])
+            elif r["at"] < c["gave_up"]:
+                owed += 1
+                if (r["ended"] or h.now()) > c["gave_up"] + LEFT_S:
+                    worked.append(c["id"])
+    if len(late) > 3:
+        yield "began after their callers had left: %s" % late
+    if len(worked) > owed / 4:
+        yield "%d of %d were worked on: %s" % (len(worked), owed, worked)
+
+
+def check_flat(h):
+    """Memory and descriptors at the end, without calls, as at the start."""
+    by_pid = defaultdict(list)
+    for s in h.samples:
+        by_pid[s["pid"]].append(s)
+    for samples in by_pid.values():
+        first, last = samples[0], samples[-1]
+        warm = [s for s in samples if s["at"] >= first["at"] + WARM_S]
+        if not warm or last["at"] < h.callers_end:
+            continue
+        for what, more in (("fds", FDS_MORE), ("rss_kb", RSS_MORE_KB)):
+            if last[what] > warm[0][what] + more:
+                yield "%s: %s grew from %d to %d" % (
+                    last["name"], what, warm[0][what], last[what])
+
+
+def check_ends(h):
+    """No process ends by itself, or in disorder when it is asked to."""
+    for e in h.ends:
+        yield "%s ended with status %s" % (e["name"], e["code"])
+
+
+CHECKS = {name[6:]: f for name, f in list(globals().items())
+          if name.startswith("check_")}
+
+
+def check(h):
+    """(name of the check, what was found)"""
+    return [(name, text) for name, f in CHECKS.items() for text in f(h)]
+
+
+# Mutants: each breaks the history that was seen as a fault of the program
+# would have, and names the check that must report it.
+
+def served(h, *kinds):
+    """A call that was served once in calm times, and its run."""
+    runs = h.runs()
+    for c in reversed(h.calls):
+        if c["kind"] in kinds and c["status"] == 200 and not c["error"] \
+                and len(runs[c["id"]]) == 1 \
+                and h.calm_since(c["ended"]) <= c["at"]:
+            return c, runs[c["id"]][0]
+    raise AssertionError("no call of %s was served" % (kinds,))
+
+
+def run_twice(h):
+    _, run = served(h, "unsafe", "order")
+    h.arrivals.append(dict(run, at=run["at"] + 0.1))
+
+
+def run_though_refused(h):
+    call, _ = served(h, "unsafe")
+    call["status"] = 503
+
+
+def body_of_another(h):
+    call, _ = served(h, "safe")
+    call["answer"] = "0" * 64
+
+
+def event_twice(h):
+    call, _ = served(h, "stream")
+    call["events"].insert(1, call["events"][1])
+
+
+def last_event_missing(h):
+    call, _ = served(h, "once")
+    call["events"].pop()
+
+
+def unsigned(h):
+    call, _ = served(h, "safe")
+    call["signature"] = None
+
+
+def other_body_arrives(h):
+    _, run = served(h, "unsafe")
+    run["sent"] = "0" * 64
+
+
+def three_engines(h):
+    runs = h.runs()
+    some = [c for c in h.calls if c["kind"] == "safe" and runs[c["id"]]][:4]
+    for c in some:
+        for i in range(3):
+            h.arrivals.append(dict(runs[c["id"]][0], engine="other%d" % i))
+
+
+def old_weights(h):
+    newest = h.versions[-1]
+    _, run = served(h, "model")
+    h.arrivals.append(dict(run, version=newest["version"] - 1,
+                           at=newest["at"] + h.version_s + 0.5))
+
+
+def a_piece_missing(h):
+    h.orders[-1]["digests"] = h.orders[-1]["digests"][:-1] + [None]
+
+
+def call_to_a_leaving_engine(h):
+    leaving = h.leaving[-1]
+    _, run = served(h, "safe")
+    h.arrivals.append(dict(run, engine=leaving["engine"],
+                           at=leaving["at"] + DRAIN_S + 0.5))
+
+
+def cut_by_a_stop(h):
+    stop = h.stops[-1]
+    call, run = served(h, "safe")
+    call.update(gateway=stop["gateway"], at=stop["at"] - 0.1,
+                ended=stop["at"] + 0.1, status=None, error="reset")
+    run["at"] = stop["at"] - 0.05
+
+
+def not_in_force(h):
+    newest = h.configs[-1]
+    h.probes.append({"gateway": 0, "version": newest["version"],
+                     "at": newest["at"] + APPLY_S + 1, "status": 404,
+                     "ended": newest["at"] + APPLY_S + 1.01})
+
+
+def goes_back(h):
+    last = max((p for p in h.probes if p["status"] == 200),
+               key=lambda p: p["ended"])
+    h.probes.append(dict(last, version=last["version"] - 1,
+                         at=last["ended"] + 1, ended=last["ended"] + 1.1))
+
+
+def many_repeats(h):
+    _, run = served(h, "safe")
+    sent = sum(SERVICE.get(c.get("kind"), "ledger") == "ledger"
+               for c in h.calls + h.probes)
+    for _ in range(int(h.ratio * sent) + h.allowance + 2):
+        h.arrivals.append(dict(run))
+
+
+def refuses_for_good(h):
+    for c in h.calls:
+        if c["at"] > h.faults_over and c["kind"] == "model":
+            c["status"] = 503
+
+
+def works_on(h):
+    for _ in range(8):
+        call, run = served(h, "safe", "stream", "model")
+        call.update(gave_up=call["ended"], status=None)
+        run["ended"] = call["gave_up"] + LEFT_S + 0.2
+
+
+def descriptors_leak(h):
+    h.samples[-1]["fds"] += FDS_MORE + 100
+
+
+def memory_leaks(h):
+    h.samples[-1]["rss_kb"] += RSS_MORE_KB + (100 << 10)
+
+
+def dies(h):
+    h.ends.append({"name": "g0", "code": -6})
+
+
+MUTANTS = {
+    "run-twice": ("once", run_twice),
+    "run-though-refused": ("refused", run_though_refused),
+    "body-of-another": ("whole", body_of_another),
+    "event-twice": ("whole", event_twice),
+    "last-event-missing": ("whole", last_event_missing),
+    "unsigned": ("whole", unsigned),
+    "other-body-arrives": ("asked", other_body_arrives),
+    "three-engines": ("attempts", three_engines),
+    "old-weights": ("version", old_weights),
+    "a-piece-missing": ("weights", a_piece_missing),
+    "call-to-a-leaving-engine": ("draining", call_to_a_leaving_engine),
+    "cut-by-a-stop": ("stop", cut_by_a_stop),
+    "not-in-force": ("in_force", not_in_force),
+    "goes-back": ("forward", goes_back),
+    "many-repeats": ("budget", many_repeats),
+    "refuses-for-good": ("recovery", refuses_for_good),
+    "works-on": ("given_up", works_on),
+    "descriptors-leak": ("flat", descriptors_leak),
+    "memory-leaks": ("flat", memory_leaks),
+    "dies": ("ends", dies),
+}
+
+
+def mutated(h, name):
+    broken = copy.deepcopy(h)
+    MUTANTS[name][1](broken)
+    return broken
