--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -413,7 +413,7 @@
     call, run = served(h, "safe")
     call.update(gateway=stop["gateway"], at=stop["at"] - 0.1,
                 ended=stop["at"] + 0.1, status=None, error="reset")
-    run["at"] = stop["at"] - 0.05
+    run.update(at=stop["at"] - 0.05, ended=stop["at"] + 0.1)
 
 
 def not_in_force(h):
