Soak: recovery is measured before the planned work; load without long silences

Cause: the soak's own load. Calls of 1.5 s without a byte on routes with an objective of 400 ms made the two engines that were left seem late (hold_ms=94, usable=2, open=3 of 8). Callers also reused connections that a gateway's end had closed. Long calls are now those given up, and streams; the window of the check ends where planned work begins, its share stands.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,7 +29,7 @@
 GATEWAYS, PLAIN, MODELS, CALLERS = 3, 3, 4, 8
 QUIET_S = 1.5    # before the first fault
 FAULTS_S = 6.0   # faults begin
-SETTLE_S = 5.0   # after the faults, before the planned work
+SETTLE_S = 8.0   # after the faults, before the planned work
 PLANNED_S = 6.0  # planned work, and the bound of a version
 END_S = 2.0      # without calls
 SANITIZED_RSS_MORE_KB = 48 << 10  # the sanitizer keeps what was freed
@@ -277,8 +277,7 @@
         self.fleet.weights(self.history.versions[-1]["version"] + 1)
 
 
-# Not in the way of what is owed; "stop" also is planned, but what it costs
-# a process's own machine is not owed, see History.is_stopping().
+# Not in the way of what is owed.
 PLANNED = ("config", "weights", "leave", "stop")
 
 
@@ -379,6 +378,7 @@
         inject(fleet, faults, schedule(seed))
         history.faults_over = history.now()
         time.sleep(SETTLE_S)
+        history.planned_at = history.now()
         until = time.monotonic() + PLANNED_S
         inject(fleet, faults, planned(seed))
         time.sleep(max(until - time.monotonic(), 0))
@@ -423,10 +423,10 @@
         lines += ["  trouble %.3f-%.3f %s %s" % (
             t["at"], t["until"], t["kind"], t["target"])
             for t in history.troubles]
-        lines.append("  faults over %.3f, callers end %.3f; logs and "
-                     "history.json: %s; again: tests/soak.py --seed %s" % (
-                         history.faults_over, history.callers_end, folder,
-                         seed))
+        lines.append("  faults over %.3f, planned work %.3f, callers end "
+                     "%.3f; logs and history.json: %s; again: tests/soak.py "
+                     "--seed %s" % (history.faults_over, history.planned_at,
+                                    history.callers_end, folder, seed))
     return "\n".join(lines)
 
 
--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -169,6 +169,11 @@
     return ids, foreign
 
 
+def is_closed(conn):
+    """Whether the other side has closed a connection that rests."""
+    return conn.sock and select.select([conn.sock], [], [], 0)[0]
+
+
 class Callers:
     """Client threads; each sends one call after the other to any gateway."""
 
@@ -206,14 +211,18 @@
         gateway = rng.randrange(len(self.gateways))
         leaves = rng.random() < 0.04
         body = ident.encode() * rng.randint(1, 40)
-        path = prefix + ("long" if leaves or rng.random() < 0.02 else "x")
+        # but for streams, a long call that nobody gives up would say nothing
+        # for longer than the routes' objective
+        is_long = leaves or (is_stream and rng.random() < 0.1)
+        path = prefix + ("long" if is_long else "x")
         call = {"id": ident, "kind": kind, "gateway": gateway, "path": path,
                 "at": self.history.now(), "sent": digest(body),
                 "ended": None, "status": None, "signature": None,
                 "answer": None, "events": None, "foreign": 0,
                 "gave_up": None, "error": None}
-        conn = kept.pop(gateway, None) if rng.random() < 0.8 else None
-        conn = conn or self.connection(gateway)
+        conn = kept.pop(gateway, None)
+        if not conn or rng.random() < 0.2 or is_closed(conn):
+            conn = self.connection(gateway)
         try:
             conn.timeout = 0.2 if leaves else 6
             if conn.sock:
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -48,7 +48,7 @@
         self.lives = []     # gateway, at
         self.ends = []      # processes that ended unasked: name, code
         self.samples = []   # pid, name, at, rss_kb, fds
-        self.faults_over = self.callers_end = 0.0
+        self.faults_over = self.planned_at = self.callers_end = 0.0
 
     def now(self):
         return time.monotonic() - self.start
@@ -66,14 +66,6 @@
                 by_id[a["id"]].append(a)
         return by_id
 
-    def is_stopping(self, gateway, at):
-        """Around a planned stop, until a second into the next life."""
-        return any(
-            s["gateway"] == gateway and s["at"] - SLACK_S <= at and
-            all(at < life["at"] + 1.0 for life in self.lives
-                if life["gateway"] == gateway and life["at"] > s["at"])
-            for s in self.stops)
-
 
 def check_once(h):
     """A call that may not be repeated runs at most once."""
@@ -260,12 +252,13 @@
 
 
 def check_recovery(h):
-    """Once the faults are over calls are answered again."""
+    """Once the faults are over calls are answered again, before anything
+    else is asked of the fleet."""
     since = h.faults_over + RECOVERY_S
     groups = defaultdict(list)
     for c in h.calls:
-        if since <= c["at"] <= h.callers_end - 3.0 and not c["gave_up"] and \
-                not h.is_stopping(c["gateway"], c["at"]):
+        if since <= c["at"] and c["ended"] < h.planned_at and \
+                not c["gave_up"]:
             groups["kind " + c["kind"]].append(c)
             groups["gateway %d" % c["gateway"]].append(c)
     if not groups:
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -40,7 +40,7 @@
     h = History()
     h.troubles.append({"kind": "cut", "target": "store", "at": 2.0,
                        "until": 3.0})
-    h.faults_over, h.callers_end = 3.0, 30.0
+    h.faults_over, h.planned_at, h.callers_end = 3.0, 12.0, 30.0
     h.lives += [{"gateway": g, "at": 0.0} for g in range(2)]
     h.digests = {1: ["a", "b"], 2: ["c", "d"]}
     h.versions += [{"version": 1, "at": 0.0}, {"version": 2, "at": 12.0}]
