--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,7 +26,7 @@
 from soak_oracle import History
 from standin_platform import CHUNKS, chunk_of
 
-GATEWAYS, PLAIN, MODELS, CALLERS = 3, 3, 4, 8
+GATEWAYS, PLAIN, MODELS, CALLERS = 3, 4, 4, 10
 QUIET_S = 1.5    # before the first fault
 FAULTS_S = 6.0   # faults begin
 SETTLE_S = 8.0   # after the faults, before the planned work
@@ -249,6 +249,15 @@
             time.sleep(seconds)
             self.fleet.again(target)
 
+    def away(self, target, seconds):
+        server = getattr(self.fleet, target)
+        server.take_down()
+        time.sleep(seconds)
+        server.bring_up()
+
+    def spoil(self, target, seconds):
+        self.fleet.origin.spoil += 3  # pieces
+
     def place(self, target):
         return next(p for p in self.fleet.places if p.name == target)
 
@@ -291,19 +300,22 @@
     links = ["store", "origin", "peers", "engines"] + \
         ["peers/%d" % i for i in range(GATEWAYS + MODELS)] + \
         ["engines/%d" % i for i in range(PLAIN + MODELS)]
-    kinds = [("silence", links + ["all", "all"]), ("reset", links + ["all"]),
+    kinds = [("silence", links), ("silence", ["all", "peers", "engines"]),
+             ("reset", links + ["all"]),
              ("delay", links), ("cut", links), ("cut_there", links),
              ("cut_back", links), ("pause", processes), ("kill", processes),
              ("stop", processes), ("crash", plain + models),
              ("leave", plain + models), ("breaks", plain), ("full", plain),
-             ("config", [""]), ("weights", [""])]
+             ("away", ["store", "origin"]), ("spoil", ["origin"]),
+             ("config", [""])] + [("weights", [""])] * 2
     rows = []
     for _ in range(rng.randint(4, 14)):
         kind, targets = rng.choice(kinds)
         rows.append((rng.uniform(0, FAULTS_S), kind, rng.choice(targets),
                      rng.uniform(0.2, 2.0)))
-        if kind == "weights" and rng.random() < 0.5:  # overlapping
-            rows.append((rows[-1][0] + rng.uniform(0.1, 1.5), kind, "", 0))
+        if kind == "spoil" or (kind == "weights" and rng.random() < 0.5):
+            rows.append((rows[-1][0] + rng.uniform(0.1, 1.5), "weights", "",
+                         0))  # what is to be spoilt; or two that overlap
     return sorted(rows)
 
 
--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -123,7 +123,7 @@
     def once(self, conn, request, run, head):
         ident = run["id"]
         is_long = request.path.endswith("/long")
-        seconds = LONG_S if is_long else 0.005 + number_of(ident, 60) / 1000
+        seconds = LONG_S if is_long else 0.005 + number_of(ident, 100) / 1000
         if not self.works(conn, run, seconds):
             return False
         body = answer_to(ident, request.body)
@@ -201,7 +201,7 @@
         while not self.ended:
             n += 1
             self.call(f"c{number}-{n}", rng, kept)
-            time.sleep(rng.uniform(0.0, 0.03))
+            time.sleep(rng.uniform(0.0, 0.02))
         for conn in kept.values():
             conn.close()
 
