--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,7 @@
 SETTLE_S = 8.0   # after the faults, before the planned work
 PLANNED_S = 6.0  # planned work, and the bound of a version
 END_S = 2.0      # without calls
+SHOWN = 5        # findings of a check
 SANITIZED_RSS_MORE_KB = 48 << 10  # the sanitizer keeps what was freed
 
 
@@ -104,6 +105,7 @@
             self.start_gateway(i, settings={
                 "peers": own[i], "retry_ratio": history.ratio,
                 "retry_allowance": history.allowance,
+                "retry_window_s": history.window_s,
                 "seeds": [p for p in self.peers if p != self.peers[i]]})
         for i in range(MODELS):
             self.start_behind_link(i, own[GATEWAYS + i])
@@ -267,17 +269,24 @@
     def leave(self, target, seconds):
         self.place(target).leave(seconds)
 
+    def service(self, target):
+        """The engines of a service, or the one at a place."""
+        return [p.engine for p in self.fleet.places
+                if target in (p.name, p.engine.service)]
+
     def breaks(self, target, seconds):
-        engine = self.place(target).engine
-        engine.breaks = True
+        for engine in self.service(target):
+            engine.breaks = True
         time.sleep(seconds)
-        engine.breaks = False
+        for engine in self.service(target):
+            engine.breaks = False
 
     def full(self, target, seconds):
-        engine = self.place(target).engine
-        engine.full = True
+        for engine in self.service(target):
+            engine.full = True
         time.sleep(seconds)
-        engine.full = False
+        for engine in self.service(target):
+            engine.full = False
 
     def config(self, target, seconds):
         self.fleet.config(self.history.configs[-1]["version"] + 1)
@@ -305,7 +314,8 @@
              ("delay", links), ("cut", links), ("cut_there", links),
              ("cut_back", links), ("pause", processes), ("kill", processes),
              ("stop", processes), ("crash", plain + models),
-             ("leave", plain + models), ("breaks", plain), ("full", plain),
+             ("leave", plain + models), ("breaks", plain + ["ledger"] * 2),
+             ("full", plain + ["ledger", "engines"]),
              ("away", ["store", "origin"]), ("spoil", ["origin"]),
              ("config", [""])] + [("weights", [""])] * 2
     rows = []
@@ -431,7 +441,11 @@
                  len(schedule(seed)),
                  "%d findings" % len(found) if found else "ok")]
     if found:
-        lines += ["  %s: %s" % row for row in found[:12]]
+        shown = {}
+        for name, text in found:
+            shown.setdefault(name, []).append(text)
+        lines += ["  %s: %s" % (name, text) for name, texts in shown.items()
+                  for text in texts[:SHOWN]]
         lines += ["  trouble %.3f-%.3f %s %s" % (
             t["at"], t["until"], t["kind"], t["target"])
             for t in history.troubles]
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -30,7 +30,7 @@
 
 class History:
     def __init__(self, version_s=4.0, grace_s=3.0, ratio=0.2, allowance=10,
-                 window_s=10.0, rss_more_kb=RSS_MORE_KB):
+                 window_s=3.0, rss_more_kb=RSS_MORE_KB):
         self.start = time.monotonic()
         self.version_s, self.grace_s = version_s, grace_s
         self.ratio, self.allowance = ratio, allowance
