--- a/tests/soak.py
+++ b/tests/soak.py
@@ -442,7 +442,8 @@
                  sum(c["status"] == 503 for c in history.calls),
                  len(history.arrivals), len(history.orders),
                  len(schedule(seed)),
-                 "%d findings" % len(found) if found else "ok")]
+                 "%d findings (%s)" % (len(found), ", ".join(sorted(
+                     {name for name, _ in found}))) if found else "ok")]
     if found:
         shown = {}
         for name, text in found:
