--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -11,6 +12,7 @@
 from soak import Faults, planned, schedule
 
 SEEDS = (4, 12, 16)
+SIDE_BY_SIDE = 4  # seven processes each
 
 # Seeds that failed once -> the cause; they are played with the others.
 REGRESSIONS = {
@@ -23,26 +25,31 @@
 OPEN = {seed: DEAF for seed in (1, 2, 15, 27)}
 
 
+def play(seed):
+    """(exit status, report)"""
+    done = subprocess.run(
+        [sys.executable, os.path.join(HERE, "soak.py"), "--seed", str(seed),
+         "--mutant", "all"], env=dict(os.environ, QUAYRING=BINARY),
+        stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        timeout=120, check=False)
+    return done.returncode, done.stdout
+
+
 @pytest.fixture(scope="module")
 def played(request):
-    """seed -> (report, exit status); all are played side by side."""
+    """seed -> what play() returned; a few are played side by side."""
     capture = request.config.pluginmanager.getplugin("capturemanager")
     with capture.global_and_fixture_disabled():
         for seed, cause in OPEN.items():
             print("open: soak.py --seed %d: %s" % (seed, cause))
-    env = dict(os.environ, QUAYRING=os.path.abspath(BINARY))
-    runs = {seed: subprocess.Popen(
-        [sys.executable, os.path.join(HERE, "soak.py"), "--seed", str(seed),
-         "--mutant", "all"], env=env, stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT, text=True)
-        for seed in SEEDS + tuple(REGRESSIONS)}
-    yield {seed: (run.communicate(timeout=180)[0], run.returncode)
-           for seed, run in runs.items()}
+    seeds = SEEDS + tuple(REGRESSIONS)
+    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+        return dict(zip(seeds, pool.map(play, seeds)))
 
 
 @pytest.mark.parametrize("seed", SEEDS + tuple(REGRESSIONS))
 def test_promises_hold_whatever_happens(played, seed):
-    output, status = played[seed]
+    status, output = played[seed]
     assert status == 0, output
 
 
