--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -147,7 +148,14 @@
         super().start(name, role, path)
 
     def again(self, name):
-        self.start(name, *self.paths[name])
+        """Returns once the process listens: before that a SIGTERM finds no
+        handler, and is no planned stop."""
+        role, path = self.paths[name]
+        self.start(name, role, path)
+        with open(path, encoding="utf-8") as f:
+            host, port = json.load(f)["peers"].rsplit(":", 1)
+        wait_for("%s to listen" % name, lambda: socket.create_connection(
+            (host, int(port))).close() is None, 10)
 
     def config(self, version):
         own = {"name": "conf", "path-prefix": "/conf-%d/" % version,
