Soak: no select(), descriptors given back, a dead thread fails the seed; sizes and courses

Cause: from descriptor 1,024 on select() raises; a caller's thread ended by it unseen and the seed still printed ok. Descriptors stayed open from seed to seed: a closed listener whose thread sat in accept(), logs of started processes, links of the last fleet. Now poll(), all of these closed, and a seed fails if a thread ends by an exception, does not end, or descriptors are left (tests: the_rig_tells_of_its_own_failures, mutant a-caller-dies).

New checks: 'lost' (a call taken and ended without a whole answer beside planned work only; check_stop looked at stopping gateways alone, and recovery let one call in ten fail), 'told' (each lost call has a line with its id). New courses: planned work in series that overlap, and the same with all processes killed after a configuration.

--- a/tests/fault_link.py
+++ b/tests/fault_link.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import threading
+import weakref
 
 PART_BYTES = 65536
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -18,8 +19,11 @@
 class Loop:
     def __init__(self):
         self.loop = asyncio.new_event_loop()
-        self.tasks = set()
-        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.tasks, self.servers, self.failures = set(), [], []
+        self.transports = weakref.WeakSet()  # all that are open, and more
+        self.thread = threading.Thread(target=self.loop.run_forever,
+                                       daemon=True)
+        self.thread.start()
 
     def do(self, function, *args):
         """Calls a function on the loop's thread; returns what it returned."""
@@ -34,14 +38,29 @@
     def start(self, coroutine):
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.done)
+
+    def done(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.failures.append("a link: %r" % task.exception())
 
     def close(self):
+        """Gives back every descriptor."""
         async def cancel():
-            for task in list(self.tasks):
+            for server in self.servers:
+                server.close()
+            tasks = list(self.tasks)
+            for task in tasks:
                 task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for transport in list(self.transports):
+                transport.abort()
+            await asyncio.sleep(0)
         self.wait(cancel())
         self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
 
 
 class Connection:
@@ -78,8 +97,10 @@
         self.passes = {THERE: asyncio.Event(), BACK: asyncio.Event()}
         for event in self.passes.values():
             event.set()
-        return await asyncio.start_server(
+        server = await asyncio.start_server(
             lambda r, w: self.loop.start(self.serve(r, w)), "127.0.0.1", 0)
+        self.loop.servers.append(server)
+        return server
 
     def delay(self, seconds):
         self.delay_s = seconds
@@ -102,11 +123,13 @@
 
     async def serve(self, near_reader, near):
         host, port = self.target.rsplit(":", 1)
+        self.loop.transports.add(near.transport)
         try:
             far_reader, far = await asyncio.open_connection(host, int(port))
         except OSError:
             reset(near)
             return
+        self.loop.transports.add(far.transport)
         connection = Connection(near, far)
         self.connections.add(connection)
         await asyncio.gather(
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -86,10 +86,10 @@
         return path
 
     def start(self, name, role, path):
-        log = open(os.path.join(self.dir, name + ".log"), "ab")
-        self.logs[name] = log.name
-        self.procs[name] = subprocess.Popen(
-            [BINARY, role, "-c", path], stdout=log, stderr=log)
+        with open(os.path.join(self.dir, name + ".log"), "ab") as log:
+            self.logs[name] = log.name
+            self.procs[name] = subprocess.Popen(
+                [BINARY, role, "-c", path], stdout=log, stderr=log)
 
     def start_gateway(self, i, dark=False, settings=None):
         name = "g%d" % i
--- a/tests/silent_link.py
+++ b/tests/silent_link.py
@@ -1,10 +1,10 @@
 """A link that goes silent: forwards connections to one address until it is
 told to hold its peace; then the open ones carry nothing more, either way, and
 are not closed, while new ones work."""
-import select
 import socket
 import threading
 
+from rig import readable
 from standin_platform import Server
 
 PART_BYTES = 65536
@@ -46,7 +46,7 @@
         """Until an end comes, or the connection goes silent."""
         try:
             while True:
-                ready, _, _ = select.select([source], [], [], LOOK_S)
+                ready = readable(source, LOOK_S)
                 if conn in self.silent:
                     return
                 if not ready:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,17 +2,23 @@
 what was seen.
 
     soak.py [--seeds N | --seed N] [--first N] [--mutant NAME]
-
-A seed fixes the schedule of faults and what callers send; it is printed with
-each failure, and --seed plays it again. --mutant breaks what was seen before
-it is checked, which must then be reported; with "all" it is checked as it is,
-and then once with each mutant. Exits 1 if anything was found.
+            [--gateways N] [--plain N] [--models N] [--callers N]
+            [--course faults|work|last]
+
+A seed and a size fix the schedule and what callers send; both are printed with
+each failure, and --seed plays it again. Courses: "faults", then planned work in
+calm times; "work", planned work only, in series that overlap, without links of
+ours between the processes, so that dozens of them fit; "last", as that, and at
+its end all processes are killed right after a configuration. --mutant breaks
+what was seen before it is checked, which must then be reported; with "all" it
+is checked as it is, and then once with each mutant. Exits 1 if anything was
+found.
 """
 import argparse
 import hashlib
 import json
 import os
-import random
+import re
 import shutil
 import signal
 import socket
@@ -24,16 +30,20 @@
 from bench import BINARY, free_ports, wait_for
 from fault_link import BACK, THERE, Link, Loop
 from fleet import MODEL, Fleet, policy
+from rig import Watch
 from soak_ends import ROUTES, Callers, SoakEngine
 from soak_oracle import History
+from soak_schedule import PLANNED, PLANNED_S, Size, last_fault, planned, \
+    schedule, work
 from standin_platform import CHUNKS, chunk_of
 
-GATEWAYS, PLAIN, MODELS, CALLERS = 3, 4, 4, 10
 QUIET_S = 1.5    # before the first fault
-FAULTS_S = 6.0   # faults begin
 SETTLE_S = 8.0   # after the faults, before the planned work
-PLANNED_S = 6.5  # planned work, and the bound of a version
+AGAIN_S = 1.5    # from the last fault to the start of what it killed
 END_S = 2.0      # without calls
+START_S = 60     # of the fleet
+GIVE_BACK_S = 5  # for the rig's threads to end after a seed
+FDS_KEPT = 8     # of the rig, from one seed to the next
 SHOWN = 5        # findings of a check
 SANITIZED_RSS_MORE_KB = 48 << 10  # the sanitizer keeps what was freed
 
@@ -45,7 +55,7 @@
         self.fleet, self.name, self.starts = fleet, name, 0
         self.lock = threading.Lock()  # one leaves, crashes or joins at a time
         self.engine = SoakEngine(fleet.history, name, service, model, version)
-        self.engine.link = Link(fleet.loop, self.engine.address)
+        self.engine.link = fleet.link(self.engine.address)
         self.engine.address = self.engine.link.address
         fleet.engines.append(self.engine)
         self.put("ready")
@@ -81,45 +91,71 @@
             self.join()
 
 
+class NoLink:
+    """In a link's place where processes meet directly."""
+
+    def __init__(self, address):
+        self.address = address
+
+
 class SoakFleet(Fleet):
     """Every process meets the store, the origin, engines and gateways over
-    links of ours."""
+    links of ours, unless 'direct'."""
 
-    def __init__(self, history):
+    def __init__(self, history, size, direct=False):
         self.history, self.loop = history, Loop()
+        self.size, self.direct = size, direct
+        self.config_lock = threading.Lock()  # versions rise
         self.names = {}  # a process's own address -> its link's
         self.locks = {}  # of processes: one fault at a time
         super().__init__(gateways=0, plain=0, grace_s=int(history.grace_s),
                          version_ms=int(history.version_s * 1000))
-        self.store_link = Link(self.loop, self.store.address)
-        self.origin_link = Link(self.loop, self.origin.address)
+        self.store_link = self.link(self.store.address)
+        self.origin_link = self.link(self.origin.address)
         self.store.address = self.store_link.address
         self.origin.address = self.origin_link.address
         self.peer_links, self.paths = [], {}
         self.config(2)
         self.places = [SoakEngines(self, "p%d" % i, "ledger")
-                       for i in range(PLAIN)]
+                       for i in range(size.plain)]
         self.places += [SoakEngines(self, "m%d" % i, "engines", MODEL, 1)
-                        for i in range(MODELS)]
-        own = [self.link_peer() for _ in range(GATEWAYS + MODELS)]
-        self.peers = [link.address for link in self.peer_links[:GATEWAYS]]
-        for i in range(GATEWAYS):
-            self.start_gateway(i, settings={
-                "peers": own[i], "retry_ratio": history.ratio,
-                "retry_allowance": history.allowance,
-                "retry_window_s": history.window_s,
-                "seeds": [p for p in self.peers if p != self.peers[i]]})
-        for i in range(MODELS):
-            self.start_behind_link(i, own[GATEWAYS + i])
+                        for i in range(size.models)]
+        own = [self.link_peer() for _ in range(size.gateways + size.models)]
+        self.peers = [l.address for l in self.peer_links[:size.gateways]]
+        for i in range(size.gateways):
+            self.start_soak_gateway(i, own[i])
+        for i in range(size.models):
+            self.start_behind_link(i, own[size.gateways + i])
+        self.wait_met()
+
+    def link(self, address, names=None):
+        if self.direct:
+            return NoLink(address)
+        return Link(self.loop, address, names)
+
+    def start_soak_gateway(self, i, own):
+        """The i-th, which listens for peers at 'own'."""
+        h = self.history
+        self.start_gateway(i, settings={
+            "peers": own, "retry_ratio": h.ratio,
+            "retry_allowance": h.allowance, "retry_window_s": h.window_s,
+            "seeds": [p for p in self.peers if p != self.peers[i]]})
+
+    def add_gateway(self):
+        own = self.link_peer()
+        self.peers.append(self.peer_links[-1].address)
+        self.start_soak_gateway(len(self.peers) - 1, own)
+
+    def wait_met(self):
         self.wait_ready()
         wait_for("sidecars", lambda: all(
-            self.log("g%d" % i).count("told engine=") >= MODELS
-            for i in range(GATEWAYS)), 20)
+            self.log("g%d" % i).count("told engine=") >= self.size.models
+            for i in range(len(self.gateways))), START_S)
 
     def link_peer(self):
         """A process's own address for peers, behind a new link."""
         own = "127.0.0.1:%d" % free_ports(1)[0]
-        link = Link(self.loop, own, self.names)
+        link = self.link(own, self.names)
         assert len(link.address) == len(own), "'names' keep lengths"
         self.names[own.encode()] = link.address.encode()
         self.peer_links.append(link)
@@ -127,7 +163,7 @@
 
     def start_behind_link(self, i, own):
         """A sidecar that listens for peers at 'own'."""
-        engine = self.places[PLAIN + i].engine
+        engine = self.places[self.size.plain + i].engine
         path = os.path.join(self.dir, "s%d.json" % i)
         with open(path, "w", encoding="utf-8") as f:
             json.dump({"role": "sidecar", "platform": "log-store",
@@ -157,11 +193,21 @@
         wait_for("%s to listen" % name, lambda: socket.create_connection(
             (host, int(port))).close() is None, 10)
 
-    def config(self, version):
-        own = {"name": "conf", "path-prefix": "/conf-%d/" % version,
-               "route-type": "safe", "service": "ledger", "max-attempts": 2}
-        self.store.put("keyed.op", "config",
-                       policy(version, self.origin.address, ROUTES + [own]))
+    def config(self, version, change=""):
+        """'change': what differs beside the route of its own."""
+        own = [{"name": "conf", "path-prefix": "/conf-%d/" % version,
+                "route-type": "safe", "service": "ledger",
+                "max-attempts": 2}]
+        if change == "routes":
+            own += [dict(own[0], name="more-%d" % i,
+                         **{"path-prefix": "/more-%d/" % i})
+                    for i in range(version % 7 * 100)]
+        value = policy(version, self.origin.address, ROUTES + own)
+        if change == "idle":
+            value["limits"]["idle-timeout-ms"] = 1000 + version % 5 * 1000
+        if change == "body":
+            value["limits"]["max-body-bytes"] = 10000 + version % 5 * 4000
+        self.store.put("keyed.op", "config", value)
         self.history.configs.append({"version": version,
                                      "at": self.history.now()})
 
@@ -179,6 +225,13 @@
         self.loop.close()
         return codes
 
+    def logged_ids(self):
+        """Ids of calls of which a gateway's log tells what became."""
+        last = re.compile(r" call: (?:answered|refused|failed|cut|gone) "
+                          r"id=(\S+)")
+        return {ident for name in self.procs if name.startswith("g")
+                for ident in last.findall(self.log(name))}
+
 
 class Faults:
     """One method a kind of fault; each lasts until it is over."""
@@ -297,59 +350,36 @@
         for engine in self.service(target):
             engine.full = False
 
+    def reload(self, target, seconds):
+        """A process that is just stopped or started has nothing to reload."""
+        with self.fleet.locks[target]:
+            _, path = self.fleet.paths[target]
+            with open(path, encoding="utf-8") as f:
+                settings = json.load(f)
+            settings["address_valid_s"] = 1 + settings.get(
+                "address_valid_s", 1) % 3
+            with open(path, "w", encoding="utf-8") as f:
+                json.dump(settings, f)
+            self.fleet.procs[target].send_signal(signal.SIGHUP)
+
+    def add(self, target, seconds):
+        self.fleet.add_gateway()
+
+    def kill_all(self, target, seconds):
+        """Returns when all are killed; each is noted before it is."""
+        for name in list(self.fleet.procs):
+            self.fleet.procs[name].kill()
+        for name in list(self.fleet.procs):
+            self.fleet.procs[name].wait(10)
+
     def config(self, target, seconds):
-        self.fleet.config(self.history.configs[-1]["version"] + 1)
+        with self.fleet.config_lock:
+            self.fleet.config(self.history.configs[-1]["version"] + 1, target)
 
     def weights(self, target, seconds):
         self.fleet.weights(self.history.versions[-1]["version"] + 1)
 
 
-# Not in the way of what is owed.
-PLANNED = ("config", "weights", "leave", "stop")
-
-
-def schedule(seed):
-    """[(at, kind, target, seconds)] of a seed, times from the first fault."""
-    rng = random.Random(f"{seed}/schedule")
-    plain = ["p%d" % i for i in range(PLAIN)]
-    models = ["m%d" % i for i in range(MODELS)]
-    processes = ["g%d" % i for i in range(GATEWAYS)] + \
-        ["s%d" % i for i in range(MODELS)]
-    links = ["store", "origin", "peers", "engines"] + \
-        ["peers/%d" % i for i in range(GATEWAYS + MODELS)] + \
-        ["engines/%d" % i for i in range(PLAIN + MODELS)]
-    kinds = [("silence", links), ("silence", ["all", "peers", "engines"]),
-             ("reset", links + ["all"]),
-             ("delay", links), ("cut", links), ("cut_there", links),
-             ("cut_back", links), ("pause", processes), ("kill", processes),
-             ("stop", processes), ("crash", plain + models),
-             ("leave", plain + models), ("breaks", plain + ["ledger"] * 2),
-             ("full", plain + ["ledger", "engines"]),
-             ("away", ["store", "origin"]), ("spoil", ["origin"]),
-             ("config", [""])] + [("weights", [""])] * 2
-    rows = []
-    for _ in range(rng.randint(4, 14)):
-        kind, targets = rng.choice(kinds)
-        rows.append((rng.uniform(0, FAULTS_S), kind, rng.choice(targets),
-                     rng.uniform(0.2, 2.0)))
-        if kind == "spoil" or (kind == "weights" and rng.random() < 0.5):
-            rows.append((rows[-1][0] + rng.uniform(0.1, 1.5), "weights", "",
-                         0))  # what is to be spoilt; or two that overlap
-    return sorted(rows)
-
-
-def planned(seed):
-    """Work in calm times; an engine without its sidecar gets no new weights,
-    and must get no calls behind the version's bound."""
-    rng = random.Random(f"{seed}/planned")
-    return sorted([
-        (0.0, "stop", "s%d" % rng.randrange(MODELS), PLANNED_S),
-        (rng.uniform(0, 1), "weights", "", 0),
-        (rng.uniform(0, 1), "config", "", 0),
-        (rng.uniform(0, 1), "stop", "g%d" % rng.randrange(GATEWAYS), 0.2),
-        (rng.uniform(0, 1), "leave", "p%d" % rng.randrange(PLAIN), 0.2)])
-
-
 def inject(fleet, faults, rows):
     """Plays rows; returns when the last one is over."""
     history, begun = fleet.history, time.monotonic()
@@ -395,62 +425,129 @@
         sample(fleet)
 
 
-def play(seed):
-    """(what was seen, folder of logs) of one seed."""
-    history = History()
-    if "san" in BINARY:
-        history.rss_more_kb = SANITIZED_RSS_MORE_KB
-    fleet = SoakFleet(history)
-    ended = threading.Event()
-    watcher = threading.Thread(target=watch, args=(fleet, ended))
-    watcher.start()
-    try:
-        fleet.weights(1)
-        callers = Callers(history, fleet.gateways, seed, CALLERS)
-        time.sleep(QUIET_S)
-        faults = Faults(fleet)
-        inject(fleet, faults, schedule(seed))
-        history.faults_over = history.now()
-        time.sleep(SETTLE_S)
-        history.planned_at = history.now()
-        until = time.monotonic() + PLANNED_S
-        inject(fleet, faults, planned(seed))
-        time.sleep(max(until - time.monotonic(), 0))
-        callers.stop()
-        history.callers_end = history.now()
-        time.sleep(END_S)
-        sample(fleet)
-    finally:
-        ended.set()
-        watcher.join()
-        for name, process in fleet.procs.items():
-            if process.poll() is not None:
-                history.ends.append({"name": name, "code": process.poll()})
-        codes = fleet.stop()
-        told = [e["name"] for e in history.ends]
-        history.ends += [{"name": n, "code": c} for n, c in codes.items()
-                         if c != 0 and n not in told]
+def open_descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+def given_back(before):
+    """Whether the rig's own descriptors are closed, soon."""
+    until = time.monotonic() + GIVE_BACK_S
+    while open_descriptors() > before + FDS_KEPT and \
+            time.monotonic() < until:
+        time.sleep(0.1)
+    return open_descriptors() <= before + FDS_KEPT
+
+
+def play_faults(fleet, faults, seed):
+    history = fleet.history
+    inject(fleet, faults, schedule(seed, fleet.size))
+    history.faults_over = history.now()
+    time.sleep(SETTLE_S)
+    history.planned_at = history.now()
+    until = time.monotonic() + PLANNED_S
+    inject(fleet, faults, planned(seed, fleet.size))
+    time.sleep(max(until - time.monotonic(), 0))
+
+
+def play_work(fleet, faults, seed):
+    history = fleet.history
+    inject(fleet, faults, work(seed, fleet.size))
+    history.faults_over = history.now()
+    time.sleep(SETTLE_S)
+    history.planned_at = history.now()
+
+
+def play_last(fleet, faults, seed):
+    """All processes die soon after a configuration, and are started anew."""
+    inject(fleet, faults, work(seed, fleet.size))
+    faults.config("", 0)
+    time.sleep(last_fault(seed))
+    inject(fleet, faults, [(0, "kill_all", "", 0)])
+    time.sleep(AGAIN_S)
+    for name in list(fleet.procs):
+        fleet.start(name, *fleet.paths[name])
+    fleet.history.faults_over = fleet.history.now()
+    time.sleep(SETTLE_S)
+    fleet.history.planned_at = fleet.history.now()
+
+
+COURSES = {"faults": play_faults, "work": play_work, "last": play_last}
+
+
+def play_course(fleet, seed, course):
+    history = fleet.history
+    fleet.weights(1)
+    callers = Callers(history, fleet.gateways, seed, fleet.size.callers)
+    time.sleep(QUIET_S)
+    COURSES[course](fleet, Faults(fleet), seed)
+    history.rig += callers.stop()
+    history.callers_end = history.now()
+    time.sleep(END_S)
+    sample(fleet)
+
+
+def stop_fleet(fleet):
+    """Notes how each process ends."""
+    history = fleet.history
+    for name, process in fleet.procs.items():
+        if process.poll() is not None:
+            history.ends.append({"name": name, "code": process.poll()})
+    codes = fleet.stop()
+    told = [e["name"] for e in history.ends]
+    history.ends += [{"name": n, "code": c} for n, c in codes.items()
+                     if c != 0 and n not in told]
+    history.logged = sorted(fleet.logged_ids())
+    history.rig += fleet.loop.failures
+
+
+def note_orders(fleet):
     for place in fleet.places:
-        history.orders += [
+        fleet.history.orders += [
             {"engine": place.name, "version": version,
              "digests": [hashlib.sha256(stage[i]).hexdigest()
                          if i in stage else None for i in range(CHUNKS)]}
             for version, stage in place.engine.taken]
+
+
+def play(seed, size=Size(), course="faults"):
+    """(what was seen, folder of logs) of one seed."""
+    history = History()
+    before = open_descriptors()
+    if "san" in BINARY:
+        history.rss_more_kb = SANITIZED_RSS_MORE_KB
+    with Watch() as rig:
+        fleet = SoakFleet(history, size, direct=course != "faults")
+        ended = threading.Event()
+        watcher = threading.Thread(target=watch, args=(fleet, ended))
+        watcher.start()
+        try:
+            play_course(fleet, seed, course)
+        finally:
+            ended.set()
+            watcher.join()
+            stop_fleet(fleet)
+        note_orders(fleet)
+    if not given_back(before):
+        rig.failures.append("descriptors before %d, after %d" % (
+            before, open_descriptors()))
+    history.rig += rig.failures
+    history.rig_late_s = rig.late_s
     with open(os.path.join(fleet.dir, "history.json"), "w",
               encoding="utf-8") as f:
         json.dump(vars(history), f, indent=1, default=str)
     return history, fleet.dir
 
 
-def report(seed, history, folder, found):
-    """Lines for a person: what was played and what was found."""
-    lines = ["seed %s: %d calls, %d served, %d refused, %d arrivals, "
-             "%d orders, %d faults: %s" % (
-                 seed, len(history.calls),
+def report(again, history, folder, found):
+    """Lines for a person: what was played and what was found. 'again': the
+    arguments that play it once more."""
+    lines = ["soak.py %s: %d calls, %d served, %d refused, %d arrivals, "
+             "%d orders, %d faults, rig late %.2f s: %s" % (
+                 again, len(history.calls),
                  sum(c["status"] == 200 for c in history.calls),
                  sum(c["status"] == 503 for c in history.calls),
                  len(history.arrivals), len(history.orders),
-                 len(schedule(seed)),
+                 len(history.troubles), history.rig_late_s,
                  "%d findings (%s)" % (len(found), ", ".join(sorted(
                      {name for name, _ in found}))) if found else "ok")]
     if found:
@@ -464,8 +561,8 @@
             for t in history.troubles]
         lines.append("  faults over %.3f, planned work %.3f, callers end "
                      "%.3f; logs and history.json: %s; again: tests/soak.py "
-                     "--seed %s" % (history.faults_over, history.planned_at,
-                                    history.callers_end, folder, seed))
+                     "%s" % (history.faults_over, history.planned_at,
+                             history.callers_end, folder, again))
     return "\n".join(lines)
 
 
@@ -474,14 +571,21 @@
     p.add_argument("--seeds", type=int, default=50, help="so many")
     p.add_argument("--first", type=int, default=1, help="from this one on")
     p.add_argument("--seed", type=int, help="only this one")
+    for name, most in vars(Size()).items():
+        p.add_argument("--" + name, type=int, default=most)
+    p.add_argument("--course", choices=list(COURSES), default="faults")
     p.add_argument("--mutant", choices=["all"] + sorted(soak_oracle.MUTANTS))
     args = p.parse_args()
     seeds = [args.seed] if args.seed is not None else \
         range(args.first, args.first + args.seeds)
+    size = Size(args.gateways, args.plain, args.models, args.callers)
+    chosen = "".join(" --%s %d" % (name, n) for name, n in vars(size).items()
+                     if n != getattr(Size(), name))
     bad = []
     for seed in seeds:
+        again = "--seed %d --course %s%s" % (seed, args.course, chosen)
         try:
-            history, folder = play(seed)
+            history, folder = play(seed, size, args.course)
         except BaseException:
             print("seed %s: the soak itself ended" % seed, flush=True)
             raise
@@ -490,7 +594,7 @@
         found = soak_oracle.check(history)
         if args.mutant == "all":
             found += soak_oracle.unnoticed(history)
-        print(report(seed, history, folder, found), flush=True)
+        print(report(again, history, folder, found), flush=True)
         if found:
             bad.append(seed)
         else:
--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -3,12 +3,12 @@
 import hashlib
 import http.client
 import random
-import select
 import socket
 import threading
 import time
 
 from fleet import HOST, KEY
+from rig import readable
 from standin_platform import Engine, answer, send_chunk, start_stream, \
     stream_from
 
@@ -112,12 +112,12 @@
         """False if the caller has left meanwhile."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            ready, _, _ = select.select([conn], [], [], LOOK_S)
-            if ready and not conn.recv(1, socket.MSG_PEEK):
+            if not readable(conn, LOOK_S):
+                continue
+            if not conn.recv(1, socket.MSG_PEEK):
                 run["left"] = self.history.now()
                 return False
-            if ready:
-                time.sleep(LOOK_S)
+            time.sleep(LOOK_S)
         return True
 
     def once(self, conn, request, run, head):
@@ -171,7 +171,7 @@
 
 def is_closed(conn):
     """Whether the other side has closed a connection that rests."""
-    return conn.sock and select.select([conn.sock], [], [], 0)[0]
+    return conn.sock and readable(conn.sock, 0)
 
 
 class Callers:
@@ -191,19 +191,24 @@
             thread.start()
 
     def stop(self):
+        """Returns those that do not come to an end."""
         self.ended = True
         for thread in self.threads:
             thread.join(15)
+        return ["%s does not end" % t.name for t in self.threads
+                if t.is_alive()]
 
     def run(self, number, rng):
         kept = {}
         n = 0
-        while not self.ended:
-            n += 1
-            self.call(f"c{number}-{n}", rng, kept)
-            time.sleep(rng.uniform(0.0, 0.02))
-        for conn in kept.values():
-            conn.close()
+        try:
+            while not self.ended:
+                n += 1
+                self.call(f"c{number}-{n}", rng, kept)
+                time.sleep(rng.uniform(0.0, 0.02))
+        finally:
+            for conn in kept.values():
+                conn.close()
 
     def call(self, ident, rng, kept):
         kind = rng.choice(list(KINDS))
@@ -238,13 +243,15 @@
             if is_stream and response.status == 200:
                 call["events"], call["foreign"] = read_events(ident, data)
             kept[gateway] = conn
+            conn = None
         except TimeoutError:
-            conn.close()
             call["gave_up" if leaves else "error"] = \
                 self.history.now() if leaves else "no answer"
         except (OSError, http.client.HTTPException) as e:
             call["error"] = type(e).__name__
-            conn.close()
+        finally:
+            if conn:
+                conn.close()
         call["ended"] = self.history.now()
         self.history.calls.append(call)
 
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -13,6 +13,7 @@
 APPLY_S = 2.0       # a configuration is in force by then
 FORWARD_S = 0.25    # between an effect of a configuration and the check
 DRAIN_S = 2.0       # a leaving engine gets nothing new after this
+LOSS_S = 0.2        # in which a request may cross the end of a connection
 SLACK_S = 0.3       # of our own clocks: one busy process records everything
 LEFT_S = 0.5        # what a caller gave up is worked on no longer than this
 RECOVERY_S = 5.0    # after the faults calls are answered again
@@ -48,6 +49,9 @@
         self.lives = []     # gateway, at
         self.ends = []      # processes that ended unasked: name, code
         self.samples = []   # pid, name, at, rss_kb, fds
+        self.logged = []    # ids of calls whose end a gateway's log tells
+        self.rig = []       # what went wrong in the soak itself
+        self.rig_late_s = 0.0  # how late its own threads ran at most
         self.faults_over = self.planned_at = self.callers_end = 0.0
 
     def now(self):
@@ -190,6 +194,54 @@
                     c["id"], c["at"], c["ended"], c["error"], s["at"])
 
 
+def is_stopped(h, call):
+    """The call's gateway was asked to stop, or gone, during the call."""
+    return any(s["gateway"] == call["gateway"] and
+               s["at"] < call["ended"] and
+               call["at"] < s["exited"] + CONTACT_S for s in h.stops)
+
+
+def lost(h):
+    """Calls that a gateway took and that ended without a whole answer. Not
+    those that met a connection as it was closed, and were not passed on."""
+    arrived = {a["id"] for a in h.arrivals}
+    for c in h.calls:
+        if c["error"] and not c["gave_up"] and (
+                c["id"] in arrived or
+                c["ended"] - c["at"] > LOSS_S + SLACK_S):
+            yield c
+
+
+def check_lost(h):
+    """Planned work ends no call without a whole answer; check_stop() has those
+    of a gateway that stops."""
+    runs = h.runs()
+    for c in lost(h):
+        if not is_stopped(h, c) and h.calm_since(c["ended"]) <= c["at"]:
+            yield "%s (%s, gateway %d, %.3f to %.3f): %s; ran at %s" % (
+                c["id"], c["kind"], c["gateway"], c["at"], c["ended"],
+                c["error"], [r["engine"] for r in runs[c["id"]]])
+
+
+def check_told(h):
+    """Of each call that was lost the log of its gateway says why, unless that
+    gateway was killed."""
+    logged = set(h.logged)
+    kills = [t for t in h.troubles if t["kind"].startswith("kill")]
+    for c in lost(h):
+        if c["id"] not in logged and not any(
+                t["target"] in ("", "g%d" % c["gateway"]) and
+                t["at"] <= c["ended"] + CONTACT_S and t["until"] >= c["at"]
+                for t in kills):
+            yield "%s (gateway %d, %.3f to %.3f): %s, and no line says why" % (
+                c["id"], c["gateway"], c["at"], c["ended"], c["error"])
+
+
+def check_rig(h):
+    """The soak itself saw everything to its end."""
+    yield from h.rig
+
+
 def replaced_at(h, version):
     return min([c["at"] for c in h.configs if c["version"] > version],
                default=float("inf"))
@@ -420,6 +472,22 @@
     run.update(at=stop["at"] - 0.05, ended=stop["at"] + 0.1)
 
 
+def cut_in_calm(h):
+    call, _ = served(h, "stream")
+    call.update(status=200, error="ConnectionResetError")
+    h.logged.append(call["id"])
+
+
+def cut_untold(h):
+    call, _ = served(h, "stream")
+    call.update(status=200, error="ConnectionResetError")
+    h.logged = [i for i in h.logged if i != call["id"]]
+
+
+def a_caller_dies(h):
+    h.rig.append("a caller: ValueError")
+
+
 def not_in_force(h):
     newest = h.configs[-1]
     at = max(newest["at"], h.calm_since(newest["at"])) + APPLY_S + 1
@@ -480,6 +548,9 @@
     "a-piece-missing": ("weights", a_piece_missing),
     "call-to-a-leaving-engine": ("draining", call_to_a_leaving_engine),
     "cut-by-a-stop": ("stop", cut_by_a_stop),
+    "cut-in-calm": ("lost", cut_in_calm),
+    "cut-untold": ("told", cut_untold),
+    "a-caller-dies": ("rig", a_caller_dies),
     "not-in-force": ("in_force", not_in_force),
     "goes-back": ("forward", goes_back),
     "many-repeats": ("budget", many_repeats),
--- /dev/null
+++ b/tests/soak_schedule.py
@@ -0,0 +1,99 @@
+"""What befalls the fleet of the soak, and when: fixed by a seed and a size."""
+import random
+from dataclasses import dataclass
+
+FAULTS_S = 6.0   # faults begin
+PLANNED_S = 6.5  # planned work, and the bound of a version
+WORK_S = 14.0    # planned work begins, of a course that has nothing else
+LAST_FAULT_S = (0.005, 0.4)  # after a configuration
+
+
+@dataclass(frozen=True)
+class Size:
+    gateways: int = 3
+    plain: int = 4
+    models: int = 4   # engines, and as many sidecars
+    callers: int = 10
+
+
+# Not in the way of what is owed.
+PLANNED = ("config", "weights", "leave", "stop", "reload", "add")
+
+
+def schedule(seed, size=Size()):
+    """[(at, kind, target, seconds)] of a seed, times from the first fault."""
+    rng = random.Random(f"{seed}/schedule")
+    plain = ["p%d" % i for i in range(size.plain)]
+    models = ["m%d" % i for i in range(size.models)]
+    processes = ["g%d" % i for i in range(size.gateways)] + \
+        ["s%d" % i for i in range(size.models)]
+    links = ["store", "origin", "peers", "engines"] + \
+        ["peers/%d" % i for i in range(size.gateways + size.models)] + \
+        ["engines/%d" % i for i in range(size.plain + size.models)]
+    kinds = [("silence", links), ("silence", ["all", "peers", "engines"]),
+             ("reset", links + ["all"]),
+             ("delay", links), ("cut", links), ("cut_there", links),
+             ("cut_back", links), ("pause", processes), ("kill", processes),
+             ("stop", processes), ("crash", plain + models),
+             ("leave", plain + models), ("breaks", plain + ["ledger"] * 2),
+             ("full", plain + ["ledger", "engines"]),
+             ("away", ["store", "origin"]), ("spoil", ["origin"]),
+             ("config", [""])] + [("weights", [""])] * 2
+    rows = []
+    for _ in range(rng.randint(4, 14)):
+        kind, targets = rng.choice(kinds)
+        rows.append((rng.uniform(0, FAULTS_S), kind, rng.choice(targets),
+                     rng.uniform(0.2, 2.0)))
+        if kind == "spoil" or (kind == "weights" and rng.random() < 0.5):
+            rows.append((rows[-1][0] + rng.uniform(0.1, 1.5), "weights", "",
+                         0))  # what is to be spoilt; or two that overlap
+    return sorted(rows)
+
+
+def planned(seed, size=Size()):
+    """Work in calm times; an engine without its sidecar gets no new weights,
+    and must get no calls behind the version's bound."""
+    rng = random.Random(f"{seed}/planned")
+    return sorted([
+        (0.0, "stop", "s%d" % rng.randrange(size.models), PLANNED_S),
+        (rng.uniform(0, 1), "weights", "", 0),
+        (rng.uniform(0, 1), "config", "", 0),
+        (rng.uniform(0, 1), "stop", "g%d" % rng.randrange(size.gateways), 0.2),
+        (rng.uniform(0, 1), "leave", "p%d" % rng.randrange(size.plain), 0.2)])
+
+
+def work(seed, size=Size()):
+    """Planned work only, in series that overlap: configurations, reloads,
+    restarts of one process after the other, engines that leave, processes that
+    are added, weights."""
+    rng = random.Random(f"{seed}/work")
+    rows = []
+    for _ in range(rng.randint(3, 5)):  # series of configurations
+        at, gap = rng.uniform(0, WORK_S), rng.uniform(0.1, 0.6)
+        what = rng.choice(("", "idle", "body", "routes"))
+        rows += [(at + i * gap, "config", what, 0)
+                 for i in range(rng.randint(1, 6))]
+    for _ in range(rng.randint(1, 2)):  # gateways restarted, also two at once
+        at, gap = rng.uniform(0, WORK_S / 2), rng.uniform(0.5, 2.0)
+        first = rng.randrange(size.gateways)
+        rows += [(at + i * gap, "stop",
+                  "g%d" % ((first + i) % size.gateways), rng.uniform(0.1, 1))
+                 for i in range(min(size.gateways - 1, rng.randint(2, 8)))]
+    for _ in range(rng.randint(2, 6)):
+        rows.append((rng.uniform(0, WORK_S), "reload",
+                     "g%d" % rng.randrange(size.gateways), 0))
+    rows += [(rng.uniform(0, WORK_S), "stop", "s%d" % rng.randrange(
+        size.models), 0.3) for _ in range(rng.randint(0, 3))]
+    rows += [(rng.uniform(0, WORK_S), "leave", rng.choice("pm") + "0", 0.3)]
+    rows += [(rng.uniform(0, WORK_S), "leave", "p%d" % rng.randrange(
+        1, size.plain), 0.3)]
+    rows += [(rng.uniform(0, WORK_S), "weights", "", 0)
+             for _ in range(rng.randint(1, 2))]
+    rows += [(rng.uniform(0, WORK_S), "add", "", 0)
+             for _ in range(rng.randint(0, 2))]
+    return sorted(rows)
+
+
+def last_fault(seed):
+    """So long after a configuration all processes are killed."""
+    return random.Random(f"{seed}/last").uniform(*LAST_FAULT_S)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -2,6 +2,7 @@
 engine (model or plain service) and the origin of weights. Each runs on threads
 of the test's own process, so that a test can look into it and break it."""
 import base64
+import errno
 import hashlib
 import json
 import socket
@@ -65,7 +66,9 @@
         while True:
             try:
                 conn, _ = self.listener.accept()
-            except OSError:
+            except OSError as e:
+                if e.errno in (errno.EMFILE, errno.ENFILE):
+                    raise  # the rig's own limit, not an end
                 return
             if self.down:
                 self.reset(conn)
@@ -108,6 +111,10 @@
         self.down = False
 
     def close(self):
+        try:  # wakes the thread in accept(), which else keeps the socket
+            self.listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self.listener.close()
         self.take_down()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,8 @@
 import pytest
 
 from bench import BINARY, HERE
-from soak import Faults, planned, schedule
+from soak import Faults
+from soak_schedule import planned, schedule
 
 SEEDS = (4, 12, 16)
 SIDE_BY_SIDE = 5  # seven processes each
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -3,6 +3,8 @@
 import pytest
 
 import soak_oracle
+from rig import Watch
+from soak_ends import Callers
 from soak_oracle import CHECKS, MUTANTS, History, check, mutated
 
 
@@ -106,6 +108,7 @@
     call, run = call_and_run(history, "last", "order", stop["at"] + 0.5,
                              gateway=1, engine="m0", version=2)
     call.update(status=None, error="reset", ended=stop["at"] + 0.9)
+    history.logged.append("last")
     assert [name for name, _ in check(history)] == ["stop"]
     run["ended"] = stop["at"] + history.grace_s * 0.9
     assert check(history) == []
@@ -124,3 +127,32 @@
     call_and_run(history, "again", "safe", 20.0)
     history.arrivals.append(dict(history.arrivals[-1], engine="p2"))
     assert check(history) == []
+
+
+def test_a_call_that_is_cut_in_calm_is_lost(history):
+    call, _ = call_and_run(history, "cut", "stream", 20.0)
+    call["error"] = "ConnectionResetError"
+    history.logged.append("cut")
+    assert [name for name, _ in check(history)] == ["lost"]
+    history.troubles.append({"kind": "kill", "target": "g0", "at": 20.0,
+                             "until": 20.5})
+    assert check(history) == []
+
+
+def test_a_call_that_crosses_a_close_is_not_lost(history):
+    call, _ = call_and_run(history, "crossed", "safe", 20.0)
+    call.update(status=None, error="RemoteDisconnected", ended=20.1)
+    history.arrivals.pop()
+    assert check(history) == []
+    call["ended"] = 20.0 + soak_oracle.LOSS_S + soak_oracle.SLACK_S + 0.1
+    assert [name for name, _ in check(history)] == ["lost", "told"]
+
+
+def test_the_rig_tells_of_its_own_failures(history):
+    """A caller's thread that ends by an exception fails the seed."""
+    with Watch() as rig:
+        callers = Callers(history, [{"no": "address"}], 1, 2)
+        callers.stop()
+    history.rig += rig.failures
+    assert "KeyError" in rig.failures[0]
+    assert {name for name, _ in check(history)} == {"rig"}
