Connections that their dialler replaced are closed; a change behind a listing is not skipped

A peer connection that goes silent is replaced by who dialled it, and its close does not come through: accepted, it stayed open for good, kept a descriptor, and who asks there asks in vain. Who is greeted on a newer connection now closes the older ones that were quiet for 300 ms (test_silence: replaced_is_dead).

Who lists engines' records anew finds some missing, and noted that under the offset after the last: the next change of any engine then counted as seen, here and by all who were told. Test: test_members, went_unseen.

--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -169,13 +169,15 @@
 static void engines_listed(void *owner, GHashTable *keys)
 {
     QRGateway *g = owner;
-    uint64_t offset = qr_follower_offset(g->follow_engines);
+    uint64_t next = qr_follower_offset(g->follow_engines);
     g_autoptr(GPtrArray) gone = qr_engines_missing(&g->engines, keys);
 
+    /* a record that went did so by the last change that was listed at the
+       latest; the next one is still to come, and must not count as seen */
     for (unsigned i = 0; i < gone->len; i++)
-        engine_gone(g, gone->pdata[i], offset);
+        engine_gone(g, gone->pdata[i], next - MIN(next, 1));
     if (!g->engines_known)
-        g->engines_since = offset;
+        g->engines_since = next;
     g->engines_known = true;
     qr_logf(QR_LEVEL_INFO, "engines", "listed count=%u gone=%u",
             g_hash_table_size(keys), gone->len);
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -188,6 +188,8 @@
         qr_peer_care(peer, QR_PEER_HEARS);
         return;
     }
+    if (qr_peer_data(peer))
+        qr_peer_close_older(peer);
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
         ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
         ((QRFleetMember *)qr_peer_data(peer))->lost_ms = 0;
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -30,6 +30,10 @@
 #define DOUBT_AGAIN_MS 1000 /* between two such tries */
 /* An accepted connection on which nothing comes: the kernel asks. */
 #define ACCEPTED_IDLE_S 5
+/* An accepted connection is dead if its dialler greets us on another and this
+   one has been quiet for so long: less than any dialler waits (doubt_ms). One
+   that was heard since may be alive, and is the dialler's to close. */
+#define SUPERSEDED_QUIET_MS 300
 /* Between two ticks, which come every 100 ms: this process stood still, and
    what came meanwhile is not read yet. */
 #define STOOD_STILL_MS 400
@@ -171,8 +175,12 @@
     Target *t = second->target;
     QRPeerConn *mute = t->peer;
 
-    if (quiet_ms(mute) < cares[care_of(mute)].doubt_ms)
-        return false; /* it spoke again: the next tick closes the second */
+    if (quiet_ms(mute) < cares[care_of(mute)].doubt_ms) {
+        /* it spoke again; were it lost now, the second would take its place
+           without having been greeted */
+        qr_peer_close(second);
+        return false;
+    }
     qr_logf(QR_LEVEL_WARN, "peers",
             "replaced address=%s quiet_ms=%" G_GUINT64_FORMAT, t->address,
             quiet_ms(mute));
@@ -522,6 +530,25 @@
     }
 }
 
+void qr_peer_close_older(QRPeerConn *peer)
+{
+    const GPtrArray *all = peer->peers->all;
+
+    for (unsigned i = all->len; i > 0; i--) {
+        QRPeerConn *older = i <= all->len ? all->pdata[i - 1] : NULL;
+
+        if (!older || older->target || older->data != peer->data ||
+            older->since_ms >= peer->since_ms ||
+            quiet_ms(older) < SUPERSEDED_QUIET_MS)
+            continue;
+        qr_logf(QR_LEVEL_INFO, "peers",
+                "superseded age_ms=%" G_GUINT64_FORMAT
+                " quiet_ms=%" G_GUINT64_FORMAT,
+                uv_now(peer->peers->loop) - older->since_ms, quiet_ms(older));
+        qr_peer_close(older);
+    }
+}
+
 void qr_peer_care(QRPeerConn *peer, QRPeerCare care)
 {
     if (peer->target)
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -44,6 +44,12 @@
 void *qr_peer_data(const QRPeerConn *peer);
 /* 'data' is about to go: no connection may name it any more. */
 void qr_peers_clear_data(QRPeerNet *p, const void *data);
+/*
+ * The other side has just greeted us on a connection that it dialled. It keeps
+ * one: those that it dialled before are dead to it, though nothing may ever
+ * tell us. Closes them, so that nothing is asked or told there.
+ */
+void qr_peer_close_older(QRPeerConn *peer);
 /* How soon it matters that a connection which we dialled has gone silent. */
 typedef enum QRPeerCare {
     QR_PEER_RESTS, /* not at all, until something is asked there */
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -108,6 +108,8 @@
 
     qr_peer_set_data(peer, member);
     qr_peer_set_far(peer, g_strcmp0(h->region, s->set->region) != 0);
+    if (member && !qr_peer_dialled(peer))
+        qr_peer_close_older(peer);
     if (news)
         heard_of(s, news);
     if (!member || strcmp(member->role, QR_ROLE_GATEWAY) != 0 ||
--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -13,6 +13,7 @@
     stream_from
 
 LONG_S = 1.5   # of a call on a path that ends in /long
+PAUSE_S = 1.6  # of some streams, where engines pause
 LOOK_S = 0.01  # between an engine's looks at whether its caller is there
 
 # kind -> the route's prefix, may it run again, is it a stream
@@ -66,6 +67,7 @@
         self.running = 0
         self.breaks = False  # every third answer is cut
         self.full = False    # turns all away
+        self.pauses = False  # one stream in twenty, halfway
         self.link = None
         super().__init__(ident, service, model, version)
         self.direct = self.address
@@ -147,6 +149,10 @@
                 self.reset(conn)
                 return False
             send_chunk(conn, event(ident, i))
+            if self.pauses and i == total // 2 and \
+                    number_of(ident, 20) == 0 and \
+                    not self.works(conn, run, PAUSE_S):
+                return False
             if not self.works(conn, run, LONG_S / 8 if request.path.endswith(
                     "/long") else 0.01):
                 return False
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -339,3 +339,30 @@
         know[0].send(members=fleet_pb2.Members(members=[ghost]))
         wait_for("the gateway that was told of",
                  lambda: "new name=ghost" in f.log("g0"), 2)
+
+
+def test_what_follows_a_record_that_went_unseen_is_heard():
+    """An engine's record goes while the store is away. Who lists the records
+    anew finds it missing, and does not know by which change; it must not take
+    the next change, another engine's leaving, for one that it has seen."""
+    with Fleet(gateways=4, plain=3) as f:
+        f.wait_ready()
+        names = ["g%d" % i for i in range(4)]
+
+        def count(text):
+            return [f.log(n).count(text) for n in names]
+
+        wait_for("two readers", lambda: sum(
+            count("engines: heard from other gateways")) >= 2)
+        f.store.take_down()
+        f.store.put("keyed.servers", "p2", None)
+        wait_for("others to read", lambda: sum(
+            count("engines: read from the store")) >= 2)
+        f.store.bring_up()
+        wait_for("the listings", lambda: sum(
+            count("engines: listed")) >= 6)
+        wait_for("the engine to be gone", lambda: all(
+            count("gone engine=p2")))
+        f.store.put("keyed.servers", "p1", f.plain[1].record("draining"))
+        wait_for("all to hear that an engine leaves", lambda: all(
+            count("draining engine=p1")), 2)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -492,3 +492,37 @@
         readers.name_version(f)
         assert "asked=reader" in f.log("g0")
         readers.close()
+
+
+def is_closed(peer, within):
+    """Whether the other side closes the connection; what comes is read."""
+    end = time.monotonic() + within
+    while time.monotonic() < end:
+        peer.conn.settimeout(0.05)
+        try:
+            if not peer.conn.recv(65536):
+                return True
+        except TimeoutError:
+            pass
+    return False
+
+
+def test_a_connection_that_its_dialler_replaced_is_dead_to_both():
+    """The dialler replaces a mute connection by a new one and closes it, which
+    does not come through. What was accepted then stayed open for good: it kept
+    a descriptor, and questions were asked on it in vain."""
+    with Fleet() as f:
+        f.wait_ready()
+        told = hello("again", "gateway")
+        first = Peer(f.peers[0], told)
+        wait_for("the greeting", lambda: "name=again" in f.log("g0"))
+        assert not is_closed(first, 0.6)  # and is quiet for so long
+        second = Peer(f.peers[0], told)
+        assert is_closed(first, 1)
+        wait_for("the line", lambda: "superseded" in f.log("g0"))
+        # one that speaks may be alive: its dialler decides
+        second.send(probe=fleet_pb2.Probe(answer=True))
+        third = Peer(f.peers[0], told)
+        assert not is_closed(second, 0.2)
+        for peer in (first, second, third):
+            peer.conn.close()
