Rig: each run has a block of ports of its own

A gateway that is just being restarted had its port given to another run, whose probe found it free; callers then reached the other run. Now a run keeps the first port of a block of 600 for as long as it lives.

--- a/tests/bench.py
+++ b/tests/bench.py
@@ -34,18 +34,39 @@
 
 
 # Below the ports that the kernel gives to outgoing connections: one of
-# those could be taken between our look and the bind.
+# those could be taken between our look and the bind. Each run has a block of
+# its own, whose first port it keeps: the port of a process that is just being
+# restarted must not go to another run.
 PORTS = (10000, 32000)
-# Far enough from those of runs started right before or after this one.
-PORTS_A_RUN = 1511
-next_port = [PORTS[0] + os.getpid() * PORTS_A_RUN % (PORTS[1] - PORTS[0])]
+BLOCK = 600  # 64 gateways and as many sidecars take 448
+block = {}
+block_lock = threading.Lock()
+
+
+def own_block():
+    blocks = range(PORTS[0], PORTS[1] - BLOCK, BLOCK)
+    for i in range(len(blocks)):
+        first = blocks[(os.getpid() + i) % len(blocks)]
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        block.update(guard=guard, first=first, next=1)
+        return
+    raise AssertionError("no block of ports is free")
 
 
 def free_ports(n):
     ports = []
     while len(ports) < n:
-        port = next_port[0]
-        next_port[0] = port + 1 if port < PORTS[1] else PORTS[0]
+        with block_lock:
+            if not block:
+                own_block()
+            port = block["first"] + block["next"]
+            block["next"] = block["next"] % (BLOCK - 1) + 1
         with socket.socket() as s:
             s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
