An answer that nobody signed may have run the call, also when it came late

Found in reading the mend: of a call asked of two engines, a late answer without a signature counted as not run, so the caller could be told 503 of a call that may have run.

--- a/src/gateway/qr_relay_answer.c
+++ b/src/gateway/qr_relay_answer.c
@@ -162,13 +162,18 @@
     qr_exchange_end(x);
 }
 
-static void dropped_end(QRRelay *r)
+/* Whether the engine says that it has not run the call, and will not. */
+static bool says_not_run(const QRRelay *r, const QRSending *s)
 {
-    const QRHeaderNames *names = &r->g->platform->headers;
-    bool not_run = r->now.answer.status == 421 ||
-                   qr_headers_get(&r->now.answer.headers, names->not_run);
+    const char *header = r->g->platform->headers.not_run;
+
+    return s->answer.status == 421 ||
+           (s->answer.status > 0 && qr_headers_get(&s->answer.headers, header));
+}
 
-    if (!not_run) {
+static void dropped_end(QRRelay *r)
+{
+    if (!says_not_run(r, &r->now)) {
         qr_relay_outcome(r, QR_OUTCOME_FAILURE);
         qr_relay_sending_over(r);
         qr_relay_next(r, QR_ATTEMPT_BROKEN, "not an engine's answer");
@@ -229,7 +234,7 @@
     g_autofree char *service = g_strdup(r->service);
 
     if (spoken(r, call) == &r->held) {
-        held_over(r, r->held.mode != ANSWER_DROP);
+        held_over(r, !says_not_run(r, &r->held));
         qr_relay_pump(g, service);
         return;
     }
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -171,6 +171,23 @@
     assert call(fleet, "plain", "/safe/x") == (200, b"done hello")
 
 
+def test_an_answer_nobody_signed_may_have_run_though_it_came_late(fleet):
+    """Both engines are asked. The first then gives bytes that are no engine's:
+    it may have run the call, which must not be refused as if it had not."""
+    def late(engine, conn, request):
+        time.sleep(1.6)
+        answer(conn, 200, b"?", [("X-Attempt-Id",
+                                  request.headers["x-attempt-id"])])
+
+    def full_later(engine, conn, request):
+        time.sleep(0.8)
+        return is_full(engine, conn, request)
+
+    Streams(fleet, late, full_later)
+    status, _ = call(fleet, "unsigned", "/safe/x")
+    assert status == 502
+
+
 def test_a_gateway_that_stood_still_hears_before_it_judges(fleet):
     """The engine spoke all the while; no other is asked for the rest."""
     def speaks(engine, conn, request):
