--- a/tests/bench.py
+++ b/tests/bench.py
@@ -299,6 +299,7 @@
     # -- faults and facts
 
     def control(self, address, **faults):
+        self.wait_port(address)  # it may have been started a moment ago
         ask(address, "POST", "/control", json.dumps(faults))
 
     def backend_of(self, name):
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -396,12 +396,12 @@
 # Mutants: each breaks the history that was seen as a fault of the program
 # would have, and names the check that must report it.
 
-def served(h, *kinds):
+def served(h, *kinds, where=lambda call: True):
     """A call that was served once in calm times, and its run."""
     runs = h.runs()
     for c in reversed(h.calls):
         if c["kind"] in kinds and c["status"] == 200 and not c["error"] \
-                and len(runs[c["id"]]) == 1 \
+                and len(runs[c["id"]]) == 1 and where(c) \
                 and h.calm_since(c["ended"]) <= c["at"]:
             return c, runs[c["id"]][0]
     raise AssertionError("no call of %s was served" % (kinds,))
@@ -478,7 +478,8 @@
 
 
 def cut_in_calm(h):
-    call, _ = served(h, "stream")
+    call, _ = served(h, "stream", where=lambda c: not is_stopped(h, c) and
+                     c["ended"] - c["at"] < USED_SHARE * DEADLINE_S)
     call.update(status=200, error="ConnectionResetError")
     h.logged.append(call["id"])
 
