--- /dev/null
+++ b/tests/crashing.py
@@ -0,0 +1,404 @@
+"""A request that crashes each engine that begins to run it, on real gateways
+before engines that come back.
+
+    crashing.py [--gateways N] [--engines N] [--seconds S] [--seed N]
+                [--course NAME] [--path PATH] [--returns same|new]
+
+The request comes every 0.15 s through any gateway, each time under a new id;
+twelve other callers go on meanwhile, half of them with one same request. Prints
+how many engines ended under it, how often it began later than contact (3 s)
+after the third, and what became of the others. Courses:
+
+    calm      nothing else happens
+    kills     gateways are killed and started again, one after the other
+    kill_all  all of them at once, a second after the third end
+    freezes   gateways stand still for 1 s, one after the other
+    cuts      links between gateways are cut for 2 s, one gateway at a time
+    alone     no such request; engines crash by themselves
+    herd      as that, all of them at once
+"""
+import argparse
+import random
+import signal
+import socket
+import sys
+import threading
+import time
+
+from bench import free_ports, wait_for
+from fault_link import BACK, THERE, Link, Loop
+from fleet import Fleet
+from rig import Watch, readable
+from standin_platform import (Engine, answer, events, send_chunk,
+                              start_stream, stream_from)
+
+CRASHES = b"this one crashes you"
+SAME = b"asked by many"
+EVERY_S = 0.15      # between two tries of the request
+CRASH_S = 0.05      # from its beginning to the engine's end
+AWAY_S = 1.2        # until the engine is back
+WORK_S = 0.04       # of any other request
+CONTACT_S = 3.0     # for the word to go round
+BEGIN_S = 1.0       # of the run, before the request comes for the first time
+CALLERS = 12
+EVENTS = 6          # of a stream
+PORT_S = 5.0        # for a port to be free again
+COURSES = ("calm", "kills", "kill_all", "freezes", "cuts", "alone", "herd")
+
+
+class CrashingEngine(Engine):
+    """A plain engine with few places, which turns away what it has none for."""
+
+    def __init__(self, fleet, ident, returns="same"):
+        self.fleet, self.returns, self.starts = fleet, returns, 0
+        self.running, self.up = 0, True
+        self.born = int(time.time() * 1000)
+        self.began = []  # when the request began here
+        self.ends = []   # when this engine crashed
+        super().__init__(ident, "ledger")
+        self.port = self.listener.getsockname()[1]
+
+    def record(self, state="ready"):
+        return dict(super().record(state), born=self.born)
+
+    def work(self, conn, request):
+        run = self.starts
+        with self.lock:
+            full = self.running >= self.slots
+            self.running += not full
+        if full or request.headers.get("x-expect-instance") != self.id:
+            if not full:
+                self.running -= 1
+            answer(conn, 503 if full else 421, b"",
+                   self.head(request) + [("X-Not-Executed", "1")])
+            return True
+        try:
+            if request.body == CRASHES:
+                self.began.append(time.monotonic())
+                return self.crashes(conn, request)
+            return self.works(conn, request)
+        finally:
+            with self.lock:
+                if run == self.starts:
+                    self.running -= 1
+
+    def crashes(self, conn, request):
+        if request.path.startswith("/stream/"):
+            start_stream(self, conn, request)
+            first = stream_from(request)
+            send_chunk(conn, events(first, first + 1))
+        if readable(conn, CRASH_S):  # the caller has left, and so it ends
+            return False
+        self.crash()
+        return False
+
+    def works(self, conn, request):
+        if not request.path.startswith("/stream/"):
+            time.sleep(WORK_S)
+            answer(conn, 200, b"done " + request.body, self.head(request))
+            return True
+        start_stream(self, conn, request)
+        for i in range(stream_from(request), EVENTS):
+            time.sleep(WORK_S / EVENTS)
+            send_chunk(conn, events(i, i))
+        conn.sendall(b"0\r\n\r\n")
+        return True
+
+    def crash(self):
+        with self.lock:
+            if not self.up:
+                return
+            self.up = False
+            self.starts += 1
+            self.running = 0
+        self.ends.append(time.monotonic())
+        self.close()
+        threading.Thread(target=self.come_back, daemon=True).start()
+
+    def come_back(self):
+        time.sleep(AWAY_S)
+        if self.fleet.over:
+            return
+        old = self.id
+        if self.returns == "new":
+            self.id = "%s.%d" % (old.split(".")[0], self.starts)
+            self.fleet.store.put("keyed.servers", old, None)
+        self.born = int(time.time() * 1000)
+        until = time.monotonic() + PORT_S
+        while True:
+            try:
+                self.listener = socket.create_server(("127.0.0.1", self.port))
+                break
+            except OSError:
+                if time.monotonic() > until:
+                    raise
+                time.sleep(0.01)
+        self.bring_up()
+        self.up = True
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.fleet.store.put("keyed.servers", self.id, self.record())
+
+
+class CrashingFleet(Fleet):
+    def __init__(self, gateways, engines, returns="same", links=False):
+        self.over, self.links, self.loop = False, [], None
+        super().__init__(gateways=0, plain=0)
+        for i in range(engines):
+            e = CrashingEngine(self, "p%d" % i, returns)
+            self.store.put("keyed.servers", e.id, e.record())
+            self.engines.append(e)
+            self.plain.append(e)
+        if links:
+            self.loop = Loop()
+            self.start_behind_links(gateways)
+        else:
+            self.add_gateways(gateways)
+        self.wait_ready()
+        wait_for("gateways to have met", self.have_met)
+
+    def start_behind_links(self, n):
+        names = {}
+        own = ["127.0.0.1:%d" % p for p in free_ports(n)]
+        self.links = [Link(self.loop, address, names) for address in own]
+        self.peers = [link.address for link in self.links]
+        for address, link in zip(own, self.links):
+            names[address.encode()] = link.address.encode()
+        for i in range(n):
+            self.start_gateway(i, settings={
+                "peers": own[i],
+                "seeds": [p for p in self.peers if p != self.peers[i]]})
+
+    def have_met(self):
+        return all(self.log("g%d" % i).count("members: new") >=
+                   len(self.gateways) - 1 for i in range(len(self.gateways)))
+
+    def again(self, i):
+        """The i-th gateway is killed, and starts at once."""
+        name = "g%d" % i
+        self.procs[name].kill()
+        self.procs[name].wait(10)
+        self.start(name, "gateway", "%s/%s.json" % (self.dir, name))
+
+    def ends(self):
+        return sorted(t for e in self.plain for t in e.ends)
+
+    def began(self):
+        return sorted(t for e in self.plain for t in e.began)
+
+    def stop(self):
+        self.over = True
+        codes = super().stop()
+        if self.loop:
+            self.loop.close()
+        return codes
+
+
+class Others:
+    """Callers with honest requests: half of them all send the same one."""
+
+    def __init__(self, fleet, seed, path):
+        self.fleet, self.path, self.ended = fleet, path, False
+        self.done = []  # (is it the same one, was it served, when, status)
+        self.threads = [
+            threading.Thread(target=self.run, daemon=True, args=(
+                i, random.Random("%s/%d" % (seed, i))))
+            for i in range(CALLERS)]
+        for t in self.threads:
+            t.start()
+
+    def run(self, number, dice):
+        n = 0
+        while not self.ended:
+            n += 1
+            ident = "c%d-%d" % (number, n)
+            same = number % 2 == 0
+            body = SAME if same else b"body of " + ident.encode()
+            started = time.monotonic()
+            try:
+                status, _, got = self.fleet.call(
+                    self.path, ident, dice.randrange(len(self.fleet.gateways)),
+                    body=body)
+            except Exception:  # pylint: disable=broad-except
+                status, got = 0, b""  # a gateway that was killed
+            good = status == 200 and (got == b"done " + body or
+                                      got == events(0, EVENTS - 1))
+            self.done.append((same, good, started, status))
+            time.sleep(dice.uniform(0.02, 0.06))
+
+    def stop(self):
+        self.ended = True
+        for t in self.threads:
+            t.join(15)
+
+    def served(self, same, first=0.0):
+        mine = [good for s, good, at, _ in self.done
+                if s == same and at >= first]
+        return sum(mine) / len(mine) if mine else 0.0
+
+
+class Tries:
+    """The request, again and again, whatever becomes of it."""
+
+    def __init__(self, fleet, seed, path):
+        self.fleet, self.path, self.ended = fleet, path, False
+        self.dice, self.statuses, self.retry_after = random.Random(seed), [], []
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        n = 0
+        while not self.ended:
+            n += 1
+            threading.Thread(target=self.send, daemon=True,
+                             args=("again-%d" % n,)).start()
+            time.sleep(EVERY_S)
+
+    def send(self, ident):
+        gateway = self.dice.randrange(len(self.fleet.gateways))
+        try:
+            status, headers, _ = self.fleet.call(self.path, ident, gateway,
+                                                 body=CRASHES)
+        except Exception:  # pylint: disable=broad-except
+            status, headers = 0, {}
+        self.statuses.append(status)
+        if "Retry-After" in headers:
+            self.retry_after.append(float(headers["Retry-After"]))
+
+    def stop(self):
+        self.ended = True
+        self.thread.join(5)
+
+
+class Course:
+    """What else happens, from the request's first try on."""
+
+    def __init__(self, fleet, name, seed):
+        self.fleet, self.over = fleet, False
+        self.dice = random.Random("%s/course" % seed)
+        self.thread = threading.Thread(target=getattr(self, name), daemon=True)
+        self.thread.start()
+
+    def stop(self):
+        self.over = True
+        self.thread.join(15)
+
+    def calm(self):
+        pass
+
+    def third(self):
+        while len(self.fleet.ends()) < 3 and not self.over:
+            time.sleep(0.01)
+
+    def each(self, do, gap_s):
+        """Does it to one gateway after the other, over and over."""
+        self.third()
+        while not self.over:
+            for i in range(len(self.fleet.gateways)):
+                if self.over:
+                    return
+                do(i)
+                time.sleep(gap_s)
+
+    def kills(self):
+        self.each(self.fleet.again, 1.0)
+
+    def kill_all(self):
+        self.third()
+        time.sleep(1.0)
+        names = ["g%d" % i for i in range(len(self.fleet.gateways))]
+        for name in names:
+            self.fleet.procs[name].kill()
+        for name in names:
+            self.fleet.procs[name].wait(10)
+        for name in names:
+            self.fleet.start(name, "gateway",
+                             "%s/%s.json" % (self.fleet.dir, name))
+
+    def freezes(self):
+        def freeze(i):
+            process = self.fleet.procs["g%d" % i]
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(1.0)
+            process.send_signal(signal.SIGCONT)
+        self.each(freeze, 0.3)
+
+    def cuts(self):
+        def cut(i):
+            self.fleet.links[i].cut((THERE, BACK))
+            time.sleep(2.0)
+            self.fleet.links[i].mend()
+        self.each(cut, 0.3)
+
+    def alone(self):
+        while not self.over:
+            time.sleep(self.dice.uniform(0.4, 0.8))
+            self.dice.choice(self.fleet.plain).crash()
+
+    def herd(self):
+        while not self.over:
+            time.sleep(4.0)
+            for e in self.fleet.plain:
+                e.crash()
+
+
+class Run:
+    def __init__(self, gateways=3, engines=8, seconds=18.0, seed=1,
+                 course="calm", path="/safe/x", returns="same"):
+        crashing = course not in ("alone", "herd")
+        with CrashingFleet(gateways, engines, returns,
+                           links=course == "cuts") as fleet, Watch() as watch:
+            others = Others(fleet, seed, path)
+            time.sleep(BEGIN_S)
+            tries = Tries(fleet, seed, path) if crashing else None
+            self.began_at = time.monotonic()
+            happens = Course(fleet, course, seed)
+            time.sleep(seconds)
+            happens.stop()
+            if tries:
+                tries.stop()
+            others.stop()
+            self.ends, self.began = fleet.ends(), fleet.began()
+            self.statuses = tries.statuses if tries else []
+            self.retry_after = tries.retry_after if tries else []
+            self.unique, self.same = others.served(False), others.served(True)
+            self.calls = len(others.done)
+            self.bad = {}
+            for _, good, _, status in others.done:
+                if not good:
+                    self.bad[status] = self.bad.get(status, 0) + 1
+            third = self.ends[2] + CONTACT_S if len(self.ends) > 2 else None
+            self.late_runs = [t for t in self.began if third and t > third]
+            self.settled = others.served(False, third) if third else 1.0
+            self.held = sum(" held request=" in fleet.log(n)
+                            for n in fleet.procs)
+            self.dir = fleet.dir
+        self.late_s, self.failures = watch.late_s, watch.failures
+        assert not self.failures, self.failures
+
+    def __str__(self):
+        return ("ends=%d began=%d began_late=%d others=%.3f same=%.3f "
+                "settled=%.3f calls=%d bad=%s held_at=%d tries=%s "
+                "rig_late_s=%.2f logs=%s" % (
+                    len(self.ends), len(self.began), len(self.late_runs),
+                    self.unique, self.same, self.settled, self.calls, self.bad,
+                    self.held, {s: self.statuses.count(s)
+                                for s in set(self.statuses)},
+                    self.late_s, self.dir))
+
+
+def main():
+    p = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    p.add_argument("--gateways", type=int, default=3)
+    p.add_argument("--engines", type=int, default=8)
+    p.add_argument("--seconds", type=float, default=18.0)
+    p.add_argument("--seed", type=int, default=1)
+    p.add_argument("--course", choices=COURSES, default="calm")
+    p.add_argument("--path", default="/safe/x")
+    p.add_argument("--returns", choices=("same", "new"), default="same")
+    run = Run(**vars(p.parse_args()))
+    print(run)
+    return 1 if len(run.late_runs) > 3 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
