--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define CONNECT_MS 400
+#define APART_WAIT_MS (QR_SUSPECT_APART_MS + 50) /* the pause, and two ticks */
 #define LATE_SMOOTHING 0.05 /* some twenty calls back */
 /* Before the bound of a version: no sending to engines with an older one. */
 #define SEND_MARGIN_MS 1000
@@ -230,12 +231,17 @@
                             why);
 }
 
-/* One like it is on trial: its answer, or its engine's end, says what follows.
-   That takes a call's time, so it is waited for as for room. */
+/*
+ * One like it is on trial: its answer, or its engine's end, says what follows,
+ * and a pause after that. Whoever comes back after an engine's end comes into
+ * that pause, and is served late rather than refused.
+ */
 static void relay_wait_apart(QRRelay *r)
 {
+    uint64_t until = MAX(r->wait_until_ms, r->arrived_ms + APART_WAIT_MS);
+
     qr_relay_unwait(r);
-    r->apart = qr_gateway_now(r->g) < r->wait_until_ms;
+    r->apart = qr_gateway_now(r->g) < until;
     if (!r->apart)
         qr_relay_finish_own(r, 503, QR_COUNTER_refused_busy,
                             "one like it is on trial");
--- a/src/gateway/qr_suspects.c
+++ b/src/gateway/qr_suspects.c
@@ -20,10 +20,6 @@
 #include <string.h>
 
 #define ROUNDS_TO_HOLD 3
-/* Engines that end by one cause do so within a moment (eight killed one after
-   the other: 10 ms), and a call is sent on from one to the next within it. So
-   the next try begins, and the next end counts, this much after the last. */
-#define APART_MS 250
 /* Two requests that were at work at the same ends: it may be either, or
    neither. So many tries apart would show it; then both are held back. */
 #define ROUNDS_TIED 5
@@ -106,7 +102,7 @@
         if (e->ended_ms <= s->answered_ms || e->sent_ms < s->held_until_ms)
             continue;
         if (n > 0 && (e->sent_ms < chain[n - 1].ended_ms ||
-                      e->ended_ms < chain[n - 1].ended_ms + APART_MS ||
+                      e->ended_ms < chain[n - 1].ended_ms + QR_SUSPECT_APART_MS ||
                       is_same_run(e, &chain[n - 1])))
             continue;
         chain[n++] = *e;
@@ -207,7 +203,7 @@
     QRRunEnd chain[QR_SUSPECT_ENDS];
     unsigned n, needed = s->holds > 0 ? 1 : ROUNDS_TO_HOLD;
 
-    if (qr_suspect_is_held(s, now_ms) || now_ms < last_end_ms(s) + APART_MS)
+    if (qr_suspect_is_held(s, now_ms) || now_ms < last_end_ms(s) + QR_SUSPECT_APART_MS)
         return;
     s->is_due = false;
     n = chain_of(s, chain);
@@ -380,7 +376,7 @@
     if (s->holds == 0 && qr_suspect_rounds(s) == 0)
         return QR_SUSPICION_NONE;
     return s->own_trials > 0 || now_ms < s->others_until_ms ||
-                   now_ms < last_end_ms(s) + APART_MS
+                   now_ms < last_end_ms(s) + QR_SUSPECT_APART_MS
                ? QR_SUSPICION_WAIT
                : QR_SUSPICION_TRIAL;
 }
--- a/src/gateway/qr_suspects.h
+++ b/src/gateway/qr_suspects.h
@@ -13,6 +13,10 @@
 
 #define QR_SUSPECT_ENDS 8 /* the last ones that are kept of a request */
 #define QR_HOLD_MOST_MS 3600000
+/* Engines that end by one cause do so within a moment (eight killed one after
+   the other: 10 ms), and a call is sent on from one to the next within it. So
+   the next try begins, and the next end counts, this much after the last. */
+#define QR_SUSPECT_APART_MS 250
 
 /* One run of an engine ended while the request was at work there. */
 typedef struct QRRunEnd {
