An engine's record that another writer put names no engine to use; runs of an engine are told apart

An odd record of an engine that is known stops new calls until its own record stands there again; its calls and its sidecar's place in a switch stay. Counter, and 50 lines in 10 s at most.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -84,6 +84,19 @@
     return NULL;
 }
 
+/* Nothing that was learned of an earlier run counts for this one. Calls that
+   are under way keep what they hold there until they end. */
+static void forget_run(QREngine *e)
+{
+    e->told = e->told_switching = e->told_unreachable = false;
+    e->told_slow_link = e->trial = false;
+    e->told_version = e->told_ms = 0;
+    e->failures = e->ejections = e->moved = 0;
+    e->ejected_until_ms = e->refused_until_ms = 0;
+    e->answer_ms = 0;
+    g_hash_table_remove_all(e->others);
+}
+
 const char *qr_engines_record(QREngines *t, QREngineRecord *r, uint64_t now_ms)
 {
     QREngine *e = g_hash_table_lookup(t->by_id, r->id);
@@ -101,6 +114,10 @@
         return "new";
     }
     change = e->gone || e->lapsed_ms ? "back" : record_change(e->record, r);
+    if (!change && e->unreadable)
+        change = "readable again";
+    if (e->record->born_ms != r->born_ms)
+        forget_run(e);
     /* the key of the table is the record's own id: it stays */
     g_free(r->id);
     r->id = e->record->id;
@@ -110,7 +127,7 @@
     if (change)
         e->moved = 0;
     e->record = r;
-    e->gone = e->unconfirmed = false;
+    e->gone = e->unconfirmed = e->unreadable = false;
     e->lapsed_ms = 0;
     e->heard_ms = now_ms;
     index_add(t, e);
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -31,6 +31,7 @@
     uint64_t heard_ms;  /* when the record last changed here */
     bool gone;          /* no record any more; no new calls */
     uint64_t lapsed_ms; /* its record went while the store was away; 0: no */
+    bool unreadable;    /* its newest record is none: no new calls */
     bool unconfirmed;   /* from our first listing, and nothing heard since: it
                            may have ended long ago */
     unsigned own;       /* calls that we have open there */
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -74,6 +74,7 @@
     uint64_t version;  /* whole; 0: none or in parts */
     bool busy;         /* an order is under way */
     uint64_t sequence; /* of orders taken */
+    uint64_t born_ms;  /* start of this run of it, in Unix time; 0: not said */
     unsigned active, queued;
     double pace;
 } QREngineReport;
@@ -103,8 +104,9 @@
     QRPolicy *(*parse_policy)(const char *data, size_t len, QRFindings *f);
     int (*parse_weights)(const char *data, size_t len, char **model,
                          uint64_t *version);
+    /* NULL, with findings, if the record is none of an engine. */
     QREngineRecord *(*parse_engine)(const char *id, const char *data,
-                                    size_t len);
+                                    size_t len, QRFindings *f);
 
     /* Answers to callers that ask where to go. */
     bool (*is_directory)(const char *target);
@@ -120,7 +122,9 @@
     char *(*stage_path)(const char *model, unsigned index, bool put);
     char *(*staged_list_path)(const char *model);
     char *(*report_path)(void);
-    int (*parse_report)(const char *data, size_t len, QREngineReport *r);
+    /* -1, with findings, if that is none. */
+    int (*parse_report)(const char *data, size_t len, QREngineReport *r,
+                        QRFindings *f);
     char *(*order_path)(void);
     /* 'cut': what still runs there is broken off, not waited for */
     char *(*start_order)(const char *model, uint64_t version, uint64_t sequence,
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -68,7 +68,7 @@
 {
     uint64_t version;
 
-    if (e->gone || e->record->draining)
+    if (e->gone || e->unreadable || e->record->draining)
         return false;
     if (needs_weights(in)) {
         version = qr_engine_version(e);
--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -28,6 +28,7 @@
     DEF(taken_back, "of these, gone on with as the other gave nothing")        \
     DEF(rests_waited, "streams whose rest waited for an engine with room")     \
     DEF(stood_still, "times that this process did not run for a moment")       \
+    DEF(unreadable, "engines' records that were read and are none")            \
     DEF(engine_ends, "ends of engines at which calls of ours broke off")        \
     DEF(trials, "sendings of requests under which an engine had ended")         \
     DEF(requests_held, "requests held back as they crash engines")             \
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -97,6 +97,8 @@
     bool follower_is_new;    /* a gateway that knows nothing of our load yet */
     unsigned gateways_known; /* that share the retry budget, this one too; 0:
                                 not known yet */
+    uint64_t unreadable_ms;  /* since when lines of odd records are counted */
+    unsigned unreadable_lines;
     QRRequests requests;     /* that may crash engines */
     bool stopped;
 };
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -8,6 +8,8 @@
 /* From a try that the store fails to the end of the next one: a backoff of 1 s
    at most and an answer; under contact-ms. */
 #define FOUND_BACK_MS 2000
+#define UNREADABLE_LINES 50 /* so many lines, in so long */
+#define UNREADABLE_LOG_MS 10000
 
 /* A record's age at most, and how that is known. */
 typedef struct RecordAge {
@@ -128,8 +130,45 @@
             "lapsed engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
 }
 
+/* Odd records may be written as often as good ones: what is logged of them is
+   bounded. */
+static bool may_log_unreadable(QRGateway *g)
+{
+    uint64_t now = qr_gateway_now(g);
+
+    if (now >= g->unreadable_ms + UNREADABLE_LOG_MS) {
+        g->unreadable_ms = now;
+        g->unreadable_lines = 0;
+    }
+    return g->unreadable_lines++ < UNREADABLE_LINES;
+}
+
+/*
+ * A record of another writer names no engine to use: one that was known gets no
+ * new calls until its own record stands there again, a heartbeat later if it
+ * lives. It keeps its calls, and its sidecar its place among the others.
+ */
+static void engine_unreadable(QRGateway *g, const QRStoreRecord *r,
+                              const QRFindings *f)
+{
+    QREngine *e = qr_engines_get(&g->engines, r->key);
+
+    g->counters.counts[QR_COUNTER_unreadable]++;
+    if (may_log_unreadable(g))
+        qr_logf(QR_LEVEL_WARN, "engines",
+                "unreadable record engine=%s offset=%" G_GUINT64_FORMAT
+                " known=%d finding=%s",
+                r->key, r->offset, e && !e->gone,
+                f->lines->len > 0 ? (const char *)f->lines->pdata[0] : "-");
+    if (!e || e->gone || e->unreadable)
+        return;
+    e->unreadable = true;
+    qr_gateway_engine_changed(g, r);
+}
+
 void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r)
 {
+    g_auto(QRFindings) findings = {0};
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
     QREngineRecord *record;
@@ -142,10 +181,10 @@
     /* another gateway has told us more than our own reading has come to */
     if (qr_gateway_engine_is_outdated(g, r->key, r->offset))
         return;
-    record = g->platform->parse_engine(r->key, data, len);
+    qr_findings_init(&findings, r->key);
+    record = g->platform->parse_engine(r->key, data, len, &findings);
     if (!record) {
-        qr_logf(QR_LEVEL_WARN, "engines", "unreadable record engine=%s",
-                r->key);
+        engine_unreadable(g, r, &findings);
         return;
     }
     change = qr_engines_record(&g->engines, record, qr_gateway_now(g));
--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -71,7 +71,10 @@
                   const char *why)
 {
     const QRGateway *g = r->g;
+    char request[QR_FINGERPRINT_HEX] = "-";
 
+    if (r->has_fingerprint)
+        qr_fingerprint_text(&r->fingerprint, request);
     qr_logf(QR_LEVEL_INFO, "call",
             "%s id=%s status=%u route=%s service=%s team=%s ms=%" G_GUINT64_FORMAT
             " sendings=%u runs=%u prompt=%u deadline_ms=%u waited_before_ms=%u"
@@ -79,7 +82,7 @@
             " gap_ms=%" G_GUINT64_FORMAT " forecast_first_ms=%.0f"
             " forecast_gap_ms=%.0f seen_open=%u seen_slots=%u"
             " seen_age_ms=%" G_GUINT64_FORMAT
-            " engine=%s policy=%" G_GUINT64_FORMAT " why=%s",
+            " engine=%s request=%s policy=%" G_GUINT64_FORMAT " why=%s",
             outcome, r->id, status, r->route, r->service, r->team,
             qr_gateway_now(g) - r->arrived_ms, r->sendings, r->runs, r->prompt,
             r->deadline_ms, r->waited_before_ms, r->now.first_ms, r->start_ms, r->gap_ms,
@@ -87,7 +90,7 @@
             r->forecast.places, r->forecast.age_ms, r->tried->len > 0
                 ? (const char *)r->tried->pdata[r->tried->len - 1]
                 : "-",
-            g->operator.policy ? g->operator.policy->version : 0, why);
+            request, g->operator.policy ? g->operator.policy->version : 0, why);
 }
 
 void qr_relay_own_answer(QRExchange *x, unsigned status, unsigned retry_ms)
--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -223,8 +223,8 @@
     char text[QR_FINGERPRINT_HEX];
 
     qr_fingerprint_text(call->fingerprint, text);
-    qr_logf(QR_LEVEL_INFO, "call",
-            "broke id=%s engine=%s request=%s at_work_ms=%" G_GUINT64_FORMAT,
+    qr_logf(QR_LEVEL_INFO, "requests",
+            "broke call=%s engine=%s request=%s at_work_ms=%" G_GUINT64_FORMAT,
             call->id, r->id, text, qr_gateway_now(g) - call->sent_ms);
     if (!b) {
         b = g_new0(BrokenRun, 1);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -87,7 +87,9 @@
                 " busy=%d sequence=%" G_GUINT64_FORMAT " active=%u",
                 reachable, new->version, new->busy, new->sequence, new->active);
     /* it started anew: what lies staged must be looked at again */
-    if (s->report_ms && new->sequence < s->report.sequence)
+    if (s->report_ms && (new->sequence < s->report.sequence ||
+                         (new->born_ms && s->report.born_ms &&
+                          new->born_ms != s->report.born_ms)))
         qr_stage_forget(s);
     qr_engine_report_clear(&s->report);
     s->report = *new;
@@ -107,14 +109,28 @@
 {
     QRSidecar *s = owner;
     QREngineReport new = {0};
+    g_auto(QRFindings) f = {0};
+    bool was_unreadable = s->report_unreadable;
 
     (void)ref;
     s->report_call = NULL;
-    if (a->status == 0)
+    if (a->status == 0) {
         report_taken(s, &new, false);
-    else if (a->status == 200 &&
-             s->platform->parse_report(a->data, a->len, &new) == 0)
+        return;
+    }
+    if (a->status != 200)
+        return;
+    qr_findings_init(&f, "report");
+    s->report_unreadable =
+        s->platform->parse_report(a->data, a->len, &new, &f) != 0;
+    if (!s->report_unreadable) {
         report_taken(s, &new, true);
+        return;
+    }
+    qr_engine_report_clear(&new);
+    if (!was_unreadable)
+        qr_logf(QR_LEVEL_WARN, "engine", "unreadable report finding=%s",
+                (char *)f.lines->pdata[0]);
 }
 
 static void report_ask(QRSidecar *s, uint64_t now)
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -93,6 +93,7 @@
     uint64_t incarnation, slow_tick_ms, state_ms;
     /* the engine */
     QREngineReport report;
+    bool report_unreadable; /* the last one; told once */
     bool reachable; /* the engine answered its last report */
     uint64_t report_ms, report_next_ms, report_asked_ms;
     QRWhole *report_call;
