--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -29,8 +29,8 @@
     DEF(rests_waited, "streams whose rest waited for an engine with room")     \
     DEF(stood_still, "times that this process did not run for a moment")       \
     DEF(unreadable, "engines' records that were read and are none")            \
-    DEF(engine_ends, "ends of engines at which calls of ours broke off")        \
-    DEF(trials, "sendings of requests under which an engine had ended")         \
+    DEF(engine_ends, "ends of engines at which calls of ours broke off")       \
+    DEF(trials, "sendings of requests under which an engine had ended")        \
     DEF(requests_held, "requests held back as they crash engines")             \
     DEF(refused_held, "503: such a request")                                   \
     DEF(ejections, "engines taken out of use for their failures")              \
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -24,7 +24,7 @@
 
 uint64_t qr_gateway_now(const QRGateway *g)
 {
-    return uv_now(g->loop);
+    return qr_clock_ms(g->loop);
 }
 
 bool qr_gateway_is_ready(const QRGateway *g)
@@ -275,7 +275,7 @@
     g->relays = g_ptr_array_new();
     g->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     g->random = g->incarnation;
-    g->started_ms = uv_now(g->loop);
+    g->started_ms = qr_clock_ms(g->loop);
     g->operator_hold_ms =
         g->started_ms + OPERATOR_HOLD_MS +
         qr_hash_str(set->host, g->incarnation) % OPERATOR_SPREAD_MS;
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -12,6 +12,7 @@
 #include "fleet/qr_operator.h"
 #include "io/qr_log.h"
 #include "net/qr_client.h"
+#include "net/qr_clock.h"
 #include "net/qr_peer.h"
 #include "net/qr_server.h"
 #include "net/qr_ticks.h"
@@ -99,7 +100,7 @@
                                 not known yet */
     uint64_t unreadable_ms;  /* since when lines of odd records are counted */
     unsigned unreadable_lines;
-    QRRequests requests;     /* that may crash engines */
+    QRRequests requests; /* that may crash engines */
     bool stopped;
 };
 
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 #define CONNECT_MS 400
-#define APART_WAIT_MS (QR_SUSPECT_APART_MS + 50) /* the pause, and two ticks */
+/* The pause after an engine's end, and two ticks. */
+#define APART_WAIT_MS (QR_SUSPECT_APART_MS + 50)
 #define LATE_SMOOTHING 0.05 /* some twenty calls back */
 /* Before the bound of a version: no sending to engines with an older one. */
 #define SEND_MARGIN_MS 1000
--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -23,7 +23,7 @@
 typedef struct BrokenRun {
     char *engine, *address;
     uint64_t born_ms, broke_ms;
-    bool asked; /* whether somebody listens there; no answer yet */
+    bool asked;    /* whether somebody listens there; no answer yet */
     GArray *calls; /* BrokenCall */
 } BrokenRun;
 
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -21,8 +21,7 @@
 static char *held_text(const QRSuspect *s, uint64_t now_ms)
 {
     g_autoptr(json_object) o = json_object_new_object();
-    uint64_t left_s =
-        (s->held_until_ms - MIN(now_ms, s->held_until_ms)) / 1000;
+    uint64_t left_s = (s->held_until_ms - MIN(now_ms, s->held_until_ms)) / 1000;
 
     qr_json_int(o, "held_until_s", (int64_t)(qr_wall_s() + left_s));
     qr_json_int(o, "holds", s->holds);
@@ -86,8 +85,8 @@
 {
     QRRequests *q = &g->requests;
     char key[QR_FINGERPRINT_HEX];
-    g_autofree char *value = s->holds > 0 ? held_text(s, qr_gateway_now(g))
-                                          : g_strdup("");
+    g_autofree char *value =
+        s->holds > 0 ? held_text(s, qr_gateway_now(g)) : g_strdup("");
 
     q->writing = s->fingerprint;
     q->writing_held = s->holds > 0;
--- a/src/gateway/qr_requests_words.c
+++ b/src/gateway/qr_requests_words.c
@@ -7,8 +7,9 @@
  */
 #include "qr_requests_parts.h"
 
-#define TRIAL_LEASE_MS 3000 /* a try that tells no end is no longer waited for */
-#define WELCOME_MOST 64     /* rows told to one that has just come */
+#define TRIAL_LEASE_MS                                                         \
+    3000                /* a try that tells no end is no longer waited for */
+#define WELCOME_MOST 64 /* rows told to one that has just come */
 /* Before one that did not see the deciding end itself writes to the store in
    place of one that did; then by turns. */
 #define STORE_OTHERS_MS 2000
@@ -122,9 +123,8 @@
 
     for (unsigned i = 0; i < s->ends_count; i++)
         qr_request_word_end(w, &s->ends[i], now_ms);
-    w->held_ms = s->held_until_ms > now_ms
-                     ? (uint32_t)(s->held_until_ms - now_ms)
-                     : 0;
+    w->held_ms =
+        s->held_until_ms > now_ms ? (uint32_t)(s->held_until_ms - now_ms) : 0;
     w->holds = s->holds;
     w->stored = s->stored;
 }
--- a/src/gateway/qr_suspects.c
+++ b/src/gateway/qr_suspects.c
@@ -101,9 +101,10 @@
         /* what was sent before it was held back last counted then */
         if (e->ended_ms <= s->answered_ms || e->sent_ms < s->held_until_ms)
             continue;
-        if (n > 0 && (e->sent_ms < chain[n - 1].ended_ms ||
-                      e->ended_ms < chain[n - 1].ended_ms + QR_SUSPECT_APART_MS ||
-                      is_same_run(e, &chain[n - 1])))
+        if (n > 0 &&
+            (e->sent_ms < chain[n - 1].ended_ms ||
+             e->ended_ms < chain[n - 1].ended_ms + QR_SUSPECT_APART_MS ||
+             is_same_run(e, &chain[n - 1])))
             continue;
         chain[n++] = *e;
     }
@@ -203,7 +204,8 @@
     QRRunEnd chain[QR_SUSPECT_ENDS];
     unsigned n, needed = s->holds > 0 ? 1 : ROUNDS_TO_HOLD;
 
-    if (qr_suspect_is_held(s, now_ms) || now_ms < last_end_ms(s) + QR_SUSPECT_APART_MS)
+    if (qr_suspect_is_held(s, now_ms) ||
+        now_ms < last_end_ms(s) + QR_SUSPECT_APART_MS)
         return;
     s->is_due = false;
     n = chain_of(s, chain);
@@ -250,7 +252,8 @@
         if (!least || is_worth_less(value, least))
             least = value;
     }
-    remove_row(t, least);
+    if (least)
+        remove_row(t, least);
 }
 
 static QRSuspect *row_of(QRSuspects *t, const QRFingerprint *f, uint64_t now_ms)
--- a/src/gateway/qr_suspects.h
+++ b/src/gateway/qr_suspects.h
@@ -31,9 +31,9 @@
     unsigned ends_count, ends_total; /* kept; all that were ever told */
     uint64_t news_ms;                /* of anything */
     uint64_t answered_ms;            /* ends before that say nothing */
-    uint64_t held_until_ms; /* not sent before; 0: never was held back */
-    unsigned holds;         /* times in a row */
-    unsigned own_trials;    /* sendings of ours under way */
+    uint64_t held_until_ms;   /* not sent before; 0: never was held back */
+    unsigned holds;           /* times in a row */
+    unsigned own_trials;      /* sendings of ours under way */
     uint64_t others_until_ms; /* on trial at another gateway until then */
     uint64_t own_end_ms;      /* the last one that we saw ourselves */
     bool is_due;              /* an end has come since it was judged last */
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -118,7 +118,7 @@
     const QRMessage *m = &l->message;
     const char *keep = qr_headers_get(&m->headers, "Keep-Alive");
     const char *timeout = keep ? strstr(keep, "timeout=") : NULL;
-    uint64_t now = uv_now(l->client->loop);
+    uint64_t now = qr_clock_ms(l->client->loop);
     long ms = REST_MS;
 
     if (timeout)
@@ -203,8 +203,8 @@
     /* giving up bytes that still come, to ask for them again, only fills the
        link that they are late on */
     if (l->call && l->call->due_ms && l->call->pause_ms)
-        l->call->due_ms =
-            MAX(l->call->due_ms, uv_now(l->client->loop) + l->call->pause_ms);
+        l->call->due_ms = MAX(l->call->due_ms,
+                              qr_clock_ms(l->client->loop) + l->call->pause_ms);
     while (!l->closing && used < (size_t)n) {
         if (!l->call) { /* nothing was asked */
             link_break(l, QR_CALL_FAULT_GARBLED, "surplus bytes");
@@ -239,7 +239,7 @@
         return;
     }
     l->open = true;
-    l->opened_ms = uv_now(l->client->loop);
+    l->opened_ms = qr_clock_ms(l->client->loop);
     qr_socket_tune(&l->tcp, SILENT_MS);
     uv_read_start((uv_stream_t *)&l->tcp, qr_socket_buffer, link_read);
     if (l->call && link_send(l) < 0) {
@@ -259,7 +259,7 @@
     l->address = g_strdup(address);
     l->tcp.data = l;
     l->connect.data = l;
-    l->since_ms = uv_now(c->loop);
+    l->since_ms = qr_clock_ms(c->loop);
     l->connect_due_ms = l->since_ms + connect_ms;
     qr_message_init(&l->message, HTTP_RESPONSE, &message_handlers, l);
     uv_tcp_init(c->loop, &l->tcp);
@@ -271,7 +271,7 @@
 /* The connection to 'address' that rested least, for the least stale one. */
 static QRLink *link_resting(QRClient *c, const char *address)
 {
-    uint64_t now = uv_now(c->loop);
+    uint64_t now = qr_clock_ms(c->loop);
     QRLink *best = NULL;
 
     for (unsigned i = 0; i < c->links->len; i++) {
@@ -369,7 +369,7 @@
     call->head_only = request->head_only;
     call->pause_ms = request->pause_ms;
     if (request->timeout_ms)
-        call->due_ms = uv_now(c->loop) + request->timeout_ms;
+        call->due_ms = qr_clock_ms(c->loop) + request->timeout_ms;
     call_start(call, request->address, request->connect_ms, request->fresh);
     return call;
 }
@@ -428,7 +428,7 @@
 
 uint64_t qr_client_now(const QRClient *c)
 {
-    return uv_now(c->loop);
+    return qr_clock_ms(c->loop);
 }
 
 uint64_t qr_client_opened(const QRClient *c)
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -6,6 +6,7 @@
 #define QR_CLIENT_PARTS_H
 
 #include "qr_client.h"
+#include "qr_clock.h"
 #include "qr_ticks.h"
 
 typedef struct QRLink QRLink;
@@ -37,9 +38,9 @@
     uint64_t heard_ms;            /* when bytes came last; 0: none yet */
     size_t unacked;               /* bytes of the request, at the last look */
     uint64_t unacked_ms, look_ms; /* since when so many; when to look next */
-    QRClientReachedDone reached; /* opened to see who listens; else NULL */
+    QRClientReachedDone reached;  /* opened to see who listens; else NULL */
     void *reached_owner;
-    unsigned surplus;             /* answers passed over for this request */
+    unsigned surplus; /* answers passed over for this request */
     bool open, closing, skipping;
     bool reading; /* bytes of the last read are still being looked at */
 };
--- a/src/net/qr_client_silence.c
+++ b/src/net/qr_client_silence.c
@@ -35,7 +35,7 @@
  */
 static void close_resting(QRClient *c, const char *address, uint64_t since_ms)
 {
-    uint64_t now = uv_now(c->loop);
+    uint64_t now = qr_clock_ms(c->loop);
     unsigned closed = 0;
 
     for (unsigned i = c->links->len; i > 0; i--) {
@@ -62,7 +62,7 @@
  */
 static void distrust_resting(QRClient *c, const QRLink *mute, bool unsure)
 {
-    uint64_t now = uv_now(c->loop);
+    uint64_t now = qr_clock_ms(c->loop);
     bool spread = c->mute_address && now < c->mute_ms + SPREAD_MS &&
                   strcmp(c->mute_address, mute->address) != 0;
 
@@ -86,7 +86,7 @@
 
 void qr_link_sends(QRLink *l)
 {
-    l->call->sent_ms = uv_now(l->client->loop);
+    l->call->sent_ms = qr_clock_ms(l->client->loop);
     l->unacked = 0;
     l->look_ms = l->call->sent_ms + UNACKED_LOOK_MS;
 }
@@ -94,7 +94,7 @@
 /* If it was taken for dead, that was wrong. */
 void qr_link_heard(QRLink *l)
 {
-    l->heard_ms = uv_now(l->client->loop);
+    l->heard_ms = qr_clock_ms(l->client->loop);
     if (l->call)
         l->call->mute = false;
 }
--- a/src/net/qr_exchange.c
+++ b/src/net/qr_exchange.c
@@ -99,7 +99,7 @@
     qr_message_next(&c->message);
     c->head_begun = false;
     qr_conn_limit(c);
-    c->since_ms = uv_now(c->server->loop);
+    c->since_ms = qr_clock_ms(c->server->loop);
     c->idle_ms = c->server->limits.idle_timeout_ms;
     qr_conn_pump(c);
 }
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -11,6 +11,7 @@
  * still, or whose link is full, answers on neither and loses nothing.
  */
 #include "qr_peer.h"
+#include "qr_clock.h"
 #include "qr_socket.h"
 #include "qr_ticks.h"
 
@@ -134,7 +135,7 @@
     peer->closing = true;
     g_ptr_array_remove_fast(p->all, peer);
     if (peer->target)
-        target_lost(peer->target, peer, uv_now(p->loop));
+        target_lost(peer->target, peer, qr_clock_ms(p->loop));
     uv_close((uv_handle_t *)&peer->tcp, peer_freed);
     if (peer->open && !p->closing)
         p->handlers->closed(p->owner, peer);
@@ -148,7 +149,7 @@
 /* How long nothing was heard that might have been. */
 static uint64_t quiet_ms(const QRPeerConn *peer)
 {
-    uint64_t now = uv_now(peer->peers->loop);
+    uint64_t now = qr_clock_ms(peer->peers->loop);
 
     return now - MIN(MAX(peer->heard_ms, peer->expect_ms), now);
 }
@@ -159,7 +160,7 @@
     Qr__Fleet__Probe probe = QR__FLEET__PROBE__INIT;
 
     if (!answer)
-        peer->probed_ms = uv_now(peer->peers->loop);
+        peer->probed_ms = qr_clock_ms(peer->peers->loop);
     probe.answer = answer;
     frame.body_case = QR__FLEET__FRAME__BODY_PROBE;
     frame.probe = &probe;
@@ -227,7 +228,7 @@
         qr_peer_close(peer);
         return;
     }
-    peer->heard_ms = uv_now(peer->peers->loop);
+    peer->heard_ms = qr_clock_ms(peer->peers->loop);
     peer->expect_ms = 0;
     if (peer->in->len == 0)
         peer->frame_since_ms = peer->heard_ms;
@@ -245,7 +246,7 @@
             break;
         peer_take(peer, peer->in->data + used + HEAD_BYTES, len);
         used += HEAD_BYTES + (size_t)len;
-        peer->frame_since_ms = uv_now(peer->peers->loop);
+        peer->frame_since_ms = qr_clock_ms(peer->peers->loop);
     }
     if (!peer->closing && used > 0)
         g_byte_array_remove_range(peer->in, 0, (guint)used);
@@ -258,7 +259,7 @@
     Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
 
     peer->open = true;
-    peer->heard_ms = uv_now(p->loop);
+    peer->heard_ms = qr_clock_ms(p->loop);
     if (peer->target)
         peer->target->pause_ms = REDIAL_FIRST_MS;
     qr_socket_tune(&peer->tcp, SILENT_MS);
@@ -280,7 +281,7 @@
     peer->in = g_byte_array_new();
     peer->tcp.data = peer;
     peer->connect.data = peer;
-    peer->since_ms = uv_now(p->loop);
+    peer->since_ms = qr_clock_ms(p->loop);
     uv_tcp_init(p->loop, &peer->tcp);
     g_ptr_array_add(p->all, peer);
     return peer;
@@ -384,7 +385,7 @@
     if (!t->peer || t->peer->open)
         return;
     p = t->peer->peers;
-    if (uv_now(p->loop) < t->peer->since_ms + HURRY_MS)
+    if (qr_clock_ms(p->loop) < t->peer->since_ms + HURRY_MS)
         return;
     qr_peer_close(t->peer); /* its opening packet may have been lost */
     t->next_ms = 0;
@@ -544,7 +545,8 @@
         qr_logf(QR_LEVEL_INFO, "peers",
                 "superseded age_ms=%" G_GUINT64_FORMAT
                 " quiet_ms=%" G_GUINT64_FORMAT,
-                uv_now(peer->peers->loop) - older->since_ms, quiet_ms(older));
+                qr_clock_ms(peer->peers->loop) - older->since_ms,
+                quiet_ms(older));
         qr_peer_close(older);
     }
 }
@@ -558,7 +560,7 @@
 void qr_peer_expect(QRPeerConn *peer)
 {
     if (peer->expect_ms == 0)
-        peer->expect_ms = uv_now(peer->peers->loop);
+        peer->expect_ms = qr_clock_ms(peer->peers->loop);
 }
 
 const char *qr_peer_dialled(const QRPeerConn *peer)
@@ -575,7 +577,7 @@
 
 uint64_t qr_peer_frame_ms(const QRPeerConn *peer)
 {
-    uint64_t now = uv_now(peer->peers->loop);
+    uint64_t now = qr_clock_ms(peer->peers->loop);
 
     return now - MIN(peer->frame_since_ms, now);
 }
--- a/src/net/qr_server.c
+++ b/src/net/qr_server.c
@@ -54,7 +54,7 @@
     qr_logf(QR_LEVEL_WARN, "callers",
             "closed why=%s unsent=%zu since_ms=%" G_GUINT64_FORMAT, why,
             uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp),
-            uv_now(c->server->loop) - c->since_ms);
+            qr_clock_ms(c->server->loop) - c->since_ms);
     conn_close(c);
 }
 
@@ -85,7 +85,7 @@
     if (c->closing || c->lingering)
         return;
     c->lingering = true;
-    c->since_ms = uv_now(c->server->loop);
+    c->since_ms = qr_clock_ms(c->server->loop);
     req = g_new0(uv_shutdown_t, 1);
     if (uv_shutdown(req, (uv_stream_t *)&c->tcp, conn_shut_done) != 0)
         g_free(req);
@@ -99,7 +99,7 @@
     qr_logf(QR_LEVEL_INFO, "callers",
             "refused status=%u head_whole=%d rested_ms=%" G_GUINT64_FORMAT,
             status, c->message.head_done,
-            uv_now(c->server->loop) - c->since_ms);
+            qr_clock_ms(c->server->loop) - c->since_ms);
     qr_append_status(out, status);
     g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
     qr_conn_write(c, out->str, out->len);
@@ -146,7 +146,7 @@
         return;
     }
     c->exchange.state = QR_EXCHANGE_WAITING;
-    c->exchange.arrived_ms = uv_now(s->loop);
+    c->exchange.arrived_ms = qr_clock_ms(s->loop);
     c->exchange.data = NULL;
     c->since_ms = c->exchange.arrived_ms;
     c->last = s->draining || !qr_message_keeps_open(m);
@@ -175,7 +175,7 @@
 
         if (!c->head_begun) {
             c->head_begun = true;
-            c->since_ms = uv_now(c->server->loop);
+            c->since_ms = qr_clock_ms(c->server->loop);
         }
         used = qr_message_read(&c->message, (const char *)c->ahead->data,
                                c->ahead->len);
@@ -245,7 +245,7 @@
     qr_message_init(&c->message, HTTP_REQUEST, &message_handlers, c);
     c->message.head_max = s->limits.head_max;
     c->message.body_max = s->limits.body_max;
-    c->since_ms = uv_now(s->loop);
+    c->since_ms = qr_clock_ms(s->loop);
     c->idle_ms = s->limits.idle_timeout_ms;
     uv_tcp_init(s->loop, &c->tcp);
     if (s->conns->len >= s->limits.connections_max)
--- a/src/net/qr_server_parts.h
+++ b/src/net/qr_server_parts.h
@@ -5,6 +5,7 @@
 #ifndef QR_SERVER_PARTS_H
 #define QR_SERVER_PARTS_H
 
+#include "qr_clock.h"
 #include "qr_server.h"
 
 typedef enum QRExchangeState {
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -21,7 +21,7 @@
 
 uint64_t qr_sidecar_now(const QRSidecar *s)
 {
-    return uv_now(s->loop);
+    return qr_clock_ms(s->loop);
 }
 
 const QRService *qr_sidecar_service(const QRSidecar *s)
@@ -88,8 +88,8 @@
                 reachable, new->version, new->busy, new->sequence, new->active);
     /* it started anew: what lies staged must be looked at again */
     if (s->report_ms && (new->sequence < s->report.sequence ||
-                         (new->born_ms && s->report.born_ms &&
-                          new->born_ms != s->report.born_ms)))
+                         (new->born_ms && s->report.born_ms &&new->born_ms !=
+                                              s->report.born_ms)))
         qr_stage_forget(s);
     qr_engine_report_clear(&s->report);
     s->report = *new;
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -11,6 +11,7 @@
 #include "fleet/qr_members.h"
 #include "fleet/qr_operator.h"
 #include "io/qr_log.h"
+#include "net/qr_clock.h"
 #include "net/qr_peer.h"
 #include "net/qr_server.h"
 #include "net/qr_ticks.h"
@@ -94,7 +95,7 @@
     /* the engine */
     QREngineReport report;
     bool report_unreadable; /* the last one; told once */
-    bool reachable; /* the engine answered its last report */
+    bool reachable;         /* the engine answered its last report */
     uint64_t report_ms, report_next_ms, report_asked_ms;
     QRWhole *report_call;
     /* weights */
--- a/tests/cost.c
+++ b/tests/cost.c
@@ -291,8 +291,8 @@
 static void cost_fingerprint(unsigned bytes)
 {
     g_autofree char *body = g_malloc0(bytes);
-    QRFingerprintParts parts = {"POST", "calls.example", "/safe/x", "team-1",
-                                body,   bytes};
+    QRFingerprintParts parts = {
+        "POST", "calls.example", "/safe/x", "team-1", body, bytes};
     QRFingerprint f;
     double t = seconds();
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -2,6 +2,7 @@
  * Unit tests of the pure modules, by check.
  */
 #include "unit_budget.h"
+#include "unit_entries.h"
 #include "unit_suspects.h"
 #include "unit_fleet.h"
 
@@ -407,6 +408,7 @@
     suite_add_tcase(s, t);
     suite_add_tcase(s, unit_fleet_case());
     suite_add_tcase(s, unit_budget_case());
+    suite_add_tcase(s, unit_entries_case());
     suite_add_tcase(s, unit_suspects_case());
     r = srunner_create(s);
     srunner_run_all(r, CK_NORMAL);
--- /dev/null
+++ b/tests/unit_entries.h
@@ -0,0 +1,11 @@
+/*
+ * Unit tests and a short fuzz of engines' records.
+ */
+#ifndef UNIT_ENTRIES_H
+#define UNIT_ENTRIES_H
+
+#include <check.h>
+
+TCase *unit_entries_case(void);
+
+#endif
--- a/tests/unit_suspects.c
+++ b/tests/unit_suspects.c
@@ -325,7 +325,8 @@
 static void finish_call(Model *m, Call *c)
 {
     QRFingerprint f = print_of(c->request);
-    Word w = {.request = c->request, .answered = true, .answered_ms = m->now_ms};
+    Word w = {
+        .request = c->request, .answered = true, .answered_ms = m->now_ms};
     QRSuspect *s = qr_suspects_get(&m->tables[c->gateway], &f);
 
     if (c->request == CRASHES) {
