--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -2,12 +2,13 @@
 before engines that come back.
 
     crashing.py [--gateways N] [--engines N] [--seconds S] [--seed N]
-                [--course NAME] [--path PATH] [--returns same|new]
+                [--course NAME] [--path PATH] [--returns same|new] [--without]
 
 The request comes every 0.15 s through any gateway, each time under a new id;
 twelve other callers go on meanwhile, half of them with one same request. Prints
 how many engines ended under it, how often it began later than contact (3 s)
-after the third, and what became of the others. Courses:
+after the third, and what became of the others; --without plays the same course
+without it, for comparison. Courses:
 
     calm      nothing else happens
     kills     gateways are killed and started again, one after the other
@@ -272,8 +273,9 @@
 class Course:
     """What else happens, from the request's first try on."""
 
-    def __init__(self, fleet, name, seed):
+    def __init__(self, fleet, name, seed, ends_awaited):
         self.fleet, self.over = fleet, False
+        self.ends_awaited = ends_awaited
         self.dice = random.Random("%s/course" % seed)
         self.thread = threading.Thread(target=getattr(self, name), daemon=True)
         self.thread.start()
@@ -286,7 +288,7 @@
         pass
 
     def third(self):
-        while len(self.fleet.ends()) < 3 and not self.over:
+        while len(self.fleet.ends()) < self.ends_awaited and not self.over:
             time.sleep(0.01)
 
     def each(self, do, gap_s):
@@ -343,15 +345,16 @@
 
 class Run:
     def __init__(self, gateways=3, engines=8, seconds=18.0, seed=1,
-                 course="calm", path="/safe/x", returns="same"):
-        crashing = course not in ("alone", "herd")
+                 course="calm", path="/safe/x", returns="same",
+                 without=False):
+        crashing = course not in ("alone", "herd") and not without
         with CrashingFleet(gateways, engines, returns,
                            links=course == "cuts") as fleet, Watch() as watch:
             others = Others(fleet, seed, path)
             time.sleep(BEGIN_S)
             tries = Tries(fleet, seed, path) if crashing else None
             self.began_at = time.monotonic()
-            happens = Course(fleet, course, seed)
+            happens = Course(fleet, course, seed, 3 if crashing else 0)
             time.sleep(seconds)
             happens.stop()
             if tries:
@@ -395,6 +398,7 @@
     p.add_argument("--course", choices=COURSES, default="calm")
     p.add_argument("--path", default="/safe/x")
     p.add_argument("--returns", choices=("same", "new"), default="same")
+    p.add_argument("--without", action="store_true")
     run = Run(**vars(p.parse_args()))
     print(run)
     return 1 if len(run.late_runs) > 3 else 0
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -105,6 +105,18 @@
         fleet.wait_ready()
 
 
+def test_three_tries_at_three_gateways_are_three():
+    with CrashingFleet(4, 8) as fleet:
+        for i in range(3):
+            assert send(fleet, "try-%d" % i, i, path="/unsafe/x") == 502
+            time.sleep(0.4)  # ends of one cause come closer to one another
+        for i in range(4):
+            wait_for("gateway %d to hold it back" % i, lambda i=i: [
+                r for r in held_rows(fleet, i) if r["state"] == "held"])
+            assert send(fleet, "more-%d" % i, i, path="/unsafe/x") == 503
+        assert len(fleet.began()) == 3
+
+
 def test_others_of_the_team_and_path_are_served():
     with CrashingFleet(2, 8) as fleet:
         hold(fleet)
