--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -528,6 +528,47 @@
 }
 END_TEST
 
+/* The record of another run of the engine under its id. */
+static const char *start_anew(QREngines *t, const char *id, uint64_t born_ms)
+{
+    const QREngineRecord *old = qr_engines_get(t, id)->record;
+    QREngineRecord *r = g_new0(QREngineRecord, 1);
+
+    r->id = g_strdup(id);
+    r->service = g_strdup(old->service);
+    r->address = g_strdup(old->address);
+    r->zone = g_strdup(old->zone);
+    r->slots = old->slots;
+    r->born_ms = born_ms;
+    return qr_engines_record(t, r, 100);
+}
+
+START_TEST(engine_that_starts_anew_is_new)
+{
+    QREngines t;
+    QREngine *e;
+    QRToldLoad load = {3, 0, 1};
+
+    qr_engines_init(&t);
+    e = add_engine(&t, "a", "z", 1);
+    ck_assert_str_eq(start_anew(&t, "a", 5000), QR_CHANGE_STARTED);
+    ck_assert_ptr_null(start_anew(&t, "a", 5000));
+    e->told = true;
+    e->told_version = 4;
+    e->own = 1;
+    qr_engines_told_load(&t, "a", "g1", &load);
+    for (unsigned i = 0; i < 6; i++)
+        qr_engine_outcome(e, QR_OUTCOME_FAILURE, 0, 50);
+    ck_assert_uint_gt(e->ejected_until_ms, 100);
+    ck_assert_str_eq(start_anew(&t, "a", 6000), QR_CHANGE_STARTED);
+    ck_assert_uint_eq(e->ejected_until_ms, 0);
+    ck_assert_uint_eq(qr_engine_version(e), 0);
+    /* ours are under way until they end */
+    ck_assert_uint_eq(qr_engine_open(e), 1);
+    qr_engines_clear(&t);
+}
+END_TEST
+
 START_TEST(engine_others_calls_count)
 {
     QREngines t;
@@ -1202,6 +1243,7 @@
     tcase_add_test(t, balance_leaves_out_who_is_not_heard_before_a_bound);
     tcase_add_test(t, engine_ejected_and_tried_again);
     tcase_add_test(t, engine_that_is_not_the_one_is_left_alone_longer);
+    tcase_add_test(t, engine_that_starts_anew_is_new);
     tcase_add_test(t, engine_others_calls_count);
     tcase_add_test(t, operator_versions_keep_their_bounds);
     tcase_add_test(t, operator_takes_the_least_age);
