Tries in a row last, too: gateways that all are killed go on from there

Cause: a request that comes every 2 s had ended three engines (two tries) as all gateways were killed; those that started began to count anew: 7 ends, 2 of them later than 3 s after the third. A second such kill, and it would never have been held back.

--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -23,9 +23,9 @@
     QRFollower *follow;
     QRWhole *write; /* to the store, under way, or NULL */
     QRFingerprint writing;
-    bool reads;        /* the store goes on being read */
-    bool writing_held; /* that it is held back; else that no longer */
-    uint64_t write_ms; /* when the store is written to next */
+    bool reads;            /* the store goes on being read */
+    unsigned writing_mark; /* what is written: see qr_requests_store.c */
+    uint64_t write_ms;     /* when the store is written to next */
     uint64_t sweep_ms;
 } QRRequests;
 
--- a/src/gateway/qr_requests_parts.h
+++ b/src/gateway/qr_requests_parts.h
@@ -26,6 +26,8 @@
 void qr_requests_report(QRGateway *g);
 /* The store. */
 void qr_requests_store_tick(QRGateway *g, uint64_t now_ms);
+/* What is known of it is to be written: at once if we saw its last end. */
+void qr_requests_store_due(QRGateway *g, QRSuspect *s);
 void qr_requests_store_cleared(QRGateway *g, const QRFingerprint *f);
 
 #endif
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -1,10 +1,11 @@
 /*
  * Requests that may crash engines: what lasts, in the store.
  *
- * One record for each request that is held back, written by the gateway that
- * saw the deciding end; by another one if that does not say soon that it has.
- * Read at the start; and while there is a suspect, so that one that is cut off
- * from other gateways learns from the store what they know.
+ * One record for each request that is held back, or has ended two engines in a
+ * row: if all gateways are killed before the third, those that start go on from
+ * there. Written by the gateway that saw the deciding end; by another one if
+ * that does not say soon that it has. Read at the start; and while there is a
+ * suspect, so that one that is cut off from the others learns what they know.
  */
 #include "qr_requests_parts.h"
 
@@ -15,16 +16,35 @@
 #define CONNECT_MS 400
 /* Ends of so long ago are no reason to read the store any more. */
 #define HOT_MS 10000
-/* A record of longer ago is dropped by who reads it. */
+/* Records of longer ago are passed over: of what is held, and of tries. */
 #define FORGET_S 86400
+#define FORGET_TRIES_S 600
+#define TRIES_STORED 2
+#define HOLDS_MOST 16
+/* Before one that did not see the deciding end itself writes in place of one
+   that did; then by turns. */
+#define OTHERS_MS 2000
+#define OTHERS_SPREAD_MS 4000
+
+/* What the store is to know of a request, as a number that differs with it; 0:
+   nothing. */
+static unsigned mark_of(const QRSuspect *s)
+{
+    if (s->holds > 0)
+        return TRIES_STORED + s->holds;
+    return qr_suspect_tries(s) >= TRIES_STORED ? TRIES_STORED : 0;
+}
 
-static char *held_text(const QRSuspect *s, uint64_t now_ms)
+static char *row_text(const QRSuspect *s, uint64_t now_ms)
 {
     g_autoptr(json_object) o = json_object_new_object();
-    uint64_t left_s = (s->held_until_ms - MIN(now_ms, s->held_until_ms)) / 1000;
+    uint64_t left_s = (MAX(s->held_until_ms, now_ms) - now_ms) / 1000;
 
+    if (mark_of(s) == 0)
+        return g_strdup("");
     qr_json_int(o, "held_until_s", (int64_t)(qr_wall_s() + left_s));
     qr_json_int(o, "holds", s->holds);
+    qr_json_int(o, "tries", qr_suspect_tries(s));
     qr_json_int(o, "engines_ended", s->ends.total);
     return qr_json_text(o);
 }
@@ -44,13 +64,13 @@
     q->write_ms = done ? 0 : now + WRITE_AGAIN_MS;
     qr_fingerprint_text(&q->writing, text);
     qr_logf(done ? QR_LEVEL_INFO : QR_LEVEL_WARN, "requests",
-            "%s request=%s held=%d status=%u why=%s",
-            done ? "stored" : "not stored", text, q->writing_held, a->status,
+            "%s request=%s mark=%u status=%u why=%s",
+            done ? "stored" : "not stored", text, q->writing_mark, a->status,
             a->status ? "answered" : a->why);
-    if (!s || (s->holds > 0) != q->writing_held)
+    if (!s || mark_of(s) != q->writing_mark)
         return; /* what is to be stored has changed meanwhile */
     s->store_due_ms = done ? 0 : q->write_ms;
-    s->stored = done && q->writing_held;
+    s->stored = done && q->writing_mark > 0;
     if (s->stored) {
         qr_request_word_all(words, s, now);
         qr_requests_tell(g, words);
@@ -81,11 +101,10 @@
 {
     QRRequests *q = &g->requests;
     char key[QR_FINGERPRINT_HEX];
-    g_autofree char *value =
-        s->holds > 0 ? held_text(s, qr_gateway_now(g)) : g_strdup("");
+    g_autofree char *value = row_text(s, qr_gateway_now(g));
 
     q->writing = s->fingerprint;
-    q->writing_held = s->holds > 0;
+    q->writing_mark = mark_of(s);
     qr_fingerprint_text(&s->fingerprint, key);
     put(g, key, value, write_done);
 }
@@ -98,11 +117,21 @@
         s->store_due_ms = MAX(qr_gateway_now(g), 1);
 }
 
+void qr_requests_store_due(QRGateway *g, QRSuspect *s)
+{
+    uint64_t now = qr_gateway_now(g);
+
+    s->store_due_ms = MAX(now, 1);
+    if (!qr_suspect_is_own(s))
+        s->store_due_ms +=
+            OTHERS_MS + qr_hash_str(g->set->host, now) % OTHERS_SPREAD_MS;
+}
+
 /* Some request ended two engines lately, and is not held back yet. */
 static bool is_hot(const QRSuspect *s, uint64_t now_ms)
 {
     return s->holds == 0 && now_ms < s->news_ms + HOT_MS &&
-           qr_suspect_tries(s) >= 2;
+           qr_suspect_tries(s) >= TRIES_STORED;
 }
 
 void qr_requests_store_tick(QRGateway *g, uint64_t now_ms)
@@ -118,9 +147,11 @@
         return;
     g_hash_table_iter_init(&it, q->suspects.rows);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const QRSuspect *s = value;
+        QRSuspect *s = value;
 
         hot |= is_hot(s, now_ms);
+        if (!s->stored && s->store_due_ms == 0 && mark_of(s) == TRIES_STORED)
+            qr_requests_store_due(g, s);
         if (s->store_due_ms && now_ms >= s->store_due_ms)
             due = s;
     }
@@ -156,18 +187,23 @@
         return;
     }
     left_s = qr_json_get_int(o, "held_until_s") - (int64_t)qr_wall_s();
-    holds = CLAMP(qr_json_get_int(o, "holds"), 1, 16);
+    holds = CLAMP(qr_json_get_int(o, "holds"), 0, HOLDS_MOST);
     s = qr_suspects_get(t, &f);
-    if (left_s < -FORGET_S || (s && s->answered_ms > 0))
+    if (left_s < (holds ? -FORGET_S : -FORGET_TRIES_S) ||
+        (s && s->answered_ms > 0))
         return;
     left_s = CLAMP(left_s, 0, QR_HOLD_MOST_MS / 1000);
-    s = qr_suspects_hold(t, &f, now + (uint64_t)left_s * 1000, (unsigned)holds,
-                         now);
+    if (holds > 0)
+        s = qr_suspects_hold(t, &f, now + (uint64_t)left_s * 1000,
+                             (unsigned)holds, now);
+    else
+        s = qr_suspects_tried(t, &f, TRIES_STORED, now);
     s->stored = true;
     s->store_due_ms = 0;
     qr_logf(QR_LEVEL_WARN, "requests",
-            "read held request=%s for_s=%d times=%u offset=%" G_GUINT64_FORMAT,
-            r->key, (int)left_s, s->holds, r->offset);
+            "read held request=%s for_s=%d times=%u tries=%u "
+            "offset=%" G_GUINT64_FORMAT,
+            r->key, (int)left_s, s->holds, qr_suspect_tries(s), r->offset);
 }
 
 /* All is known; the rest is told by others. */
--- a/src/gateway/qr_requests_words.c
+++ b/src/gateway/qr_requests_words.c
@@ -10,10 +10,6 @@
 #define TRIAL_LEASE_MS                                                         \
     3000                /* a try that tells no end is no longer waited for */
 #define WELCOME_MOST 64 /* rows told to one that has just come */
-/* Before one that did not see the deciding end itself writes to the store in
-   place of one that did; then by turns. */
-#define STORE_OTHERS_MS 2000
-#define STORE_SPREAD_MS 4000
 
 static void word_free(void *p)
 {
@@ -144,12 +140,9 @@
                 "held request=%s for_ms=%" G_GUINT64_FORMAT
                 " times=%u engines_ended=%u seen_here=%d",
                 text, s->held_until_ms - now, s->holds, s->ends.total, own);
-        s->store_due_ms = now;
+        qr_requests_store_due(g, s);
         if (own)
             qr_request_word_all(words, s, now);
-        else
-            s->store_due_ms += STORE_OTHERS_MS +
-                               qr_hash_str(g->set->host, now) % STORE_SPREAD_MS;
     }
     qr_requests_tell(g, words);
 }
--- a/src/gateway/qr_suspects.c
+++ b/src/gateway/qr_suspects.c
@@ -66,7 +66,7 @@
 {
     QRRunEnd row[QR_RUN_ENDS];
 
-    return tries_of(s, row);
+    return tries_of(s, row) + s->tries_before;
 }
 
 /* Whether another request was at work at all of these ends, too. */
@@ -81,7 +81,8 @@
         const QRSuspect *other = value;
         unsigned same = 0;
 
-        if (other == s || other->ends.count < n)
+        if (other == s || other->ends.count < n ||
+            other->tries_before < s->tries_before)
             continue;
         while (same < n && qr_run_ends_have(&other->ends, &row[same]))
             same++;
@@ -135,20 +136,22 @@
 static void judge(QRSuspects *t, QRSuspect *s, uint64_t now_ms)
 {
     QRRunEnd row[QR_RUN_ENDS];
-    unsigned n, needed = s->holds > 0 ? 1 : TRIES_TO_HOLD;
+    unsigned n, tries, needed = s->holds > 0 ? 1 : TRIES_TO_HOLD;
 
     if (qr_suspect_is_held(s, now_ms) ||
         now_ms < qr_run_ends_last_ms(&s->ends) + QR_RUN_ENDS_APART_MS)
         return;
     s->is_due = false;
     n = tries_of(s, row);
-    if (n < needed ||
-        (s->holds == 0 && n < TRIES_TIED && is_tied(t, s, row, n)))
+    tries = n + s->tries_before;
+    if (n == 0 || tries < needed ||
+        (s->holds == 0 && tries < TRIES_TIED && is_tied(t, s, row, n)))
         return;
     s->held_until_ms =
         now_ms + MIN((uint64_t)HOLD_FIRST_MS << MIN(s->holds, 8u),
                      (uint64_t)QR_HOLD_MOST_MS);
     s->holds++;
+    s->tries_before = 0;
     s->stored = false;
     if (!s->held_is_news)
         t->news++;
@@ -248,7 +251,8 @@
         return false;
     s->answered_ms = at_ms;
     s->news_ms = MAX(s->news_ms, at_ms);
-    was_suspect = s->ends.count > 0 || s->holds > 0;
+    was_suspect = s->ends.count > 0 || s->holds > 0 || s->tries_before > 0;
+    s->tries_before = 0;
     qr_run_ends_forget(&s->ends, at_ms);
     if (s->ends.count > 0) /* told late: it says nothing of later ends */
         return was_suspect;
@@ -262,6 +266,20 @@
     return was_suspect;
 }
 
+QRSuspect *qr_suspects_tried(QRSuspects *t, const QRFingerprint *f,
+                             unsigned tries, uint64_t now_ms)
+{
+    QRSuspect *s = qr_suspects_get(t, f);
+
+    if (s && s->answered_ms > 0)
+        return NULL;
+    s = row_of(t, f, now_ms);
+    /* one that knows ends itself may know these */
+    if (s->ends.count == 0)
+        s->tries_before = MAX(s->tries_before, tries);
+    return s;
+}
+
 QRSuspect *qr_suspects_hold(QRSuspects *t, const QRFingerprint *f,
                             uint64_t until_ms, unsigned holds, uint64_t now_ms)
 {
--- a/src/gateway/qr_suspects.h
+++ b/src/gateway/qr_suspects.h
@@ -20,6 +20,7 @@
     uint64_t answered_ms;     /* ends before that say nothing */
     uint64_t held_until_ms;   /* not sent before; 0: never was held back */
     unsigned holds;           /* times in a row */
+    unsigned tries_before;    /* in a row, of which only the store told us */
     unsigned own_trials;      /* sendings of ours under way */
     uint64_t others_until_ms; /* on trial at another gateway until then */
     uint64_t own_end_ms;      /* the last one that we saw ourselves */
@@ -56,6 +57,10 @@
 /* It was answered whole. Returns false if it was no suspect. */
 bool qr_suspects_answered(QRSuspects *t, const QRFingerprint *f,
                           uint64_t at_ms);
+/* The store tells of tries in a row that we do not know of. Returns the row, or
+   NULL if it has been answered since. */
+QRSuspect *qr_suspects_tried(QRSuspects *t, const QRFingerprint *f,
+                             unsigned tries, uint64_t now_ms);
 /* Others, or the store, hold it back. */
 QRSuspect *qr_suspects_hold(QRSuspects *t, const QRFingerprint *f,
                             uint64_t until_ms, unsigned holds, uint64_t now_ms);
--- a/tests/unit_suspects.c
+++ b/tests/unit_suspects.c
@@ -107,6 +107,24 @@
 }
 END_TEST
 
+START_TEST(suspects_tries_that_the_store_knows)
+{
+    QRFingerprint f = print_of(1);
+    QRSuspects t;
+
+    qr_suspects_init(&t);
+    ck_assert_ptr_nonnull(qr_suspects_tried(&t, &f, 2, START_MS));
+    ck_assert_int_eq(ask(&t, 1, 100), QR_SUSPICION_TRIAL);
+    try_once(&t, 2, 1); /* is at work beside it, for the first time */
+    try_once(&t, 1, 1);
+    ck_assert_int_eq(ask(&t, 1, 1400), QR_SUSPICION_HELD);
+    ck_assert(qr_suspects_answered(&t, &f, START_MS + 2000));
+    ck_assert_ptr_null(qr_suspects_tried(&t, &f, 2, START_MS + 2100));
+    ck_assert_int_eq(ask(&t, 1, 2200), QR_SUSPICION_NONE);
+    qr_suspects_clear(&t);
+}
+END_TEST
+
 START_TEST(suspects_ends_together_are_one_try)
 {
     QRFingerprint f = print_of(1);
@@ -482,6 +500,7 @@
     tcase_add_test(t, suspects_three_tries_in_a_row);
     tcase_add_test(t, suspects_an_answer_clears);
     tcase_add_test(t, suspects_a_late_answer_frees_nothing);
+    tcase_add_test(t, suspects_tries_that_the_store_knows);
     tcase_add_test(t, suspects_ends_together_are_one_try);
     tcase_add_test(t, suspects_one_run_counts_once);
     tcase_add_test(t, suspects_one_at_a_time);
