--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -55,15 +55,12 @@
     def __init__(self, fleet, ident, returns="same"):
         self.fleet, self.returns, self.starts = fleet, returns, 0
         self.running, self.up = 0, True
-        self.born = int(time.time() * 1000)
         self.began = []  # when the request began here
         self.ends = []   # when this engine crashed
         super().__init__(ident, "ledger")
+        self.born = int(time.time() * 1000)
         self.port = self.listener.getsockname()[1]
 
-    def record(self, state="ready"):
-        return dict(super().record(state), born=self.born)
-
     def work(self, conn, request):
         run = self.starts
         with self.lock:
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -262,6 +262,7 @@
         self.model, self.version = model, version
         self.slots = 4
         self.sequence = 0
+        self.born = 0   # start of this run, Unix ms; 0: it does not say
         self.busy_until = 0
         self.next_version = 0
         self.stage = {}
@@ -280,7 +281,10 @@
         return {"service": self.service, "address": self.address,
                 "zone": self.zone, "version": "v1", "slots": self.slots,
                 "state": state, "cold-remaining-ms": 0, "phase": "mixed",
-                "models": models, "sequence": 1}
+                "models": models, "sequence": 1} | self.start()
+
+    def start(self):
+        return {"born": self.born} if self.born else {}
 
     def head(self, request, extra=()):
         return [("X-Attempt-Id", request.headers.get("x-attempt-id", "")),
@@ -318,7 +322,7 @@
                            "busy": self.busy_until > 0,
                            "sequence": self.sequence, "queued": 0,
                            "active": 0, "kv-used": 0, "kv-total": 1,
-                           "sessions": 0})
+                           "sessions": 0} | self.start())
 
     def order(self, conn, order):
         if order.get("expected-revision") != self.sequence:
@@ -347,6 +351,14 @@
         """The process crashed and came back: no weights, no sequence."""
         self.version, self.sequence, self.busy_until = 0, 0, 0
 
+    def start_anew(self, orders):
+        """The same under its id, with nothing staged; by its first report it
+        has been ordered so often again."""
+        self.restart()
+        self.sequence = orders
+        self.stage = {}
+        self.born = max(self.born + 1, int(time.time() * 1000))
+
 
 def events(first, last):
     return b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -102,6 +102,51 @@
     assert fleet.origin.sent == sent
 
 
+def tell_births(fleet):
+    for e in fleet.models:
+        e.born = int(time.time() * 1000)
+        fleet.store.put("keyed.servers", e.id, e.record())
+    time.sleep(0.5)  # a report each 0.2 s
+
+
+def start_anew(fleet, engine):
+    engine.start_anew(engine.sequence)
+    fleet.store.put("keyed.servers", engine.id, engine.record())
+
+
+def test_an_engine_that_starts_anew_unseen_is_given_its_weights_again(fleet):
+    """By its first report it has been ordered as often as before: only its
+    start tells the runs apart."""
+    tell_births(fleet)
+    name_version(fleet, 2)
+    wait_for("version 2", lambda: serving(fleet, 2), 10)
+    start_anew(fleet, fleet.models[1])
+    wait_for("version 2 again", lambda: serving(fleet, 2), 10)
+    check_orders(fleet.models)
+
+
+def test_an_engine_that_starts_anew_twice_while_it_is_staged(fleet):
+    tell_births(fleet)
+    victim = fleet.models[0]
+    name_version(fleet, 2)
+    for _ in range(2):
+        wait_for("some pieces staged", lambda: victim.stage, 10)
+        start_anew(fleet, victim)
+        time.sleep(0.3)
+    wait_for("version 2", lambda: serving(fleet, 2), 15)
+    check_orders(fleet.models)
+
+
+def test_an_engine_that_starts_anew_right_after_its_order(fleet):
+    tell_births(fleet)
+    victim = fleet.models[0]
+    name_version(fleet, 2)
+    wait_for("the order", lambda: victim.taken, 10)
+    start_anew(fleet, victim)
+    wait_for("version 2", lambda: serving(fleet, 2), 15)
+    check_orders(fleet.models)
+
+
 def test_an_empty_engine_takes_the_first_version(fleet):
     """Bench: engines added before any version was named served nothing."""
     e = fleet.add_engine("m9", "engines", MODEL, 0)
