--- a/src/gateway/qr_requests_words.c
+++ b/src/gateway/qr_requests_words.c
@@ -190,10 +190,7 @@
         g_array_append_val(g->requests.answered, *f);
         return;
     }
-    s = qr_suspects_hold(t, f, base_ms + w->held_ms, w->holds, now);
-    s->stored |= w->stored;
-    if (w->stored)
-        s->store_due_ms = 0;
+    qr_suspects_hold(t, f, base_ms + w->held_ms, w->holds, now);
     qr_fingerprint_text(f, text);
     if (!was_held)
         qr_logf(QR_LEVEL_WARN, "requests",
@@ -231,6 +228,10 @@
     if (w->answered_ago_ms > 0)
         qr_suspects_answered(t, &f, base_ms - MIN(base_ms, w->answered_ago_ms));
     s = qr_suspects_get(t, &f);
+    if (s && w->stored && s->holds == w->holds) {
+        s->stored = true;
+        s->store_due_ms = 0;
+    }
     if (s && w->under_way_ms > 0)
         s->others_until_ms = MAX(s->others_until_ms, base_ms + w->under_way_ms);
     if (s && w->over)
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -135,6 +135,18 @@
         assert len(fleet.began()) == 3
 
 
+def test_what_is_known_is_written_once():
+    """Not by each gateway that was told of it."""
+    with CrashingFleet(4, 8) as fleet:
+        for i in range(2):
+            assert send(fleet, "try-%d" % i, i, path="/unsafe/x") == 502
+            time.sleep(0.4)
+        wait_for("all to know", lambda: all(
+            r["stored"] for i in range(4) for r in held_rows(fleet, i)))
+        time.sleep(7)  # others would write after 2 to 6 s
+        assert fleet.store.appends == 1
+
+
 def test_others_of_the_team_and_path_are_served():
     with CrashingFleet(2, 8) as fleet:
         hold(fleet)
