Sidecars: nobody is told while the lists of who waits are walked

Cause, found by reading after a sidecar's heap was corrupted once on the large site: as a version is dropped, each peer that waits for its pieces is told so. Where the peer is dead (as after a standstill of seconds) sending closes it, which takes out all that waits there, among it the row that is just being told: freed and unlinked twice. The same walk past the end of the list in two other places (a piece that came, a piece that is missing). Now who is to be told is taken out first, and told behind the walk.

--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -38,6 +38,7 @@
 void qr_piece_came(QRTarget *t, uint32_t index)
 {
     QRSidecar *s = t->sidecar;
+    g_autoptr(GArray) out = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
 
     for (unsigned i = s->waiters->len; i > 0; i--) {
         QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
@@ -45,8 +46,9 @@
         if (w.target != t || w.index != index)
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__READY);
+        g_array_append_val(out, w);
     }
+    qr_upload_tell_all(out, QR__FLEET__PIECE__STATE__READY);
 }
 
 static void target_whole(QRTarget *t)
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -184,6 +184,12 @@
 void qr_upload_target_came(QRSidecar *s, QRTarget *t);
 /* Tells a peer how it stands with the piece that it wants. */
 void qr_upload_tell(const QRWaiter *w, Qr__Fleet__Piece__State state);
+/*
+ * Tells those that were taken out of the lists (QRWaiter). Sending may close a
+ * peer, and whatever waits there is then taken out, too: so nobody is told
+ * while a list is walked.
+ */
+void qr_upload_tell_all(const GArray *out, Qr__Fleet__Piece__State state);
 /* Forgets waiters of 'target' or 'peer'; those of a target are told so. */
 void qr_upload_drop(QRSidecar *s, const QRTarget *target,
                     const QRPeerConn *peer);
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -51,6 +51,12 @@
                state, NULL);
 }
 
+void qr_upload_tell_all(const GArray *out, Qr__Fleet__Piece__State state)
+{
+    for (unsigned i = 0; i < out->len; i++)
+        qr_upload_tell(&g_array_index(out, QRWaiter, i), state);
+}
+
 static unsigned place_of_target(const QRSidecar *s, const QRTarget *t)
 {
     unsigned at = 0;
@@ -195,32 +201,40 @@
     return g_array_new(FALSE, FALSE, sizeof(Sent));
 }
 
+static bool is_dropped(const QRWaiter *w, const QRTarget *target,
+                       const QRPeerConn *peer)
+{
+    return target ? w->target == target : w->peer == peer;
+}
+
 void qr_upload_drop(QRSidecar *s, const QRTarget *target,
                     const QRPeerConn *peer)
 {
+    g_autoptr(GArray) out = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
+
     if (peer)
         sent_drop(s, peer);
     for (unsigned i = s->waiters->len; i > 0; i--) {
         QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
 
-        if (!(target && w.target == target) && w.peer != peer)
+        if (!is_dropped(&w, target, peer))
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        if (target && w.target == target)
-            qr_upload_tell(&w, QR__FLEET__PIECE__STATE__ABSENT);
+        g_array_append_val(out, w);
     }
     for (GList *l = s->uploads.head; l;) {
         GList *next = l->next;
         QRWaiter *w = l->data;
 
-        if ((target && w->target == target) || w->peer == peer) {
-            if (target && w->target == target)
-                qr_upload_tell(w, QR__FLEET__PIECE__STATE__ABSENT);
+        if (is_dropped(w, target, peer)) {
+            g_array_append_val(out, *w);
             g_free(w);
             g_queue_delete_link(&s->uploads, l);
         }
         l = next;
     }
+    if (target)
+        qr_upload_tell_all(out, QR__FLEET__PIECE__STATE__ABSENT);
 }
 
 /* Whether the piece is looked for elsewhere: we hold the version without it. */
@@ -234,6 +248,7 @@
 void qr_upload_missing(QRTarget *t)
 {
     QRSidecar *s = t->sidecar;
+    g_autoptr(GArray) out = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
 
     for (unsigned i = s->waiters->len; i > 0; i--) {
         QRWaiter w = g_array_index(s->waiters, QRWaiter, i - 1);
@@ -241,8 +256,9 @@
         if (w.target != t || !is_missing(t, w.index))
             continue;
         g_array_remove_index_fast(s->waiters, i - 1);
-        qr_upload_tell(&w, QR__FLEET__PIECE__STATE__ABSENT);
+        g_array_append_val(out, w);
     }
+    qr_upload_tell_all(out, QR__FLEET__PIECE__STATE__ABSENT);
 }
 
 void qr_upload_decline(QRSidecar *s)
