Builds of an earlier commit and this one side by side: a course of the soak; unknown messages are passed over

Ruled out by it: an earlier build closes a connection on which it is sent a message it does not know; none is sent one (Hello says who understands them). From now on such a message is passed over.

--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -209,13 +209,13 @@
 {
     QRFrame *frame = qr__fleet__frame__unpack(NULL, len, data);
 
-    if (!frame || frame->body_case == QR__FLEET__FRAME__BODY__NOT_SET) {
-        if (frame)
-            qr__fleet__frame__free_unpacked(frame, NULL);
+    if (!frame) {
         qr_peer_close(peer);
         return;
     }
-    peer_frame(peer, frame);
+    /* a newer build may send kinds that this one does not know */
+    if (frame->body_case != QR__FLEET__FRAME__BODY__NOT_SET)
+        peer_frame(peer, frame);
     qr__fleet__frame__free_unpacked(frame, NULL);
 }
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -52,6 +52,7 @@
         self.dir = tempfile.mkdtemp(prefix="quayring-fleet-")
         self.store, self.origin = Store(), Origin()
         self.procs, self.logs = {}, {}
+        self.binaries = {}  # of processes that run another than BINARY
         self.engines, self.plain = [], []
         self.peers = []
         self.gateways = []
@@ -89,7 +90,8 @@
         with open(os.path.join(self.dir, name + ".log"), "ab") as log:
             self.logs[name] = log.name
             self.procs[name] = subprocess.Popen(
-                [BINARY, role, "-c", path], stdout=log, stderr=log)
+                [self.binaries.get(name, BINARY), role, "-c", path],
+                stdout=log, stderr=log)
 
     def start_gateway(self, i, dark=False, settings=None):
         name = "g%d" % i
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,19 +3,21 @@
 
     soak.py [--seeds N | --seed N] [--first N] [--mutant NAME]
             [--gateways N] [--plain N] [--models N] [--callers N]
-            [--course faults|work|last]
+            [--course faults|work|last|upgrade] [--before PROGRAM]
 
 A seed and a size fix the schedule and what callers send; both are printed with
 each failure, and --seed plays it again. Courses: "faults", then planned work in
 calm times; "work", planned work only, in series that overlap, without links of
 ours between the processes, so that dozens of them fit, on engines that pause;
 "last", as that, and at
-its end all processes are killed right after a configuration. --mutant breaks
+its end all processes are killed right after a configuration; "upgrade", all
+begin with the build --before, go on to this one in turn, and back. --mutant breaks
 what was seen before it is checked, which must then be reported; with "all" it
 is checked as it is, and then once with each mutant. Exits 1 if anything was
 found.
 """
 import argparse
+import collections
 import hashlib
 import json
 import os
@@ -36,7 +38,7 @@
 from soak_ends import ROUTES, Callers, SoakEngine
 from soak_oracle import History
 from soak_schedule import PLANNED, PLANNED_S, Size, last_fault, planned, \
-    schedule, work
+    schedule, upgrade, work
 from standin_platform import CHUNKS, chunk_of
 
 QUIET_S = 1.5    # before the first fault
@@ -105,7 +107,7 @@
     """Every process meets the store, the origin, engines and gateways over
     links of ours, unless 'direct'."""
 
-    def __init__(self, history, size, direct=False):
+    def __init__(self, history, size, direct=False, earlier=None):
         self.history, self.loop = history, Loop()
         self.size, self.direct = size, direct
         self.config_lock = threading.Lock()  # versions rise
@@ -123,6 +125,9 @@
                        for i in range(size.plain)]
         self.places += [SoakEngines(self, "m%d" % i, "engines", MODEL, 1)
                         for i in range(size.models)]
+        self.earlier = earlier  # the build that all begin with, or None
+        if earlier:
+            self.binaries = collections.defaultdict(lambda: earlier)
         own = [self.link_peer() for _ in range(size.gateways + size.models)]
         self.peers = [l.address for l in self.peer_links[:size.gateways]]
         for i in range(size.gateways):
@@ -321,6 +326,14 @@
             time.sleep(seconds)
             self.fleet.again(target)
 
+    def upgrade(self, target, seconds):
+        self.fleet.binaries[target] = BINARY
+        self.stop(target, seconds)
+
+    def downgrade(self, target, seconds):
+        self.fleet.binaries[target] = self.fleet.earlier
+        self.stop(target, seconds)
+
     def away(self, target, seconds):
         server = getattr(self.fleet, target)
         server.take_down()
@@ -478,7 +491,13 @@
     settle(fleet)
 
 
-COURSES = {"faults": play_faults, "work": play_work, "last": play_last}
+def play_upgrade(fleet, faults, seed):
+    inject(fleet, faults, upgrade(seed, fleet.size))
+    settle(fleet)
+
+
+COURSES = {"faults": play_faults, "work": play_work, "last": play_last,
+           "upgrade": play_upgrade}
 
 
 def play_course(fleet, seed, course):
@@ -516,7 +535,7 @@
             for version, stage in place.engine.taken]
 
 
-def play(seed, size=Size(), course="faults"):
+def play(seed, size=Size(), course="faults", earlier=None):
     """(what was seen, folder of logs) of one seed."""
     history = History()
     history.fds_more = max(history.fds_more, 2 * size.models)
@@ -524,7 +543,8 @@
     if "san" in BINARY:
         history.rss_more_kb = SANITIZED_RSS_MORE_KB
     with Watch() as rig:
-        fleet = SoakFleet(history, size, direct=course != "faults")
+        fleet = SoakFleet(history, size, direct=course != "faults",
+                          earlier=earlier)
         ended = threading.Event()
         watcher = threading.Thread(target=watch, args=(fleet, ended))
         watcher.start()
@@ -583,7 +603,10 @@
         p.add_argument("--" + name, type=int, default=most)
     p.add_argument("--course", choices=list(COURSES), default="faults")
     p.add_argument("--mutant", choices=["all"] + sorted(soak_oracle.MUTANTS))
+    p.add_argument("--before", help="program of an earlier build")
     args = p.parse_args()
+    if (args.course == "upgrade") != bool(args.before):
+        p.error("--before belongs to --course upgrade")
     seeds = [args.seed] if args.seed is not None else \
         range(args.first, args.first + args.seeds)
     size = Size(args.gateways, args.plain, args.models, args.callers)
@@ -593,11 +616,13 @@
                 "shell allows; --course work needs none" % size.descriptors())
     chosen = "".join(" --%s %d" % (name, n) for name, n in vars(size).items()
                      if n != getattr(Size(), name))
+    if args.before:
+        chosen += " --before " + args.before
     bad = []
     for seed in seeds:
         again = "--seed %d --course %s%s" % (seed, args.course, chosen)
         try:
-            history, folder = play(seed, size, args.course)
+            history, folder = play(seed, size, args.course, args.before)
         except BaseException:
             print("seed %s: the soak itself ended" % seed, flush=True)
             raise
--- a/tests/soak_schedule.py
+++ b/tests/soak_schedule.py
@@ -6,6 +6,8 @@
 PLANNED_S = 6.5  # planned work, and the bound of a version
 WORK_S = 14.0    # planned work begins, of a course that has nothing else
 LAST_FAULT_S = (0.005, 0.4)  # after a configuration
+UPGRADE_GAP_S = (0.4, 0.9)   # between two processes of an upgrade
+UPGRADE_REST_S = 2.0         # all on one build
 
 
 @dataclass(frozen=True)
@@ -22,7 +24,8 @@
 
 
 # Not in the way of what is owed.
-PLANNED = ("config", "weights", "leave", "stop", "reload", "add")
+PLANNED = ("config", "weights", "leave", "stop", "reload", "add", "upgrade",
+           "downgrade")
 
 
 def schedule(seed, size=Size()):
@@ -99,6 +102,26 @@
     return sorted(rows)
 
 
+def upgrade(seed, size=Size()):
+    """Every process goes on to the new build, one after the other, and then
+    back, with configurations, weights and an engine's leaving meanwhile."""
+    rng = random.Random(f"{seed}/upgrade")
+    processes = ["g%d" % i for i in range(size.gateways)] + \
+        ["s%d" % i for i in range(size.models)]
+    rows, at = [], 0.0
+    for kind in ("upgrade", "downgrade"):
+        rng.shuffle(processes)
+        for name in processes:
+            rows.append((at, kind, name, rng.uniform(0, 0.3)))
+            at += rng.uniform(*UPGRADE_GAP_S)
+        at += UPGRADE_REST_S
+    rows += [(rng.uniform(0, at), "config", rng.choice(("", "routes")), 0)
+             for _ in range(8)]
+    rows += [(rng.uniform(0, at), "weights", "", 0) for _ in range(3)]
+    rows.append((rng.uniform(0, at), "leave", "p0", 0.3))
+    return sorted(rows)
+
+
 def last_fault(seed):
     """So long after a configuration all processes are killed."""
     return random.Random(f"{seed}/last").uniform(*LAST_FAULT_S)
