A call whose engine is forgotten while a slot is asked for there goes on; constants named

Cause: by reading. The reply, or its absence, found no engine and the call was neither tried again nor in a queue: it would have waited until its time was over.

--- a/src/fleet/qr_slots.h
+++ b/src/fleet/qr_slots.h
@@ -4,8 +4,8 @@
  * An engine runs a fixed number of calls at once, and many gateways send to it.
  * Were each to choose by what the others told it a heartbeat ago, several would
  * fill the same free slot, and those that come second would wait inside the
- * engine. So a gateway asks the process beside the engine first, which knows
- * what all of them hold at this moment.
+ * engine. So a gateway asks their keeper first, which knows what all of them
+ * hold at this moment: the process beside the engine, or else a gateway.
  *
  * A gateway tells with each word all that it holds: a word that is lost, or a
  * process that starts anew on either side, is mended by the next one.
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -30,10 +30,12 @@
    the first tokens take a third of it). Trials of 0.4 to 0.8 on two sites. */
 #define SPARE_PART 16
 #define SPARE_FIRST_SHARE 0.6
-#define SILENCE_MS 200    /* an answer that is longer in coming counts */
-#define QUIET_MS 1600     /* sidecars tell their state once a second */
-#define PLAIN_FIRST_MS 10 /* of a service without a model */
-#define PLAIN_SLOTS 4     /* if neither engine nor operator states them */
+#define PASSES_TO_FIRST 1.5 /* half of the one that runs, and a whole one */
+#define NO_LIMIT_MS 1e6     /* longer than any call */
+#define SILENCE_MS 200      /* an answer that is longer in coming counts */
+#define QUIET_MS 1600       /* sidecars tell their state once a second */
+#define PLAIN_FIRST_MS 10   /* of a service without a model */
+#define PLAIN_SLOTS 4       /* if neither engine nor operator states them */
 
 /*
  * Of the prompts that may wait to be read at an engine, what the first one that
@@ -138,13 +140,14 @@
 /* Time left for reading what is ahead of the call, and the call's prompt. */
 static double reading_time_ms(const QRBalanceInput *in, double pass_ms)
 {
-    double first_ms = G_MAXUINT16, gap_ms = G_MAXUINT16;
+    double first_ms = NO_LIMIT_MS, gap_ms = NO_LIMIT_MS;
 
     if (in->objective_ms && in->late)
-        first_ms = in->objective_ms * SPARE_FIRST_SHARE - 1.5 * pass_ms;
-    else if (in->objective_ms)
         first_ms =
-            in->objective_ms * FIRST_SHARE - in->waited_ms - 1.5 * pass_ms;
+            in->objective_ms * SPARE_FIRST_SHARE - PASSES_TO_FIRST * pass_ms;
+    else if (in->objective_ms)
+        first_ms = in->objective_ms * FIRST_SHARE - in->waited_ms -
+                   PASSES_TO_FIRST * pass_ms;
     if (in->gap_ms)
         gap_ms = in->gap_ms * GAP_SHARE - pass_ms;
     return MIN(first_ms, gap_ms);
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -3,8 +3,8 @@
  */
 #include "qr_relay_parts.h"
 
-/* A reply takes a round trip and a turn of the other process: 4 to 10 ms. The
-   process, or the link to it, stands still if none has come after: */
+/* A reply takes a round trip and a turn of the other process: 1 to 10 ms. The
+   process stands still, or its link is full, if none has come after so long. */
 #define REPLY_MS 60
 /* It is not asked again so soon; its engine is used as one without. */
 #define MUTE_MS 1000
@@ -71,8 +71,10 @@
     QREngine *e = slot_settle(r);
     QRBalanceChoice c = {0};
 
-    if (!e)
+    if (!e) {
+        qr_relay_try(r); /* the engine is forgotten meanwhile */
         return;
+    }
     qr_gateway_slots_others(e, others_open, others_reading, now);
     if (!granted) {
         r->slot.denied++;
