Bytes of the new kinds of messages are counted in their own rows

Cause: the table of bytes by kind of message had no rows for requests for slots and their replies; their bytes were added behind its end, to other counts (far bytes of greetings and lists, and the counts last logged). Test: the table has as many rows as the protocol has kinds (red before).

--- a/src/net/qr_traffic.h
+++ b/src/net/qr_traffic.h
@@ -21,7 +21,9 @@
     X(PIECE, piece)                                                            \
     X(FETCH, fetch)                                                            \
     X(PROBE, probe)                                                            \
-    X(REQUESTS, requests)
+    X(REQUESTS, requests)                                                      \
+    X(SLOT_REQUEST, slot_request)                                              \
+    X(SLOT_REPLY, slot_reply)
 
 typedef enum QRFrameKind {
 #define X(upper, lower) QR_FRAME_##upper,
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -12,6 +12,7 @@
 #include "gateway/qr_deadlines.h"
 #include "gateway/qr_sse.h"
 #include "net/qr_ticks.h"
+#include "net/qr_traffic.h"
 #include "net/qr_message.h"
 #include "sidecar/qr_pace.h"
 #include "sidecar/qr_progress.h"
@@ -264,6 +265,14 @@
 }
 END_TEST
 
+/* A kind that is not counted would be counted behind the end of the table. */
+START_TEST(traffic_counts_every_kind)
+{
+    ck_assert_uint_eq(qr__fleet__frame__descriptor.n_fields,
+                      QR_FRAME_KIND_COUNT);
+}
+END_TEST
+
 static QREngine *add_engine(QREngines *t, const char *id, const char *zone,
                             uint64_t version)
 {
@@ -1235,6 +1244,7 @@
     tcase_add_test(t, sse_order);
     tcase_add_test(t, policy_routes);
     tcase_add_test(t, policy_engine_costs_in_either_spelling);
+    tcase_add_test(t, traffic_counts_every_kind);
     tcase_add_test(t, balance_spares_readers);
     tcase_add_test(t, balance_late_calls_get_what_is_to_spare);
     tcase_add_test(t, deadlines_tell_who_came_back);
