--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -401,7 +401,7 @@
     runs = h.runs()
     for c in reversed(h.calls):
         if c["kind"] in kinds and c["status"] == 200 and not c["error"] \
-                and len(runs[c["id"]]) == 1 and where(c) \
+                and not c["gave_up"] and len(runs[c["id"]]) == 1 and where(c) \
                 and h.calm_since(c["ended"]) <= c["at"]:
             return c, runs[c["id"]][0]
     raise AssertionError("no call of %s was served" % (kinds,))
