--- a/src/base/qr_json.c
+++ b/src/base/qr_json.c
@@ -248,6 +248,16 @@
         *out = n;
 }
 
+/* Rounded up, it would allow more than the limit that was set. */
+static void json_read_limit(json_object *v, const char *place, const QRField *d,
+                            int64_t *out, QRFindings *f)
+{
+    double n = (double)*out;
+
+    json_read_number(v, place, d, &n, f);
+    *out = (int64_t)n;
+}
+
 static void json_read_names(json_object *v, const char *place, const QRField *d,
                             GPtrArray *out, QRFindings *f)
 {
@@ -285,6 +295,9 @@
     case QR_FIELD_INT:
         json_read_int(v, place, d, member, f);
         break;
+    case QR_FIELD_LIMIT:
+        json_read_limit(v, place, d, member, f);
+        break;
     case QR_FIELD_NUMBER:
         json_read_number(v, place, d, member, f);
         break;
@@ -318,7 +331,7 @@
     for (; fields->name; fields++) {
         void *member = (char *)out + fields->offset;
 
-        if (fields->type == QR_FIELD_INT)
+        if (fields->type == QR_FIELD_INT || fields->type == QR_FIELD_LIMIT)
             *(int64_t *)member = fields->fallback;
         else if (fields->type == QR_FIELD_NUMBER)
             *(double *)member = (double)fields->fallback;
--- a/src/base/qr_json.h
+++ b/src/base/qr_json.h
@@ -15,6 +15,7 @@
     QR_FIELD_TEXT,      /* char *: any text */
     QR_FIELD_ADDRESS,   /* char *: ip:port */
     QR_FIELD_INT,       /* int64_t within min..max */
+    QR_FIELD_LIMIT,     /* int64_t within min..max; a fraction is cut off */
     QR_FIELD_NUMBER,    /* double within min..max, fractions too */
     QR_FIELD_BOOL,      /* bool */
     QR_FIELD_NAMES,     /* GPtrArray of char *, each a name */
--- a/src/fleet/qr_fleet_settings.c
+++ b/src/fleet/qr_fleet_settings.c
@@ -9,9 +9,12 @@
     {                                                                          \
 #name, type, offsetof(QRFleetSettings, name), required, 0, 0, 0        \
     }
+#define WHOLE(name, type, min, max, fallback)                                  \
+    {#name, type, offsetof(QRFleetSettings, name), false, min, max, fallback},
 #define DEF(name, min, max, fallback)                                          \
-    {#name, QR_FIELD_INT, offsetof(QRFleetSettings, name), false, min,         \
-     max,   fallback},
+    WHOLE(name, QR_FIELD_INT, min, max, fallback)
+#define LIMIT(name, min, max, fallback)                                        \
+    WHOLE(name, QR_FIELD_LIMIT, min, max, fallback)
 
 #define NUMBER(name, min, max, fallback)                                       \
     {                                                                          \
@@ -46,6 +49,8 @@
     QR_FLEET_SETTINGS_BOTH QR_FLEET_SETTINGS_SIDECAR{0},
 };
 #undef DEF
+#undef LIMIT
+#undef WHOLE
 #undef TEXT
 #undef NUMBER
 #undef TEXT_BOTH
--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -7,11 +7,14 @@
 #include "base/qr_json.h"
 #include "qr_platform.h"
 
-/* DEF(name, min, max, fallback): whole numbers. Times in ms. */
+/*
+ * DEF(name, min, max, fallback): whole numbers. Times in ms.
+ * LIMIT: the same, set by the platform, which may scale it to a fraction.
+ */
 #define QR_FLEET_SETTINGS_BOTH                                                 \
-    DEF(descriptors_max, 64, 1048576, 1024) /* sockets of the process */       \
-    DEF(version_ms, 500, 3600000, 8000)     /* a named version is in force */  \
-    DEF(heartbeat_ms, 20, 10000, 100)       /* to peers */                     \
+    LIMIT(descriptors_max, 64, 1048576, 1024) /* sockets of the process */     \
+    LIMIT(version_ms, 500, 3600000, 8000)     /* a named version in force */   \
+    DEF(heartbeat_ms, 20, 10000, 100)         /* to peers */                   \
     DEF(lease_ms, 100, 600000, 1000) /* a peer unheard so long is away */      \
     DEF(log_level, 0, 2, 2)          /* 0 errors, 1 warnings, 2 all */
 
@@ -23,7 +26,8 @@
     DEF(address_valid_s, 1, 600, 2)       /* callers keep an address answer */ \
     DEF(engines_poll_ms, 50, 60000, 500)  /* engines' records in the store */  \
     DEF(operator_wait_ms, 0, 30000, 2000) /* a read waits for records */       \
-    DEF(retry_allowance, 0, 1000000, 10)  /* retries a window, all gateways */
+    LIMIT(retry_allowance, 0, 1000000, 10) /* retries a window, all gateways   \
+                                            */
 
 typedef struct QRFleetSettings {
     char *role; /* "gateway" or "sidecar" */
@@ -43,7 +47,9 @@
     char *engine, *service;
     double link_mbit_s; /* of the machine, each way; 0: not known */
 #define DEF(name, min, max, fallback) int64_t name;
+#define LIMIT DEF
     QR_FLEET_SETTINGS_BOTH QR_FLEET_SETTINGS_GATEWAY QR_FLEET_SETTINGS_SIDECAR
+#undef LIMIT
 #undef DEF
         json_object *source;
 } QRFleetSettings;
