The directory draws the gateways that it names, where there are too many

Cause: an answer names 64 gateways at most, and each gateway named itself and the first 63 in order of their names. At 149 gateways in five regions all calls entered through two regions, and three fifths of them crossed to a third one.

Ways: the first in order (stood), drawn at random (kept). The caller's own zone first was not built: where callers move to one zone its gateways carry all.

--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -142,27 +142,43 @@
 }
 
 /* Gateways that take callers: this one, and those heard from lately. */
-static GPtrArray *open_gateways(QRGateway *g, const char *zone)
+static GPtrArray *open_gateways(QRGateway *g)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
     GPtrArray *out = g_ptr_array_new();
     uint64_t now = qr_gateway_now(g);
 
-    if (g->stopping_ms == 0 &&
-        (!zone || strcmp(zone, g->set->availability_zone) == 0))
+    if (g->stopping_ms == 0)
         g_ptr_array_add(out, g->set->callers);
-    for (unsigned i = 0; i < list->len && out->len < ADDRESSES_MOST; i++) {
+    for (unsigned i = 0; i < list->len; i++) {
         QRFleetMember *m = list->pdata[i];
 
-        if (m->leaving || (zone && strcmp(zone, m->zone) != 0) ||
-            !qr_member_alive(m, (uint64_t)g->set->lease_ms, now))
-            continue;
-        g_ptr_array_add(out, m->service_address);
+        if (!m->leaving && qr_member_alive(m, (uint64_t)g->set->lease_ms, now))
+            g_ptr_array_add(out, m->service_address);
     }
     return out;
 }
 
+/*
+ * Of more gateways than an answer may name, each answer names others: all get
+ * their part of the calls, whoever is asked.
+ */
+static void draw_addresses(QRGateway *g, GPtrArray *list)
+{
+    for (unsigned i = 0; i < ADDRESSES_MOST && i < list->len; i++) {
+        unsigned k;
+        void *drawn;
+
+        g->random = qr_hash64(&g->random, sizeof(g->random), 3);
+        k = i + (unsigned)(g->random % (list->len - i));
+        drawn = list->pdata[k];
+        list->pdata[k] = list->pdata[i];
+        list->pdata[i] = drawn;
+    }
+    g_ptr_array_set_size(list, (int)MIN(list->len, ADDRESSES_MOST));
+}
+
 static void reply(QRExchange *x, const char *type, const char *text)
 {
     QRHeaders headers;
@@ -184,11 +200,13 @@
         qr_relay_own_answer(x, 404, 0);
         return;
     }
-    addresses = open_gateways(g, NULL);
+    addresses = open_gateways(g);
     if (addresses->len == 0) {
         qr_relay_own_answer(x, 503, RETRY_UNREADY_MS);
         return;
     }
+    if (addresses->len > ADDRESSES_MOST)
+        draw_addresses(g, addresses);
     g->counters.counts[QR_COUNTER_directory]++;
     body = g->platform->directory_answer(addresses,
                                          (unsigned)g->set->address_valid_s);
