Who knows nobody dials once more beside the attempt under way

Cause: the opening packet to a host that is down is lost, and the kernel sends the next one a second later. After a loss of all power, with the seeds the last to come back, everybody waited for that second: of 2.1 s to serve some 1.2 s.

Ways: short time-outs and pauses for all (a trial of the issue: a dial to each dead host every 150 ms, without end), or a second attempt beside the first while a process has no connection at all, 3 s at most (kept): three seeds each 150 ms.

Red before: test_start, a_seed_that_comes_up_last_is_met_soon (a gateway, a sidecar): over 0.45 s.

--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -25,6 +25,16 @@
 #define BACKLOG 512
 #define SILENT_MS 2000 /* unacknowledged bytes break a connection */
 #define CONNECT_MS 1000
+/*
+ * The opening packet to a host that is down is lost, and the kernel sends the
+ * next one a second later: a host that comes up meanwhile is found late. So a
+ * process that has no connection at all dials once more beside the attempt
+ * under way; the first that opens counts. The older attempt is kept, since on a
+ * full link the answer may be long in coming. Only while alone, and for a
+ * while: hundreds that dial each dead host so often would fill links.
+ */
+#define RACE_MS 150
+#define RACE_MOST_MS 3000
 #define REDIAL_FIRST_MS 200
 #define HURRY_MS 100 /* an attempt younger than that is left alone */
 #define REDIAL_MOST_MS 2000
@@ -61,7 +71,7 @@
 typedef struct Target {
     char *address;
     QRPeerConn *peer;   /* or NULL */
-    QRPeerConn *second; /* tried because 'peer' is mute, or NULL */
+    QRPeerConn *second; /* tried because 'peer' is mute, or not open; or NULL */
     uint64_t next_ms, second_next_ms;
     uint32_t pause_ms;
     QRPeerCare care;
@@ -94,6 +104,8 @@
     uint64_t traffic_log_ms; /* when due next */
     QRTicks ticks;
     uint64_t replaced; /* connections that had gone silent */
+    unsigned open;     /* connections */
+    uint64_t alone_ms; /* since when none is open */
     bool closing;
 };
 
@@ -113,6 +125,12 @@
     g_free(peer);
 }
 
+/* No connection is open, and has not been for a short while only. */
+static bool is_alone(const QRPeerNet *p, uint64_t now_ms)
+{
+    return p->open == 0 && now_ms <= p->alone_ms + RACE_MOST_MS;
+}
+
 /* The target has one connection less. */
 static void target_lost(Target *t, const QRPeerConn *peer, uint64_t now_ms)
 {
@@ -122,6 +140,10 @@
         return;
     }
     t->peer = g_steal_pointer(&t->second);
+    if (is_alone(peer->peers, now_ms)) {
+        t->next_ms = now_ms + RACE_MS;
+        return;
+    }
     t->next_ms = now_ms + t->pause_ms;
     t->pause_ms = MIN(t->pause_ms * 2, REDIAL_MOST_MS);
 }
@@ -133,6 +155,9 @@
     if (peer->closing)
         return;
     peer->closing = true;
+    p->open -= peer->open;
+    if (peer->open && p->open == 0)
+        p->alone_ms = qr_clock_ms(p->loop);
     g_ptr_array_remove_fast(p->all, peer);
     if (peer->target)
         target_lost(peer->target, peer, qr_clock_ms(p->loop));
@@ -268,6 +293,7 @@
     Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT;
 
     peer->open = true;
+    p->open++;
     peer->heard_ms = qr_clock_ms(p->loop);
     if (peer->target)
         peer->target->pause_ms = REDIAL_FIRST_MS;
@@ -310,16 +336,29 @@
         peer_start(peer);
 }
 
+/* Of two attempts to reach a target one has opened: the other goes. */
+static void race_won(QRPeerConn *peer)
+{
+    Target *t = peer->target;
+
+    if (t->second == peer && !t->peer->open)
+        qr_peer_close(t->peer); /* this one takes its place */
+    else if (t->peer == peer && t->second)
+        qr_peer_close(t->second);
+}
+
 static void peer_opened(uv_connect_t *req, int status)
 {
     QRPeerConn *peer = req->data;
 
     if (peer->closing)
         return;
-    if (status != 0)
+    if (status != 0) {
         qr_peer_close(peer);
-    else
-        peer_start(peer);
+        return;
+    }
+    race_won(peer);
+    peer_start(peer);
 }
 
 QRPeerNet *qr_peers_new(uv_loop_t *loop, const char *listen,
@@ -334,6 +373,7 @@
     p->handlers = handlers;
     p->owner = owner;
     p->all = g_ptr_array_new();
+    p->alone_ms = qr_clock_ms(loop);
     p->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
     p->tcp.data = p;
@@ -466,12 +506,26 @@
     }
 }
 
+/* A connection being opened: tries once more beside it while we are alone. */
+static void check_race(QRPeerNet *p, Target *t, uint64_t now_ms)
+{
+    QRPeerConn *last = t->second ? t->second : t->peer;
+
+    if (!is_alone(p, now_ms) || now_ms < last->since_ms + RACE_MS)
+        return;
+    if (t->second)
+        qr_peer_close(t->second);
+    target_dial(p, t, &t->second);
+}
+
 static void target_tick(QRPeerNet *p, Target *t, uint64_t now_ms)
 {
     if (!t->peer && now_ms >= t->next_ms)
         target_dial(p, t, &t->peer);
     check_dialled(t->second, now_ms);
     check_dialled(t->peer, now_ms);
+    if (t->peer && !t->peer->open)
+        check_race(p, t, now_ms);
     if (t->peer && t->peer->open)
         check_quiet(p, t, now_ms);
 }
