Pieces that are left over are passed on by groups of relays

Cause: piece i is passed on by relay i mod n of a region. With 48 pieces and 42 sidecars six of them send two copies while the rest send one, and all others wait for these; with 300 each of 48 relays sends six. Pieces that are left when all relays have the same number now have groups, of which the first draws the piece and passes it to the others.

Ways, most that any sidecar sends, in copies, regions of 2 to 300, 48 pieces: one relay a piece 6.2; groups of three duties a relay 2.0; of two, no larger than the root of the region 1.48 (kept).

--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -37,6 +37,7 @@
         qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
     const QRService *origin =
         s->operator.policy ? qr_policy_origin(s->operator.policy) : NULL;
+    const QRTarget *t = qr_target_of(s, s->model, version);
 
     for (unsigned i = members->len; i > 0; i--) {
         const QRFleetMember *m = members->pdata[i - 1];
@@ -45,8 +46,8 @@
             g_ptr_array_remove_index(members, i - 1);
     }
     qr_source_plan_init(plan, members, s->set->host, s->set->region,
-                        origin ? origin->connections_max : 0, s->model,
-                        version);
+                        origin ? origin->connections_max : 0, s->model, version,
+                        t && t->pieces ? t->pieces->len : 0);
 }
 
 uint64_t qr_sidecar_newest(const QRSidecar *s)
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -3,6 +3,7 @@
  */
 #include "qr_sources.h"
 
+#include <math.h>
 #include <string.h>
 
 #define ATTEMPTS_LEAST 5 /* before all go to the origin themselves */
@@ -10,7 +11,8 @@
  * whose sources failed, and for connections that linger. */
 #define CONNECTIONS_A_ROOT 3
 #define ROOTS_DEFAULT 8
-#define HOLDERS_SHARE 2 /* one in so many of a region: all ask holders */
+#define GROUPS_A_RELAY 2 /* groups that pass a piece on, see relay_group() */
+#define HOLDERS_SHARE 2  /* one in so many of a region: all ask holders */
 
 typedef struct OrderKey {
     char text[QR_NAME_MAX + 48];
@@ -32,7 +34,7 @@
 void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
                          const char *self, const char *region,
                          unsigned origin_connections, const char *model,
-                         uint64_t version)
+                         uint64_t version, unsigned pieces)
 {
     unsigned roots = origin_connections
                          ? origin_connections / CONNECTIONS_A_ROOT
@@ -44,6 +46,8 @@
                version);
     plan->self = self;
     plan->region = region;
+    plan->pieces = pieces;
+    plan->place = 0;
     plan->all = g_ptr_array_new();
     plan->near = g_ptr_array_new();
     plan->holders = g_ptr_array_new();
@@ -64,6 +68,8 @@
         bool holds = m->held == version && strcmp(m->name, self) != 0 &&
                      g_strcmp0(m->model, model) == 0;
 
+        if (is_near && strcmp(m->name, self) == 0)
+            plan->place = plan->near->len;
         if (is_near)
             g_ptr_array_add(plan->near, m);
         holds = holds && !m->leaving;
@@ -112,13 +118,64 @@
 }
 
 /* Engines that leave have no relays beside them, if others stay. */
+static unsigned relay_count(const QRSourcePlan *plan)
+{
+    return plan->relays ? plan->relays : plan->near->len;
+}
+
 static const QRFleetMember *relay_at(const QRSourcePlan *plan, uint64_t place)
 {
-    unsigned n = plan->relays ? plan->relays : plan->near->len;
+    unsigned n = relay_count(plan);
 
     return n > 0 ? plan->near->pdata[place % n] : NULL;
 }
 
+/*
+ * The relays that pass a piece on, as places in the region, which go on at its
+ * start: the first draws it from the root, the others from the first.
+ */
+typedef struct RelayGroup {
+    unsigned relays; /* in the region, more than 0 */
+    unsigned first, count;
+} RelayGroup;
+
+/*
+ * Each relay has as many pieces of its own as the others. Those that are left
+ * have groups, of such a size that every relay is in about two, and that the
+ * first has no more to send to the others than these have to pass on.
+ */
+static RelayGroup relay_group(unsigned pieces, unsigned relays, uint32_t index)
+{
+    unsigned left = pieces % relays, count;
+
+    if (left == 0 || index == QR_MANIFEST_INDEX || index < pieces - left)
+        return (RelayGroup){relays, index % relays, 1};
+    count = MIN(GROUPS_A_RELAY * relays / left, (unsigned)sqrt(relays));
+    return (RelayGroup){relays, (index - (pieces - left)) * count % relays,
+                        count};
+}
+
+static bool is_in_group(const RelayGroup *g, unsigned place)
+{
+    return place < g->relays &&
+           (place + g->relays - g->first) % g->relays < g->count;
+}
+
+/* The relay from which this sidecar draws the piece; itself if it is the first
+   of the group. */
+static const QRFleetMember *relay_of(const QRSourcePlan *plan, uint32_t index)
+{
+    unsigned n = relay_count(plan);
+    RelayGroup group;
+
+    if (n == 0)
+        return NULL;
+    group = relay_group(plan->pieces, n, index);
+    if (is_in_group(&group, plan->place))
+        return relay_at(plan, group.first);
+    return relay_at(plan, group.first + plan->place % group.count);
+}
+
 /* Each of the region, or each root, gave nothing. */
 static bool is_exhausted(const QRSourcePlan *plan, QRSourceAttempts tried)
 {
@@ -141,7 +198,8 @@
     if (index != QR_MANIFEST_INDEX &&
         plan->near_holders->len * HOLDERS_SHARE >= plan->near->len)
         return (QRPieceSource){at_place(plan->near_holders, turn), false};
-    relay = relay_at(plan, (uint64_t)index + tried.relays);
+    relay = tried.relays == 0 ? relay_of(plan, index)
+                              : relay_at(plan, (uint64_t)index + tried.relays);
     if (relay && !is_self(plan, relay))
         return (QRPieceSource){relay, false};
     return (QRPieceSource){root, true};
@@ -151,6 +209,7 @@
                         const QRFleetMember *member)
 {
     unsigned relays = 0, place = 0;
+    RelayGroup group;
 
     for (unsigned i = 0; i < plan->all->len; i++) {
         const QRFleetMember *m = plan->all->pdata[i];
@@ -161,7 +220,10 @@
             place = relays;
         relays++;
     }
-    return relays > 0 && !member->leaving && index % relays == place;
+    if (relays == 0 || member->leaving)
+        return false;
+    group = relay_group(plan->pieces, relays, index);
+    return is_in_group(&group, place);
 }
 
 unsigned qr_source_place(const QRSourcePlan *plan, const char *name)
--- a/src/sidecar/qr_sources.h
+++ b/src/sidecar/qr_sources.h
@@ -7,8 +7,11 @@
  * sidecar a piece, its relay there, draws it from the root; all others of the
  * region draw it from the relay. So the origin sends one copy over few
  * connections, each link between regions carries one, and every sidecar sends
- * about one. Those that hold the whole version stand in for the roots, and once
- * half of a region holds it, for its relays.
+ * about one. Pieces that are left when all relays have the same number of them
+ * are passed on by groups of relays, lest a few send twice what the others do,
+ * or in a large region each relay to hundreds. Those that hold the whole
+ * version stand in for the roots, and once half of a region holds it, for its
+ * relays.
  */
 #ifndef QR_SOURCES_H
 #define QR_SOURCES_H
@@ -25,6 +28,8 @@
     GPtrArray *holders, *near_holders; /* those that hold the version */
     unsigned roots;  /* the first of 'all' that draw from the origin */
     unsigned relays; /* the first of 'near' whose engines do not leave */
+    unsigned place;  /* of this sidecar in 'near' */
+    unsigned pieces; /* of the version; 0: not known */
 } QRSourcePlan;
 
 /* Sources that gave nothing so far. */
@@ -40,19 +45,20 @@
 
 /*
  * 'members' are QRFleetMember *: sidecars that count, this one too.
- * 'origin_connections' are those that the origin takes; 0: not known.
+ * 'origin_connections' are those that the origin takes; 'pieces' those of the
+ * version; 0: not known.
  */
 void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
                          const char *self, const char *region,
                          unsigned origin_connections, const char *model,
-                         uint64_t version);
+                         uint64_t version, unsigned pieces);
 void qr_source_plan_clear(QRSourcePlan *plan);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(QRSourcePlan, qr_source_plan_clear)
 
 /* The source of a piece, or of the manifest. */
 QRPieceSource qr_source_choose(const QRSourcePlan *plan, uint32_t index,
                                QRSourceAttempts tried);
-/* Whether 'member' passes the piece on to all of its region. */
+/* Whether 'member' passes the piece on to others of its region. */
 bool qr_source_is_relay(const QRSourcePlan *plan, uint32_t index,
                         const QRFleetMember *member);
 
