Few gateways read the store at a start; the others are told

Cause: each gateway listed the operator's and the engines' records by itself when it started, and read on until it had known two readers for 1.5 s: some 14 calls a gateway and start. A reader that the store turned away went on asking beside those that read in its place.

Now who starts rests. Who is not answered by the store rests as soon as two others read. Records of engines are read each second (0.5 s before): 2 calls a second at rest, not 4. A record that is told says whether the engine was heard of since it was listed.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -160,6 +160,21 @@
     return missing;
 }
 
+bool qr_engines_any_unconfirmed(const QREngines *t)
+{
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const QREngine *e = value;
+
+        if (e->unconfirmed && !e->gone)
+            return true;
+    }
+    return false;
+}
+
 QREngine *qr_engines_get(const QREngines *t, const char *id)
 {
     return g_hash_table_lookup(t->by_id, id);
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -98,6 +98,9 @@
 /* The live engine at an address, or NULL. */
 QREngine *qr_engines_at(const QREngines *t, const char *address);
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
+/* Whether an engine that is not gone was not heard of since our first listing.
+ */
+bool qr_engines_any_unconfirmed(const QREngines *t);
 /* Forgets engines that are gone and carry no call of ours. */
 void qr_engines_sweep(QREngines *t);
 
--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -24,7 +24,7 @@
 
 #define QR_FLEET_SETTINGS_GATEWAY                                              \
     DEF(address_valid_s, 1, 600, 2)       /* callers keep an address answer */ \
-    DEF(engines_poll_ms, 50, 60000, 500)  /* engines' records in the store */  \
+    DEF(engines_poll_ms, 50, 60000, 1000) /* engines' records in the store */  \
     DEF(operator_wait_ms, 0, 30000, 2000) /* a read waits for records */       \
     LIMIT(retry_allowance, 0, 1000000, 10) /* retries a window, all gateways   \
                                             */
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -13,11 +13,11 @@
 #define SWEEP_MS 2000
 #define END_MARGIN_MS 400 /* of the grace time, kept for the end itself */
 #define RESERVED_DESCRIPTORS 200
-/* A gateway that starts asks others for the operator's records before it reads
-   them from the store, in time for two heartbeats. Where nobody knows any, the
-   first to read tells the others: they do not all begin at once. */
-#define OPERATOR_HOLD_MS 250
-#define OPERATOR_SPREAD_MS 300
+/* A gateway that starts asks others for what they know before it reads the
+   store, in time for two heartbeats. Where nobody knows anything, the first to
+   read tells the others: they do not all begin at once. */
+#define HOLD_MS 250
+#define HOLD_SPREAD_MS 300
 #define ADDRESS_LIVES 3     /* callers keep an answer up to so many times */
 #define HOLD_ENGINE_MS 1200 /* until measured */
 #define HOLD_PLAIN_MS 50
@@ -144,8 +144,7 @@
         return;
     qr_client_tick(g->to_engines, now);
     qr_client_tick(g->to_store, now);
-    if (now >= g->operator_hold_ms)
-        qr_follower_tick(g->follow_operator, now);
+    qr_follower_tick(g->follow_operator, now);
     qr_follower_tick(g->follow_engines, now);
     qr_requests_tick(g, now);
     qr_relay_tick(g, now);
@@ -250,6 +249,8 @@
         g->to_store, g->platform, &operator, & qr_gateway_operator_handlers, g);
     g->follow_engines = qr_follower_new(g->to_store, g->platform, &engines,
                                         &qr_gateway_engines_handlers, g);
+    qr_follower_pause(g->follow_operator, true);
+    qr_follower_pause(g->follow_engines, true);
     qr_requests_follow(g);
 }
 
@@ -262,6 +263,16 @@
     g_free(s);
 }
 
+/* Others ask us first: there is nobody to wait for. */
+static bool is_seed(const QRFleetSettings *set)
+{
+    for (unsigned i = 0; i < set->seeds->len; i++) {
+        if (strcmp(set->seeds->pdata[i], set->peers) == 0)
+            return true;
+    }
+    return set->seeds->len == 0;
+}
+
 static void gateway_init(QRGateway *g, const char *file, QRFleetSettings *set)
 {
     memset(g, 0, sizeof(*g));
@@ -281,9 +292,11 @@
     g->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
     g->random = g->incarnation;
     g->started_ms = qr_clock_ms(g->loop);
-    g->operator_hold_ms =
-        g->started_ms + OPERATOR_HOLD_MS +
-        qr_hash_str(set->host, g->incarnation) % OPERATOR_SPREAD_MS;
+    g->reading_rests = true;
+    g->hold_ms = is_seed(set) ? g->started_ms
+                              : g->started_ms + HOLD_MS +
+                                    qr_hash_str(set->host, g->incarnation) %
+                                        HOLD_SPREAD_MS;
     qr_operator_init(&g->operator, g->platform, qr_gateway_operator_news, g);
     qr_engines_init(&g->engines);
     g->engine_changes = qr_gateway_changes_new();
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -45,22 +45,25 @@
     const QRPlatform *platform;
     QROperator operator;
     QREngines engines;
-    bool engines_known;           /* a whole listing was taken */
+    bool engines_known; /* a whole listing was taken, or told by another */
     uint64_t engines_regained_ms; /* the store was away until then; 0: long ago
                                    */
     /* records of the store shared among gateways: see qr_gateway_share.c */
     GHashTable *engine_changes;                     /* id -> last change */
     uint64_t engines_changed, engines_changed_told; /* offset of the last one */
-    uint64_t engines_since;     /* all changes from that offset on are known */
-    bool reading_rests;         /* others read the store for us */
-    uint64_t engines_seen;      /* offset of the last change heard from them */
-    uint64_t engines_asked_ms;  /* when a reader was asked last */
-    uint64_t engines_unseen_ms; /* since when others know more; 0: they do not
-                                 */
-    uint64_t readers_since_ms;  /* others read in our place; 0: they do not */
-    uint64_t readers_lack_ms;   /* since when too few do; 0: enough do */
-    uint64_t operator_told;     /* the last offset that was told to others */
-    uint64_t operator_hold_ms;  /* others may tell us until then: not read */
+    uint64_t engines_since;    /* all changes from that offset on are known */
+    bool reading_rests;        /* others read the store for us */
+    uint64_t engines_seen;     /* offset of the last change heard from them */
+    uint64_t engines_asked_ms; /* when a reader was asked last */
+    uint64_t
+        confirm_ms; /* when others are asked next which engines of the first
+                       listing were heard of since; 0: not any more */
+    uint64_t engines_unseen_ms;   /* since when others know more; 0: they do not
+                                   */
+    uint64_t readers_since_ms;    /* others read in our place; 0: they do not */
+    uint64_t readers_lack_ms;     /* since when too few do; 0: enough do */
+    uint64_t operator_told;       /* the last offset that was told to others */
+    uint64_t hold_ms;             /* others may tell us until then: not read */
     uint64_t operator_current_ms; /* when we last were sure to know all of the
                                      operator's records; 0: not yet */
     uint64_t others_read_ms;    /* when the store first answered another gateway
@@ -131,6 +134,9 @@
  * nothing to ask on.
  */
 bool qr_gateway_is_untold(const QRGateway *g, uint64_t now_ms);
+/* Gateways of our region that ask other regions for 'what' before we do. */
+unsigned qr_gateway_near_before(const QRGateway *g, uint64_t what,
+                                uint64_t now_ms);
 /* Gateways that are known and stay, this one too. */
 unsigned qr_gateway_count(const QRGateway *g);
 /* Asks one that knows more gateways, when due. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -225,13 +225,26 @@
             g_hash_table_size(keys), gone->len);
 }
 
+/* Whether our own reading would have shown which records are back; else it is
+   made to. */
+static bool lapse_is_read(QRGateway *g)
+{
+    uint64_t due = g->engines_regained_ms + LAPSE_MS;
+
+    if (g->reading_rests || !qr_follower_reached(g->follow_engines) ||
+        qr_follower_answered_ms(g->follow_engines) >= due)
+        return true;
+    qr_follower_pause(g->follow_engines, false);
+    return false;
+}
+
 void qr_gateway_check_lapsed(QRGateway *g)
 {
     g_autoptr(GPtrArray) late = g_ptr_array_new();
     GHashTableIter it;
     void *value;
 
-    if (g->engines_regained_ms == 0 || may_have_lapsed(g))
+    if (g->engines_regained_ms == 0 || may_have_lapsed(g) || !lapse_is_read(g))
         return;
     g_hash_table_iter_init(&it, g->engines.by_id);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -40,12 +40,12 @@
     return g_strcmp0(m->region, g->set->region) == 0;
 }
 
-/* Gateways of our region that ask other regions before we do. */
-static unsigned near_before(const QRGateway *g, uint64_t now_ms)
+unsigned qr_gateway_near_before(const QRGateway *g, uint64_t what,
+                                uint64_t now_ms)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
-    uint64_t own = qr_hash_str(g->set->host, g->operator.end);
+    uint64_t own = qr_hash_str(g->set->host, what);
     unsigned n = 0;
 
     for (unsigned i = 0; i < list->len; i++) {
@@ -53,16 +53,21 @@
 
         n += is_near(g, m) &&
              qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms) &&
-             qr_hash_str(m->name, g->operator.end) < own;
+             qr_hash_str(m->name, what) < own;
     }
     return n;
 }
 
+static uint64_t far_turn_ms(const QRGateway *g, uint64_t now_ms)
+{
+    return (uint64_t)qr_gateway_near_before(g, g->operator.end, now_ms) *
+           FAR_TURN_MS;
+}
+
 bool qr_gateway_is_untold(const QRGateway *g, uint64_t now_ms)
 {
     return g->behind_ms > 0 &&
-           now_ms >= g->behind_ms + UNTOLD_MOST_MS +
-                         (uint64_t)near_before(g, now_ms) * FAR_TURN_MS;
+           now_ms >= g->behind_ms + UNTOLD_MOST_MS + far_turn_ms(g, now_ms);
 }
 
 /* How gladly a gateway is asked: the nearer, then any, by turns. */
@@ -151,7 +156,7 @@
         return;
     }
     if (is_near(g, qr_peer_data(teller)) ||
-        now_ms >= due + near_before(g, now_ms) * FAR_TURN_MS)
+        now_ms >= due + far_turn_ms(g, now_ms))
         ask_teller(g, teller, now_ms);
 }
 
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -17,10 +17,16 @@
 
 #define READERS 2
 /* A reading answered so long ago is not fresh: one read may be lost (a read
-   each 500 ms, given up after 800). */
-#define FRESH_MS 1500
+   each second, given up after 800 ms and tried again after 200). */
+#define FRESH_MS 2100
 #define PAUSE_AFTER_MS 1500 /* there have been two readers for so long */
 #define ASK_AGAIN_MS 150
+#define ASK_ALL_AGAIN_MS 500
+#define ASK_ALL_TURN_MS 100  /* between two of a region that ask another one */
+#define UNKNOWN_MOST_MS 1500 /* nobody told us the engines: we list them */
+/* For an engine that lives to write its record again, and for readers to see
+   it. */
+#define CONFIRM_MS 2200
 #define TURN_MS 250 /* between two that begin to read for want of others */
 #define UNSEEN_MOST_MS 500 /* a change that no reader tells us for so long */
 #define FORGET_MS 600000   /* engines that are gone */
@@ -105,9 +111,14 @@
 typedef bool (*MemberTest)(const QRGateway *g, const QRFleetMember *m,
                            uint64_t now_ms);
 
-/* Gateways of which 'test' is true that come before us in the order. */
-static unsigned count_before(const QRGateway *g, MemberTest test,
-                             uint64_t now_ms)
+static bool is_before(const QRGateway *g, const QRFleetMember *m)
+{
+    return rank(m->name) < rank(g->set->host);
+}
+
+/* Gateways of which 'test' is true; those before us in the order, or all. */
+static unsigned count_of(const QRGateway *g, MemberTest test, bool all,
+                         uint64_t now_ms)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
@@ -116,7 +127,7 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        n += test(g, m, now_ms) && rank(m->name) < rank(g->set->host);
+        n += test(g, m, now_ms) && (all || is_before(g, m));
     }
     return n;
 }
@@ -124,10 +135,11 @@
 /* Too few read: is it for us to begin? */
 static bool is_our_turn(const QRGateway *g, uint64_t now_ms)
 {
-    unsigned before = count_before(g, is_alive, now_ms);
+    unsigned before = count_of(g, is_alive, false, now_ms);
 
-    return before < READERS ||
-           now_ms >= g->readers_lack_ms + (before - READERS + 1) * TURN_MS;
+    return now_ms >= g->hold_ms &&
+           (before < READERS ||
+            now_ms >= g->readers_lack_ms + (before - READERS + 1) * TURN_MS);
 }
 
 /* Offset of the last change of engines' records that we know of. */
@@ -175,9 +187,20 @@
     set_reading(g, false);
 }
 
+/*
+ * Whether others read in our place: those before us in the order, or any while
+ * the store does not answer us.
+ */
+static bool others_read(const QRGateway *g, uint64_t now_ms)
+{
+    bool all = !is_reading_fresh(g, now_ms);
+
+    return count_of(g, is_fresh, all, now_ms) >= READERS;
+}
+
 static void choose_reading(QRGateway *g, uint64_t now_ms)
 {
-    if (count_before(g, is_fresh, now_ms) >= READERS) {
+    if (others_read(g, now_ms)) {
         g->readers_lack_ms = 0;
         choose_rest(g, now_ms);
         return;
@@ -190,42 +213,106 @@
 }
 
 /*
- * The connection of a fresh reader that knows of a change we have not seen, and
- * of all since what we have: one that has just started listed what is there,
- * and does not know what went before.
+ * Whether 'm' can tell what we lack: a fresh reader that knows of a change we
+ * have not seen, and of all since what we have. One that has just started
+ * listed what is there, and does not know what went before.
  */
-static QRPeerConn *choose_reader(const QRGateway *g, uint64_t now_ms)
+static bool can_tell_changes(const QRGateway *g, const QRFleetMember *m,
+                             uint64_t now_ms)
 {
-    QRPeerConn *best = NULL;
     uint64_t known = seen(g);
 
+    return is_fresh(g, m, now_ms) && m->engines_changed > known &&
+           m->engines_since <= known + 1;
+}
+
+/* Whether 'm' can tell us all engines: any that knows them. */
+static bool can_tell_all(const QRGateway *g, const QRFleetMember *m,
+                         uint64_t now_ms)
+{
+    return m->engines_changed > 0 && is_alive(g, m, now_ms);
+}
+
+static bool is_near(const QRGateway *g, const QRFleetMember *m)
+{
+    return g_strcmp0(m->region, g->set->region) == 0;
+}
+
+/* The connection of a gateway that passes 'test', of our region if any does. */
+static QRPeerConn *choose_teller(const QRGateway *g, MemberTest test,
+                                 uint64_t now_ms)
+{
+    QRPeerConn *best = NULL;
+    bool best_is_near = false;
+
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *m = qr_peer_data(g->followers->pdata[i]);
 
-        if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 ||
-            !is_fresh(g, m, now_ms) || m->engines_changed <= known ||
-            m->engines_since > known + 1)
+        if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 || !test(g, m, now_ms))
+            continue;
+        if (best && (best_is_near || !is_near(g, m)))
             continue;
-        if (!best || g_strcmp0(m->region, g->set->region) == 0)
-            best = g->followers->pdata[i];
+        best = g->followers->pdata[i];
+        best_is_near = is_near(g, m);
     }
     return best;
 }
 
-static void ask_reader(QRGateway *g, uint64_t now_ms)
+static void ask_from(QRGateway *g, QRPeerConn *teller, uint64_t offset,
+                     uint64_t now_ms)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
-    QRPeerConn *reader = choose_reader(g, now_ms);
 
-    if (!reader || now_ms < g->engines_asked_ms + ASK_AGAIN_MS)
-        return;
     g->engines_asked_ms = now_ms;
-    fetch.offset = seen(g); /* once more: two may share an offset */
+    fetch.offset = offset;
     fetch.engines = true;
     frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
     frame.fetch = &fetch;
-    qr_peer_send(reader, &frame);
+    qr_peer_send(teller, &frame);
+}
+
+static void ask_changes(QRGateway *g, uint64_t now_ms)
+{
+    QRPeerConn *teller = choose_teller(g, can_tell_changes, now_ms);
+
+    /* from the last one on: two may share an offset */
+    if (teller && now_ms >= g->engines_asked_ms + ASK_AGAIN_MS)
+        ask_from(g, teller, seen(g), now_ms);
+}
+
+/*
+ * The list of all engines is long, too: it crosses the link to another region
+ * for the first gateway here that asks, and for the next ones only when nobody
+ * near knows it after a moment.
+ */
+static void ask_all(QRGateway *g, uint64_t now_ms)
+{
+    QRPeerConn *teller = choose_teller(g, can_tell_all, now_ms);
+    uint64_t turn = (uint64_t)qr_gateway_near_before(g, 0, now_ms);
+
+    if (!teller || now_ms < g->engines_asked_ms + ASK_ALL_AGAIN_MS)
+        return;
+    if (is_near(g, qr_peer_data(teller)) ||
+        now_ms >= g->started_ms + turn * ASK_ALL_TURN_MS)
+        ask_from(g, teller, 0, now_ms);
+}
+
+/* Engines of the first listing of which nothing was heard since may have ended
+   before it. Those that live write their record again, and readers see that. */
+static void ask_confirmed(QRGateway *g, uint64_t now_ms)
+{
+    QRPeerConn *teller;
+
+    if (g->confirm_ms == 0 || now_ms < g->confirm_ms)
+        return;
+    g->confirm_ms = 0;
+    if (!qr_engines_any_unconfirmed(&g->engines))
+        return;
+    teller = choose_teller(g, is_fresh, now_ms);
+    g->confirm_ms = now_ms + CONFIRM_MS;
+    if (teller)
+        ask_from(g, teller, 0, now_ms);
 }
 
 /* Whether a gateway knows of a change that has not been told us for long. */
@@ -235,6 +322,8 @@
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
     bool unseen = false;
 
+    if (!g->engines_known)
+        return now_ms >= g->hold_ms + UNKNOWN_MOST_MS;
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
@@ -326,9 +415,13 @@
         is_alone(g, now_ms))
         g->alone_ms = now_ms;
     /* a reading that the store does not answer is no reason to know less */
-    if (is_reading_fresh(g, now_ms) || !g->engines_known)
+    if (is_reading_fresh(g, now_ms))
         return;
-    ask_reader(g, now_ms);
+    if (!g->engines_known)
+        ask_all(g, now_ms);
+    else
+        ask_changes(g, now_ms);
+    ask_confirmed(g, now_ms);
     if (g->reading_rests &&
         (is_left_out(g, now_ms) || qr_gateway_is_untold(g, now_ms))) {
         g->readers_since_ms = g->engines_unseen_ms = 0;
@@ -352,8 +445,12 @@
     if (load->operator_age_ms > 0 && sent > load->operator_age_ms &&
         load->control_offset <= g->operator.end)
         note_current(g, sent - load->operator_age_ms);
-    if (g->engines_known && !is_reading_fresh(g, now))
-        ask_reader(g, now);
+    if (is_reading_fresh(g, now))
+        return;
+    if (!g->engines_known)
+        ask_all(g, now);
+    else
+        ask_changes(g, now);
 }
 
 bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load)
@@ -387,6 +484,7 @@
     g_hash_table_iter_init(&it, g->engine_changes);
     while (g_hash_table_iter_next(&it, &key, &value)) {
         const EngineChange *c = value;
+        const QREngine *e = qr_engines_get(&g->engines, key);
         Qr__Fleet__Record *r;
         gsize len;
 
@@ -398,6 +496,7 @@
         r->value.data = (uint8_t *)g_bytes_get_data(c->value, &len);
         r->value.len = len;
         r->offset = c->offset;
+        r->confirmed = e && !e->unconfirmed;
         g_ptr_array_add(list, r);
     }
     records.records = (Qr__Fleet__Record **)list->pdata;
@@ -409,20 +508,37 @@
     qr_peer_send(peer, &frame);
 }
 
+/* A record says of an engine that it lives, unless it is one of the first list
+   that is known already, or comes with it. */
+static void take_told(QRGateway *g, const Qr__Fleet__Record *told)
+{
+    const EngineChange *c = g_hash_table_lookup(g->engine_changes, told->key);
+    g_autoptr(GBytes) value = g_bytes_new(told->value.data, told->value.len);
+    QRStoreRecord r = {told->key, value, told->offset};
+    QREngine *e = qr_engines_get(&g->engines, told->key);
+    bool was_unconfirmed = e ? e->unconfirmed : true;
+    bool is_listed = !g->engines_known || (c && c->offset == told->offset);
+
+    qr_gateway_engine_record(g, &r);
+    e = qr_engines_get(&g->engines, told->key);
+    if (e && is_listed)
+        e->unconfirmed = was_unconfirmed && !told->confirmed;
+}
+
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records)
 {
-    for (size_t i = 0; i < records->n_records; i++) {
-        const Qr__Fleet__Record *told = records->records[i];
-        QRStoreRecord r = {told->key, NULL, told->offset};
-
-        r.value = g_bytes_new(told->value.data, told->value.len);
-        qr_gateway_engine_record(g, &r);
-        g_bytes_unref(r.value);
-    }
+    for (size_t i = 0; i < records->n_records; i++)
+        take_told(g, records->records[i]);
     qr_logf(QR_LEVEL_INFO, "engines",
             "told by=%s records=%zu seen=%" G_GUINT64_FORMAT
-            " end=%" G_GUINT64_FORMAT,
-            from->name, records->n_records, g->engines_seen, records->end);
+            " end=%" G_GUINT64_FORMAT " all=%d",
+            from->name, records->n_records, g->engines_seen, records->end,
+            !g->engines_known);
     g->engines_seen = MAX(g->engines_seen, records->end);
+    if (g->engines_known || records->end == 0)
+        return;
+    g->engines_known = true;
+    g->engines_since = from->engines_since;
+    g->confirm_ms = qr_gateway_now(g) + CONFIRM_MS;
 }
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1487,7 +1487,7 @@
   (ProtobufCMessageInit) qr__fleet__earlier_version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[8] =
 {
   {
     "key",
@@ -1573,9 +1573,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirmed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Record, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__record__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  7,   /* field[7] = confirmed */
   6,   /* field[6] = earlier */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
@@ -1586,7 +1599,7 @@
 static const ProtobufCIntRange qr__fleet__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qr__fleet__record__descriptor =
 {
@@ -1596,7 +1609,7 @@
   "Qr__Fleet__Record",
   "qr.fleet",
   sizeof(Qr__Fleet__Record),
-  7,
+  8,
   qr__fleet__record__field_descriptors,
   qr__fleet__record__field_indices_by_name,
   1,  qr__fleet__record__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -282,10 +282,14 @@
    */
   size_t n_earlier;
   Qr__Fleet__EarlierVersion **earlier;
+  /*
+   * an engine's: heard of since the sender listed all
+   */
+  protobuf_c_boolean confirmed;
 };
 #define QR__FLEET__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0, 0,NULL, 0 }
 
 
 struct  Qr__Fleet__Records
