Calls wait for the first configuration, and for engines that finish an order

A gateway younger than 3 s keeps them for a third of the caller's time, 1.2 s at most; so does a call that finds no engine, if some are about to finish an order.

--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -94,6 +94,12 @@
     return in->now_ms >= e->ejected_until_ms && !e->trial;
 }
 
+/* Its sidecar has ordered it to start a version, or is about to. */
+static bool is_switching(const QREngine *e)
+{
+    return !e->gone && !e->record->draining && e->told && e->told_switching;
+}
+
 static double distance_ms(const QREngine *e, const QRBalanceInput *in)
 {
     const char *region;
@@ -290,8 +296,10 @@
     for (unsigned i = 0; list && i < list->len; i++) {
         Candidate x = {.engine = list->pdata[i]};
 
-        if (!is_usable(x.engine, in))
+        if (!is_usable(x.engine, in)) {
+            c.switching += is_switching(x.engine);
             continue;
+        }
         x.forecast = forecast(x.engine, in);
         c.usable++;
         c.open += MIN(x.forecast.open, x.forecast.slots);
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -11,6 +11,7 @@
 #define SLOW_TICK_MS 100
 #define STOOD_STILL_MS 150 /* between two ticks, which come every 20 */
 #define SWEEP_MS 2000
+#define STARTING_MS 3000  /* for seeds that start last, and sidecars to dial */
 #define END_MARGIN_MS 400 /* of the grace time, kept for the end itself */
 #define RESERVED_DESCRIPTORS 200
 /* A gateway that starts asks others for what they know before it reads the
@@ -32,6 +33,12 @@
     return g->stopping_ms == 0 && g->operator.policy && g->engines_known;
 }
 
+bool qr_gateway_is_starting(const QRGateway *g)
+{
+    return g->stopping_ms == 0 &&
+           qr_gateway_now(g) < g->started_ms + STARTING_MS;
+}
+
 QRServiceStats *qr_gateway_stats(QRGateway *g, const char *service)
 {
     QRServiceStats *s = g_hash_table_lookup(g->services, service);
@@ -147,6 +154,7 @@
     qr_follower_tick(g->follow_operator, now);
     qr_follower_tick(g->follow_engines, now);
     qr_requests_tick(g, now);
+    qr_early_tick(g, now);
     qr_relay_tick(g, now);
     qr_gateway_slots_tick(g);
     if (now >= g->heartbeat_ms) {
@@ -286,6 +294,7 @@
     g->followers = g_ptr_array_new();
     g->sidecars = g_ptr_array_new();
     g->relays = g_ptr_array_new();
+    g_queue_init(&g->early);
     g->slot_calls = g_hash_table_new(NULL, NULL);
     g->slots_untold = g_ptr_array_new_with_free_func(g_free);
     g->slots_kept = qr_gateway_slots_kept_new();
@@ -332,6 +341,7 @@
     qr_follower_free(g->follow_operator);
     qr_follower_free(g->follow_engines);
     qr_requests_unfollow(g);
+    qr_early_refuse_all(g);
     while (g->relays->len > 0)
         qr_relay_stop(g->relays->pdata[0]);
     qr_client_close(g->to_engines);
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -19,6 +19,7 @@
 #include "qr_budget.h"
 #include "qr_counters.h"
 #include "qr_deadlines.h"
+#include "qr_early.h"
 #include "qr_requests.h"
 
 #include <uv.h>
@@ -81,6 +82,7 @@
     GPtrArray *followers; /* QRPeerConn *: sidecars that asked to be told */
     GPtrArray *sidecars;  /* QRPeerConn *: all that dialled us */
     GPtrArray *relays;    /* QRRelay *: calls under way */
+    GQueue early;         /* QREarlyCall *: see qr_early.h */
     QRCounters counters;
     uv_timer_t timer;
     uv_signal_t sigterm, sigint, sighup;
@@ -231,6 +233,10 @@
 /* Tells what we hold where that has changed. */
 void qr_gateway_slots_tick(QRGateway *g);
 bool qr_gateway_is_ready(const QRGateway *g);
+/* It started a moment ago, and may still learn what others know. */
+bool qr_gateway_is_starting(const QRGateway *g);
+/* Lets a whole request in, or refuses it. */
+void qr_gateway_take_call(QRGateway *g, QRExchange *x);
 /* Applies the limits that the configuration sets to callers. */
 void qr_gateway_apply_limits(QRGateway *g);
 QRServiceStats *qr_gateway_stats(QRGateway *g, const char *service);
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -97,14 +97,12 @@
     qr_relay_own_answer(x, status, retry_ms);
 }
 
-static void callers_request(void *owner, QRExchange *x)
+void qr_gateway_take_call(QRGateway *g, QRExchange *x)
 {
     static const char *const whys[] = {"", "malformed", "no route", "no key"};
-    QRGateway *g = owner;
     QRRelayCall call;
     CallFault fault;
 
-    g->counters.counts[QR_COUNTER_calls]++;
     if (!g->operator.policy) {
         refuse(g, x, 503, qr_relay_come_back_ms(g, true),
                QR_COUNTER_refused_unready, "no configuration yet");
@@ -122,13 +120,33 @@
         qr_relay_start(g, x, &call);
 }
 
+/* When a caller will wait no longer, as far as it says. */
+static uint32_t deadline_of(const QRGateway *g, QRExchange *x)
+{
+    const char *text = qr_headers_get(qr_exchange_headers(x),
+                                      g->platform->headers.deadline_ms);
+    uint32_t ms;
+
+    return text && parse_ms(text, &ms) ? ms : DEADLINE_MOST_MS;
+}
+
+static void callers_request(void *owner, QRExchange *x)
+{
+    QRGateway *g = owner;
+
+    g->counters.counts[QR_COUNTER_calls]++;
+    if (g->operator.policy || !qr_early_add(g, x, deadline_of(g, x)))
+        qr_gateway_take_call(g, x);
+}
+
 static void callers_gone(void *owner, QRExchange *x, const char *why)
 {
     QRRelay *r = qr_exchange_data(x);
 
-    (void)owner;
     if (r)
         qr_relay_gone(r, why);
+    else
+        qr_early_gone(owner, x);
 }
 
 const QRServerHandlers qr_gateway_callers_handlers = {callers_request,
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -15,6 +15,10 @@
    bound is cut there, and a stream has no further try. A first byte takes 0.1
    to 0.6 s, 1.6 s on a fleet that is full. */
 #define REST_MARGIN_MS 2500
+/* For a gateway that starts to learn of engines, or for an engine to start the
+   version that lies staged; and no more than a part of the caller's time. */
+#define ENGINES_WAIT_MS 1200
+#define ENGINES_WAIT_PART 3
 /* So long before it, none to such engines whose sidecar is not heard. */
 #define QUIET_MARGIN_MS 4000
 
@@ -217,19 +221,45 @@
     return r->late ? &stats->late_waiting : &stats->waiting;
 }
 
-/* No engine has room: waits for a moment, then is told to come back. */
+static void wait_in_line(QRRelay *r)
+{
+    if (r->waiting)
+        return;
+    r->waiting = true;
+    qr_relay_count(r->g, QR_COUNTER_waited);
+    g_queue_push_tail(qr_relay_queue(r), r);
+}
+
+/*
+ * No engine can serve now, but some will in a moment: they are being switched,
+ * or this gateway has just started and still learns of them. Who is refused
+ * then has one try less, and comes back when all is over.
+ */
+static bool waits_for_engines(QRRelay *r, const QRBalanceChoice *c,
+                              uint64_t now_ms)
+{
+    uint64_t most =
+        MIN(ENGINES_WAIT_MS, (r->final_ms - r->arrived_ms) / ENGINES_WAIT_PART);
+
+    if (c->usable > 0 || now_ms >= r->arrived_ms + most ||
+        (c->switching == 0 && !qr_gateway_is_starting(r->g)))
+        return false;
+    if (!r->late) {
+        /* those who can still be answered in time go first */
+        qr_relay_unwait(r);
+        r->late = true;
+    }
+    return true;
+}
+
 void qr_relay_wait(QRRelay *r, const QRBalanceChoice *c)
 {
     QRServiceStats *stats = qr_gateway_stats(r->g, r->service);
     uint64_t now = qr_gateway_now(r->g);
     char why[96];
 
-    if (now < r->wait_until_ms) {
-        if (!r->waiting) {
-            r->waiting = true;
-            qr_relay_count(r->g, QR_COUNTER_waited);
-            g_queue_push_tail(qr_relay_queue(r), r);
-        }
+    if (now < r->wait_until_ms || waits_for_engines(r, c, now)) {
+        wait_in_line(r);
         return;
     }
     qr_relay_unwait(r);
