--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -88,6 +88,7 @@
    are under way keep what they hold there until they end. */
 static void forget_run(QREngine *e)
 {
+    e->ended = false;
     e->told = e->told_switching = e->told_unreachable = false;
     e->told_slow_link = e->trial = false;
     e->told_version = e->told_ms = 0;
@@ -182,6 +183,7 @@
 
 QREngine *qr_engines_at(const QREngines *t, const char *address)
 {
+    QREngine *latest = NULL;
     GHashTableIter it;
     void *value;
 
@@ -189,10 +191,32 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         QREngine *e = value;
 
-        if (!e->gone && strcmp(e->record->address, address) == 0)
-            return e;
+        if (e->gone || e->ended || strcmp(e->record->address, address) != 0)
+            continue;
+        if (!latest || e->offset > latest->offset)
+            latest = e;
     }
-    return NULL;
+    return latest;
+}
+
+unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed)
+{
+    GHashTableIter it;
+    void *value;
+    unsigned n = 0;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QREngine *e = value;
+        QREngine *earlier = e->offset < changed->offset ? e : changed;
+
+        if (e == changed || e->gone || e->ended || changed->ended ||
+            strcmp(e->record->address, changed->record->address) != 0)
+            continue;
+        earlier->ended = true;
+        n++;
+    }
+    return n;
 }
 
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service)
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -53,9 +53,11 @@
 typedef struct QREngine {
     QREngineRecord *record;
     uint64_t heard_ms;  /* when the record last changed here */
+    uint64_t offset;    /* of its newest record; 0: none seen */
     bool gone;          /* no record any more; no new calls */
     uint64_t lapsed_ms; /* its record went while the store was away; 0: no */
     bool unreadable;    /* its newest record is none: no new calls */
+    bool ended;         /* a later run is at its address: no new calls */
     bool unconfirmed;   /* from our first listing, and nothing heard since: it
                            may have ended long ago */
     unsigned own;       /* calls that we have open there */
@@ -95,8 +97,14 @@
 /* Ids of those that are not gone and not among 'ids' (a set); borrowed. */
 GPtrArray *qr_engines_missing(const QREngines *t, GHashTable *ids);
 QREngine *qr_engines_get(const QREngines *t, const char *id);
-/* The live engine at an address, or NULL. */
+/* The engine at an address, whose record was written last there; or NULL. */
 QREngine *qr_engines_at(const QREngines *t, const char *address);
+/*
+ * Of all records with the address of 'changed' only the one that was written
+ * last is of an engine that runs: the others stand in the store until their
+ * leases run out. Returns how many engines have ended.
+ */
+unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed);
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
 /* Whether an engine that is not gone was not heard of since our first listing.
  */
--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -341,6 +341,15 @@
     f->offset = MAX(f->offset, offset);
 }
 
+void qr_follower_set_interval(QRFollower *f, unsigned interval_ms)
+{
+    if (interval_ms == f->options.interval_ms)
+        return;
+    f->options.interval_ms = interval_ms;
+    /* a longer pause that has begun is cut short */
+    f->next_ms = MIN(f->next_ms, f->now_ms + interval_ms);
+}
+
 void qr_follower_pause(QRFollower *f, bool paused)
 {
     f->paused = paused;
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -60,6 +60,8 @@
 void qr_follower_skip(QRFollower *f, uint64_t offset);
 /* Stops reading, or goes on with a read at once. */
 void qr_follower_pause(QRFollower *f, bool paused);
+/* Between two reads from now on. */
+void qr_follower_set_interval(QRFollower *f, unsigned interval_ms);
 /* Lists all anew, at once. */
 void qr_follower_restart(QRFollower *f);
 uint64_t qr_follower_calls(const QRFollower *f);
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -74,11 +74,16 @@
     return !e->told || now_ms > e->told_ms + QUIET_MS;
 }
 
+static bool is_running(const QREngine *e)
+{
+    return !e->gone && !e->ended && !e->unreadable && !e->record->draining;
+}
+
 static bool is_usable(const QREngine *e, const QRBalanceInput *in)
 {
     uint64_t version;
 
-    if (e->gone || e->unreadable || e->record->draining)
+    if (!is_running(e))
         return false;
     if (needs_weights(in)) {
         version = qr_engine_version(e);
@@ -94,12 +99,6 @@
     return in->now_ms >= e->ejected_until_ms && !e->trial;
 }
 
-/* Its sidecar has ordered it to start a version, or is about to. */
-static bool is_switching(const QREngine *e)
-{
-    return !e->gone && !e->record->draining && e->told && e->told_switching;
-}
-
 static double distance_ms(const QREngine *e, const QRBalanceInput *in)
 {
     const char *region;
@@ -297,7 +296,9 @@
         Candidate x = {.engine = list->pdata[i]};
 
         if (!is_usable(x.engine, in)) {
-            c.switching += is_switching(x.engine);
+            c.coming += is_running(x.engine);
+            c.switching += is_running(x.engine) && x.engine->told &&
+                           x.engine->told_switching;
             continue;
         }
         x.forecast = forecast(x.engine, in);
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -34,7 +34,8 @@
 typedef struct QRBalanceChoice {
     QREngine *engine;      /* NULL: none has room in time */
     unsigned usable;       /* engines that may serve at all */
-    unsigned switching;    /* others that will, once their order is done */
+    unsigned coming;       /* others that run, and may serve later */
+    unsigned switching;    /* of these, those that only finish an order */
     unsigned open, places; /* calls open at all of them, and slots */
     double predicted_ms;   /* to the first byte, of the best one */
     double gap_ms;         /* longest pause that others would see there */
--- a/src/gateway/qr_early.c
+++ b/src/gateway/qr_early.c
@@ -28,7 +28,7 @@
     for (unsigned n = g->early.length; n > 0 && g->early.length > 0; n--) {
         QREarlyCall *c = g_queue_pop_head(&g->early);
 
-        if (!g->operator.policy && now_ms < c->until_ms) {
+        if (!g->operator.policy && now_ms<c->until_ms) {
             g_queue_push_tail(&g->early, c);
             continue;
         }
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -15,10 +15,10 @@
 #define END_MARGIN_MS 400 /* of the grace time, kept for the end itself */
 #define RESERVED_DESCRIPTORS 200
 /* A gateway that starts asks others for what they know before it reads the
-   store, in time for two heartbeats. Where nobody knows anything, the first to
-   read tells the others: they do not all begin at once. */
-#define HOLD_MS 250
-#define HOLD_SPREAD_MS 300
+   store, in time for seeds that start last. Where nobody knows anything, the
+   first to read tells the others: they do not all begin at once. */
+#define HOLD_MS 400
+#define HOLD_SPREAD_MS 400
 #define ADDRESS_LIVES 3     /* callers keep an answer up to so many times */
 #define HOLD_ENGINE_MS 1200 /* until measured */
 #define HOLD_PLAIN_MS 50
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -59,6 +59,7 @@
     uint64_t
         confirm_ms; /* when others are asked next which engines of the first
                        listing were heard of since; 0: not any more */
+    uint64_t hurry_until_ms;      /* see qr_gateway_share_hurry() */
     uint64_t engines_unseen_ms;   /* since when others know more; 0: they do not
                                    */
     uint64_t readers_since_ms;    /* others read in our place; 0: they do not */
@@ -160,6 +161,9 @@
                                    uint64_t offset);
 /* Decides who reads the store, and asks for what readers know. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
+/* Engines that have started are not known yet: who reads their records does so
+   more often for a while. */
+void qr_gateway_share_hurry(QRGateway *g);
 void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
                            const Qr__Fleet__Load *load);
 /* When a frame that is read now was sent at the earliest: while this process
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -172,6 +172,8 @@
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
     QREngineRecord *record;
+    QREngine *e;
+    bool was_unconfirmed;
     const char *change;
 
     if (len == 0) {
@@ -187,9 +189,21 @@
         engine_unreadable(g, r, &findings);
         return;
     }
+    e = qr_engines_get(&g->engines, record->id);
+    was_unconfirmed = e ? e->unconfirmed : !g->engines_known;
     change = qr_engines_record(&g->engines, record, qr_gateway_now(g));
-    if (!g->engines_known)
-        qr_engines_get(&g->engines, record->id)->unconfirmed = true;
+    e = qr_engines_get(&g->engines, record->id);
+    /* only one that was written since our first listing says that it lives */
+    if (e->offset == 0 || r->offset <= e->offset)
+        e->unconfirmed = was_unconfirmed;
+    else
+        e->ended = false;
+    e->offset = MAX(e->offset, r->offset);
+    if (change && qr_engines_end_earlier(&g->engines, e) > 0)
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "ended earlier ones address=%s seen=%s "
+                "offset=%" G_GUINT64_FORMAT,
+                record->address, record->id, r->offset);
     if (g_strcmp0(change, QR_CHANGE_STARTED) == 0)
         qr_requests_engine_over(g, record->id);
     if (change) {
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -229,12 +229,38 @@
     }
 }
 
+/*
+ * The engine at the address has started anew, and says so to the process beside
+ * it; its record of before stands in the store until its lease runs out.
+ */
+static bool is_earlier_run(const QREngine *e,
+                           const Qr__Fleet__EngineState *state)
+{
+    return state->born_ms > 0 && e->record->born_ms > 0 &&
+           state->born_ms > e->record->born_ms;
+}
+
+static void earlier_run_ended(QRGateway *g, QREngine *e, uint64_t born_ms)
+{
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "ended engine=%s address=%s born_ms=%" G_GUINT64_FORMAT
+            " later_run_ms=%" G_GUINT64_FORMAT,
+            e->record->id, e->record->address, e->record->born_ms, born_ms);
+    e->ended = true;
+    qr_requests_engine_over(g, e->record->id);
+    qr_gateway_share_hurry(g);
+}
+
 static void engine_told(QRGateway *g, QRPeerConn *peer,
                         const Qr__Fleet__EngineState *state)
 {
     const QRFleetMember *member = qr_peer_data(peer);
     QREngine *e = qr_engines_at(&g->engines, state->engine_address);
 
+    while (e && is_earlier_run(e, state)) {
+        earlier_run_ended(g, e, state->born_ms);
+        e = qr_engines_at(&g->engines, state->engine_address);
+    }
     if (!e)
         return;
     if (!e->told || e->told_version != state->serving ||
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -27,6 +27,9 @@
 /* For an engine that lives to write its record again, and for readers to see
    it. */
 #define CONFIRM_MS 2200
+/* An engine that starts writes its record within two heartbeats or so. */
+#define HURRY_MS 250
+#define HURRY_FOR_MS 2500
 #define TURN_MS 250 /* between two that begin to read for want of others */
 #define UNSEEN_MOST_MS 500 /* a change that no reader tells us for so long */
 #define FORGET_MS 600000   /* engines that are gone */
@@ -230,7 +233,7 @@
 static bool can_tell_all(const QRGateway *g, const QRFleetMember *m,
                          uint64_t now_ms)
 {
-    return m->engines_changed > 0 && is_alive(g, m, now_ms);
+    return m->engines_since > 0 && is_alive(g, m, now_ms);
 }
 
 static bool is_near(const QRGateway *g, const QRFleetMember *m)
@@ -403,13 +406,24 @@
            g->alone_ms <= out.first_ms;
 }
 
+void qr_gateway_share_hurry(QRGateway *g)
+{
+    g->hurry_until_ms = qr_gateway_now(g) + HURRY_FOR_MS;
+}
+
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms)
 {
+    bool hurries =
+        now_ms < g->hurry_until_ms || now_ms < g->started_ms + HURRY_FOR_MS;
+
     if (is_late(g, now_ms)) {
         g->still_ms = g->shared_ms;
         g->woke_ms = now_ms;
     }
     g->shared_ms = now_ms;
+    qr_follower_set_interval(g->follow_engines,
+                             hurries ? HURRY_MS
+                                     : (unsigned)g->set->engines_poll_ms);
     choose_reading(g, now_ms);
     if (qr_follower_outage(g->follow_operator).first_ms > 0 &&
         is_alone(g, now_ms))
@@ -508,21 +522,16 @@
     qr_peer_send(peer, &frame);
 }
 
-/* A record says of an engine that it lives, unless it is one of the first list
-   that is known already, or comes with it. */
 static void take_told(QRGateway *g, const Qr__Fleet__Record *told)
 {
-    const EngineChange *c = g_hash_table_lookup(g->engine_changes, told->key);
     g_autoptr(GBytes) value = g_bytes_new(told->value.data, told->value.len);
     QRStoreRecord r = {told->key, value, told->offset};
-    QREngine *e = qr_engines_get(&g->engines, told->key);
-    bool was_unconfirmed = e ? e->unconfirmed : true;
-    bool is_listed = !g->engines_known || (c && c->offset == told->offset);
+    QREngine *e;
 
     qr_gateway_engine_record(g, &r);
     e = qr_engines_get(&g->engines, told->key);
-    if (e && is_listed)
-        e->unconfirmed = was_unconfirmed && !told->confirmed;
+    if (e && told->confirmed)
+        e->unconfirmed = false;
 }
 
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
@@ -536,7 +545,7 @@
             from->name, records->n_records, g->engines_seen, records->end,
             !g->engines_known);
     g->engines_seen = MAX(g->engines_seen, records->end);
-    if (g->engines_known || records->end == 0)
+    if (g->engines_known || from->engines_since == 0)
         return;
     g->engines_known = true;
     g->engines_since = from->engines_since;
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -241,8 +241,10 @@
     uint64_t most =
         MIN(ENGINES_WAIT_MS, (r->final_ms - r->arrived_ms) / ENGINES_WAIT_PART);
 
-    if (c->usable > 0 || now_ms >= r->arrived_ms + most ||
-        (c->switching == 0 && !qr_gateway_is_starting(r->g)))
+    bool soon =
+        c->switching > 0 || (c->coming > 0 && qr_gateway_is_starting(r->g));
+
+    if (c->usable > 0 || !soon || now_ms >= r->arrived_ms + most)
         return false;
     if (!r->late) {
         /* those who can still be answered in time go first */
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -80,7 +80,8 @@
 static void report_taken(QRSidecar *s, QREngineReport *new, bool reachable)
 {
     bool news = s->report_ms == 0 || reachable != s->reachable ||
-                new->version != s->report.version;
+                new->version != s->report.version ||
+                new->born_ms != s->report.born_ms;
 
     if (news)
         qr_logf(QR_LEVEL_INFO, "engine",
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -60,6 +60,7 @@
     state->switching = s->switching;
     state->slow_link = s->slow_told;
     state->reachable = s->reachable;
+    state->born_ms = s->report.born_ms;
     state->name = s->set->host;
 }
 
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1281,7 +1281,7 @@
   (ProtobufCMessageInit) qr__fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[11] =
 {
   {
     "engine_address",
@@ -1403,8 +1403,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EngineState, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__engine_state__field_indices_by_name[] = {
+  10,   /* field[10] = born_ms */
   0,   /* field[0] = engine_address */
   3,   /* field[3] = held */
   1,   /* field[1] = model */
@@ -1419,7 +1432,7 @@
 static const ProtobufCIntRange qr__fleet__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor qr__fleet__engine_state__descriptor =
 {
@@ -1429,7 +1442,7 @@
   "Qr__Fleet__EngineState",
   "qr.fleet",
   sizeof(Qr__Fleet__EngineState),
-  10,
+  11,
   qr__fleet__engine_state__field_descriptors,
   qr__fleet__engine_state__field_indices_by_name,
   1,  qr__fleet__engine_state__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -233,10 +233,14 @@
    */
   uint32_t others_open;
   uint32_t others_reading;
+  /*
+   * start of the engine's run, as it says; 0: it does not
+   */
+  uint64_t born_ms;
 };
 #define QR__FLEET__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -141,6 +141,7 @@
         self.calls = 0
         self.appends = 0  # records that processes wrote
         self.reads = {}  # topic -> calls
+        self.listings = {}  # topic -> those of them that list it
         self.page = 500  # records a page of a listing
         self.next_page = threading.Event()  # is answered once this is set
         self.next_page.set()
@@ -184,6 +185,7 @@
         answer_json(conn, {"offset": offset, "end": end})
 
     def newest(self, conn, topic, after):
+        self.listings[topic] = self.listings.get(topic, 0) + (not after)
         last = {}
         for offset, (key, data) in enumerate(self.records(topic)):
             last[key] = (offset, data)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -352,15 +352,18 @@
         def count(text):
             return [f.log(n).count(text) for n in names]
 
-        wait_for("two readers", lambda: sum(
-            count("engines: heard from other gateways")) >= 2)
+        def readers():
+            return (sum(count("engines: read from the store"))
+                    - sum(count("engines: heard from other gateways")))
+
+        wait_for("two readers", lambda: readers() == 2)
+        listed = sum(count("engines: listed"))
         f.store.take_down()
         f.store.put("keyed.servers", "p2", None)
-        wait_for("others to read", lambda: sum(
-            count("engines: read from the store")) >= 2)
+        wait_for("others to read", lambda: readers() == 4)
         f.store.bring_up()
         wait_for("the listings", lambda: sum(
-            count("engines: listed")) >= 6)
+            count("engines: listed")) >= listed + 2)
         wait_for("the engine to be gone", lambda: all(
             count("gone engine=p2")))
         f.store.put("keyed.servers", "p1", f.plain[1].record("draining"))
