Bounds rest while the store answers nobody, at gateways that only hear of it too

Cause: who rests its reading of the store learns of an outage only by what the readers say, and counted the bounds of versions on. In an outage all begin to read by turns of 250 ms, so most of 149 gateways never found out by themselves.

Now a gateway that hears others, and of no reading that was answered for 3 s, takes the store for away: bounds stop there, and begin anew when it is back.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -70,6 +70,8 @@
                                      operator's records; 0: not yet */
     uint64_t others_read_ms;    /* when the store first answered another gateway
                                    since it last failed to answer us */
+    uint64_t store_lost_ms;     /* since when it answers nobody that we hear; 0:
+                                   it does */
     uint64_t alone_ms;          /* when it failed us, and no other was heard */
     uint64_t shared_ms;         /* last tick of sharing */
     uint64_t still_ms, woke_ms; /* this process last stood still from, until */
@@ -173,6 +175,8 @@
 uint64_t qr_gateway_operator_current(const QRGateway *g);
 /* The outage that a read has just ended was one of the store. */
 bool qr_gateway_store_was_away(const QRGateway *g);
+/* Until when bounds of versions have run: not while the store is away. */
+uint64_t qr_gateway_bounds_run_to(const QRGateway *g, uint64_t now_ms);
 /* Fills our part of a heartbeat; whether others wait for it. */
 bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load);
 /* Answers a gateway that asked for changes from 'offset' on. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -68,24 +68,9 @@
     (void)keys; /* nothing of the operator's is ever taken back */
 }
 
-/* The store is back: was it away, bounds that ran then begin anew. */
-static void restart_bounds(QRGateway *g)
-{
-    QROutage out = qr_follower_outage(g->follow_operator);
-
-    if (out.first_ms == 0 || !qr_gateway_store_was_away(g))
-        return;
-    qr_operator_restart_bounds(&g->operator,(uint64_t) g->set->version_ms,
-                               out.first_ms, qr_gateway_now(g));
-    qr_logf(QR_LEVEL_INFO, "weights",
-            "bounds begin anew outage_ms=%" G_GUINT64_FORMAT,
-            qr_gateway_now(g) - out.first_ms);
-}
-
 static void operator_reached(void *owner, bool reached, const char *why)
 {
-    if (reached)
-        restart_bounds(owner);
+    (void)owner;
     qr_logf(reached ? QR_LEVEL_INFO : QR_LEVEL_WARN, "store",
             "%s topic=operator why=%s", reached ? "reached" : "lost", why);
 }
@@ -297,7 +282,9 @@
     uint64_t bound = (uint64_t)g->set->version_ms;
 
     bound -= MIN(bound, margin_ms);
-    return service ? qr_operator_version_due(
-                         &g->operator, service->engine.model, bound, now_ms)
-                   : 0;
+    return service
+               ? qr_operator_version_due(&g->operator, service->engine.model,
+                                         bound,
+                                         qr_gateway_bounds_run_to(g, now_ms))
+               : 0;
 }
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -27,6 +27,8 @@
 /* For an engine that lives to write its record again, and for readers to see
    it. */
 #define CONFIRM_MS 2200
+/* Longer than two readers that die are missed: a lease, and a turn each. */
+#define AWAY_LEAST_MS 3000
 /* An engine that starts writes its record within two heartbeats or so. */
 #define HURRY_MS 250
 #define HURRY_FOR_MS 2500
@@ -406,6 +408,42 @@
            g->alone_ms <= out.first_ms;
 }
 
+/* Not two readers that died, nor a lost read: the store itself. */
+static bool is_store_away(const QRGateway *g, uint64_t now_ms)
+{
+    return g->store_lost_ms > 0 && now_ms >= g->store_lost_ms + AWAY_LEAST_MS;
+}
+
+uint64_t qr_gateway_bounds_run_to(const QRGateway *g, uint64_t now_ms)
+{
+    return is_store_away(g, now_ms) ? g->store_lost_ms : now_ms;
+}
+
+/*
+ * Whether the store answers any gateway that we hear. Once it does so again,
+ * bounds that were running begin anew: nobody could be told of a version, nor
+ * fetch what it needs, by the time that the old ones name.
+ */
+static void note_store(QRGateway *g, uint64_t now_ms)
+{
+    bool answers =
+        is_reading_fresh(g, now_ms) || count_of(g, is_fresh, true, now_ms) > 0;
+
+    /* who hears nobody does not know of whom the store is lost */
+    if (!answers && (g->store_lost_ms == 0 || is_alone(g, now_ms)))
+        g->store_lost_ms = now_ms;
+    if (!answers || g->store_lost_ms == 0)
+        return;
+    if (is_store_away(g, now_ms)) {
+        qr_operator_restart_bounds(&g->operator,(uint64_t) g->set->version_ms,
+                                   g->store_lost_ms, now_ms);
+        qr_logf(QR_LEVEL_INFO, "weights",
+                "bounds begin anew store_away_ms=%" G_GUINT64_FORMAT,
+                now_ms - g->store_lost_ms);
+    }
+    g->store_lost_ms = 0;
+}
+
 void qr_gateway_share_hurry(QRGateway *g)
 {
     g->hurry_until_ms = qr_gateway_now(g) + HURRY_FOR_MS;
@@ -425,6 +463,7 @@
                              hurries ? HURRY_MS
                                      : (unsigned)g->set->engines_poll_ms);
     choose_reading(g, now_ms);
+    note_store(g, now_ms);
     if (qr_follower_outage(g->follow_operator).first_ms > 0 &&
         is_alone(g, now_ms))
         g->alone_ms = now_ms;
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -247,3 +247,36 @@
         wait_for("it is ready", lambda: f.ready(1))
         assert f.call("/model/x", "started", gateway=1)[0] == 503
         assert engine.ran == []
+
+
+def test_a_bound_begins_anew_after_an_outage_of_the_store():
+    """A version is named, and the store is away before its bound. Nobody can be
+    expected to have heard of it by then; a gateway that only heard of the store
+    by others rests meanwhile, and knows it too. Behind the new bound calls to
+    older weights are refused as ever."""
+    with Fleet(gateways=3, plain=0, version_ms=4000) as f:
+        f.wait_ready()
+        engine = f.add_engine("e0", "engines", MODEL, 1)
+        f.start_sidecar(0, engine)
+        for name in ("g0", "g1", "g2"):
+            wait_for("the engine", lambda n=name: "told engine=e0 version=1"
+                     in f.log(n))
+        f.origin.take_down()  # the engine stays on the old weights
+        name_version(f, 2)
+        for name in ("g0", "g1", "g2"):
+            wait_for("the version", lambda n=name: "version=2" in f.log(n))
+        f.store.take_down()
+        time.sleep(7)
+        back = time.monotonic()
+        f.store.bring_up()
+        for name in ("g0", "g1", "g2"):
+            wait_for("the store", lambda n=name: "bounds begin anew"
+                     in f.log(n), 4)
+        assert time.monotonic() - back < 2.5
+        for i in range(3):
+            assert f.call("/model/x", f"within{i}", gateway=i)[0] == 200
+        time.sleep(4.5)
+        ran = len(engine.ran)
+        for i in range(3):
+            assert f.call("/model/x", f"behind{i}", gateway=i)[0] == 503
+        assert len(engine.ran) == ran
