--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -17,6 +17,7 @@
 #define PENDING_MOST_MS 1500    /* ... that said that it will have it */
 #define ROOT_WAIT_MOST_MS 5000  /* ... while others come: a root */
 #define RELAY_WAIT_MOST_MS 9000 /* ... a relay, which waits for a root */
+#define BY_ROLE_MS 1500         /* for views of members to become alike */
 #define REFRESH_MS 500   /* between two words to those who wait for a piece */
 #define MANIFEST_SHARE 3 /* of these times, for the small manifest */
 #define DIAL_MOST_MS 300
@@ -308,6 +309,18 @@
     return source->from && g_strcmp0(p->source, source->from->name) == 0;
 }
 
+/*
+ * Who sees other members than the askers do draws the piece by its own order
+ * first: most of them see the same a moment later. If that waits in vain the
+ * askers may be the ones that are waited for.
+ */
+static QRPieceRole role_of(QRPiece *p, uint64_t now_ms)
+{
+    if (p->pending && now_ms > p->first_asked_ms + BY_ROLE_MS)
+        p->goes_by_role = true;
+    return p->goes_by_role ? p->role : QR_PIECE_OWN;
+}
+
 /*
  * A source that has no piece yet is waited for only while it is the one to
  * ask: sidecars that saw different members may wait for one another.
@@ -329,7 +342,7 @@
     }
     if (p->asked && !p->pending)
         return;
-    source = qr_source_choose(plan, index, p->tried, p->role);
+    source = qr_source_choose(plan, index, p->tried, role_of(p, now_ms));
     if (p->asked && is_source(p, &source))
         return;
     p->asked = p->pending = false;
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -33,6 +33,7 @@
     uint64_t verified_ms; /* when that was */
     QRSourceAttempts tried;
     QRPieceRole role;        /* what those who ask for it take us for */
+    bool goes_by_role;       /* it is drawn so: waiting for others was vain */
     bool from_root;          /* the peer asked is a root, else a relay */
     bool asked;              /* a peer was asked, at 'asked_ms' */
     bool heard;              /* it answered, with whatever */
