--- a/src/gateway/qr_early.c
+++ b/src/gateway/qr_early.c
@@ -27,8 +27,9 @@
     /* whoever is let in may have others closed: none is held on to meanwhile */
     for (unsigned n = g->early.length; n > 0 && g->early.length > 0; n--) {
         QREarlyCall *c = g_queue_pop_head(&g->early);
+        bool is_due = now_ms >= c->until_ms;
 
-        if (!g->operator.policy && now_ms<c->until_ms) {
+        if (!g->operator.policy && !is_due) {
             g_queue_push_tail(&g->early, c);
             continue;
         }
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -56,10 +56,8 @@
     bool reading_rests;        /* others read the store for us */
     uint64_t engines_seen;     /* offset of the last change heard from them */
     uint64_t engines_asked_ms; /* when a reader was asked last */
-    uint64_t
-        confirm_ms; /* when others are asked next which engines of the first
-                       listing were heard of since; 0: not any more */
-    uint64_t hurry_until_ms;      /* see qr_gateway_share_hurry() */
+    uint64_t confirm_ms;     /* when others are asked next which engines live */
+    uint64_t hurry_until_ms; /* see qr_gateway_share_hurry() */
     uint64_t engines_unseen_ms;   /* since when others know more; 0: they do not
                                    */
     uint64_t readers_since_ms;    /* others read in our place; 0: they do not */
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -67,8 +67,8 @@
 
 /*
  * Whether 'm' can tell what we lack: a fresh reader that knows of a change we
- * have not qr_share_seen, and of all since what we have. One that has just
- * started listed what is there, and does not know what went before.
+ * have not seen, and of all since what we have. One that has just started
+ * listed what is there, and does not know what went before.
  */
 static bool can_tell_changes(const QRGateway *g, const QRFleetMember *m,
                              uint64_t now_ms)
