--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -47,6 +47,7 @@
     QROperator operator;
     QREngines engines;
     bool engines_known; /* a whole listing was taken, or told by another */
+    bool engines_lost;  /* the store failed our last read of them */
     uint64_t engines_regained_ms; /* the store was away until then; 0: long ago
                                    */
     /* records of the store shared among gateways: see qr_gateway_share.c */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -266,8 +266,11 @@
 {
     QRGateway *g = owner;
 
-    if (reached && g->engines_known)
+    /* the first read of one that was told by others is no return of the store
+     */
+    if (reached && g->engines_known && g->engines_lost)
         g->engines_regained_ms = MAX(qr_gateway_now(g), 1);
+    g->engines_lost = !reached;
     qr_logf(reached ? QR_LEVEL_INFO : QR_LEVEL_WARN, "store",
             "%s topic=engines why=%s", reached ? "reached" : "lost", why);
 }
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -116,6 +116,22 @@
             assert status == 200
 
 
+def test_a_first_read_is_not_taken_for_the_return_of_the_store():
+    """One that was told by others reads for itself once they are gone. A record
+    that is missing then has not lapsed in an outage: its engine leaves."""
+    with Fleet(gateways=2, plain=2) as f:
+        f.wait_ready()
+        f.add_gateways(1, {"seeds": list(f.peers)})
+        f.wait_ready()
+        for name in ("g0", "g1"):
+            f.procs[name].kill()
+        f.store.put("keyed.servers", "p1", None)
+        wait_for("it to list", lambda: "listed count=1" in f.log("g2"), 4)
+        wait_for("the engine to be gone",
+                 lambda: "gone engine=p1" in f.log("g2"), 0.5)
+        assert "lapsed engine=p1" not in f.log("g2")
+
+
 def test_who_starts_while_the_store_turns_it_away_is_told_by_others():
     with Fleet(gateways=2, plain=1) as f:
         f.wait_ready()
