--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -296,10 +296,11 @@
     p->asked = p->pending = false;
 }
 
-/* A version that we have not heard of yet: its operator's record will come. */
+/* A version that we have not heard of yet, or we know of none at all since we
+   have just started: the operator's record will come. */
 static bool is_news(const QRSidecar *s, const Qr__Fleet__Want *want)
 {
-    return s->model && strcmp(want->model, s->model) == 0 &&
+    return (!s->model || strcmp(want->model, s->model) == 0) &&
            want->version > qr_sidecar_newest(s);
 }
 
