Logs of what engines say in their answers: limits, leaving, rests

Cause looked for: no line told whether a gateway heard of any of the three, so hypotheses 1 and 2 of the incident could not be told apart. The head of an answer is decoded in platform/ into a typed notice; each change of what is believed of a run of an engine is one line with the call whose answer made it, values that make no sense once an engine; counters beside. Nothing acts on it yet.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -95,6 +95,7 @@
     e->failures = e->ejections = e->moved = 0;
     e->ejected_until_ms = e->refused_until_ms = 0;
     e->answer_ms = 0;
+    e->notices = (QRNotices){0};
     e->slots.others = e->slots.others_reading = 0;
     g_hash_table_remove_all(e->others);
 }
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -5,6 +5,7 @@
 #ifndef QR_ENGINES_H
 #define QR_ENGINES_H
 
+#include "qr_notices.h"
 #include "qr_policy.h"
 
 /* An engine's own record in the store. */
@@ -70,6 +71,7 @@
     bool told, told_switching, told_unreachable, told_slow_link;
     uint64_t told_version, told_ms;
     QREngineSlots slots;
+    QRNotices notices; /* what this run of it said in its answers */
     /* from our own calls */
     unsigned failures; /* in a row, by weight */
     uint64_t ejected_until_ms;
--- /dev/null
+++ b/src/fleet/qr_notices.h
@@ -0,0 +1,56 @@
+/*
+ * What one run of an engine has said of itself in its answers, as one gateway
+ * knows it: that it leaves, that it wants rest, and how many requests a second
+ * it takes. No clock and no I/O: times are the caller's.
+ */
+#ifndef QR_NOTICES_H
+#define QR_NOTICES_H
+
+#include "base/qr_base.h"
+
+/* The part of an answer's head that an engine says of itself. */
+typedef struct QRAnswerNotice {
+    bool leaving; /* it ends soon, and wants nothing new */
+    bool has_limit, has_rest;
+    double limit_per_s; /* requests that it takes, of all gateways together */
+    double rest_s;      /* turned away: nothing more from us for so long */
+    const char *odd;    /* name of a field that makes no sense, or NULL */
+} QRAnswerNotice;
+
+/*
+ * A rate limit, or that there is none. The later word holds: a limit is as late
+ * as its answer, none as late as the request whose answer lacked it, since
+ * answers on several connections overtake one another.
+ */
+typedef struct QRLimitWord {
+    bool named;
+    double per_s;
+    uint64_t at_ms; /* 0: nothing was ever said */
+} QRLimitWord;
+
+typedef struct QRNotices {
+    bool leaving;
+    bool odd;               /* a field made no sense */
+    uint64_t rest_until_ms; /* 0: it never wanted any */
+    QRLimitWord limit;
+    uint64_t limit_logged_ms;
+} QRNotices;
+
+/* What an answer has changed. */
+typedef enum QRNoticeNews {
+    QR_NOTICE_LEAVING = 1,
+    QR_NOTICE_REST = 2,
+    QR_NOTICE_LIMIT = 4,
+    QR_NOTICE_ODD = 8,
+} QRNoticeNews;
+
+/* Takes over the later one of two words. Returns true if that changed 'w'. */
+bool qr_limit_word_take(QRLimitWord *w, const QRLimitWord *news);
+/* Takes what the answer to a request sent at 'sent_ms' says. Returns the set of
+   QRNoticeNews. */
+unsigned qr_notices_take(QRNotices *n, const QRAnswerNotice *answer,
+                         uint64_t sent_ms, uint64_t now_ms);
+/* It has said that it leaves, or wants rest for now. */
+bool qr_notices_forbid(const QRNotices *n, uint64_t now_ms);
+
+#endif
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -5,6 +5,7 @@
 #ifndef QR_PLATFORM_H
 #define QR_PLATFORM_H
 
+#include "net/qr_headers.h"
 #include "qr_engines.h"
 #include "qr_policy.h"
 
@@ -108,6 +109,10 @@
     QREngineRecord *(*parse_engine)(const char *id, const char *data,
                                     size_t len, QRFindings *f);
 
+    /* What the head of an engine's answer says of the engine. */
+    void (*parse_notice)(unsigned status, const QRHeaders *headers,
+                         QRAnswerNotice *notice);
+
     /* Answers to callers that ask where to go. */
     bool (*is_directory)(const char *target);
     char *(*directory_answer)(const GPtrArray *addresses, unsigned ttl_s);
--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -34,6 +34,9 @@
     DEF(requests_held, "requests held back as they crash engines")             \
     DEF(refused_held, "503: such a request")                                   \
     DEF(ejections, "engines taken out of use for their failures")              \
+    DEF(said_leaving, "engines that say in an answer that they leave")         \
+    DEF(said_rest, "times that an engine turned a call away and wants rest")   \
+    DEF(said_limit, "changes of the rate limits that engines name")            \
     DEF(waited, "calls that waited for an engine")                             \
     DEF(slots_asked, "slots asked for beside engines")                         \
     DEF(slots_denied, "of these, none was free")                               \
--- a/src/gateway/qr_relay_answer.c
+++ b/src/gateway/qr_relay_answer.c
@@ -111,6 +111,7 @@
     for (unsigned i = 0; i < qr_headers_count(headers); i++)
         qr_headers_add(&s->answer.headers, qr_headers_name(headers, i),
                        qr_headers_value(headers, i));
+    qr_relay_notice(r, s, status, headers);
     s->mode = mode_of(r, status, headers);
     (void)spoken(r, call);
 }
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -36,6 +36,7 @@
 typedef struct QRSending {
     QRClientCall *call; /* under way, or NULL */
     char *engine;       /* id, or NULL: over, and its place free */
+    uint64_t born_ms; /* start of the engine's run, as its record said */
     uint64_t sent_ms, progress_ms;
     unsigned reading;  /* our tokens at the engine, to be read */
     uint64_t version;  /* of weights there, as believed when it was sent */
@@ -139,6 +140,9 @@
 void qr_relay_cut(QRRelay *r, const char *why);
 /* Passes a kept answer on, headers and all. */
 void qr_relay_pass(QRRelay *r, KeptAnswer *a);
+/* Takes what the head of an answer says of the engine. */
+void qr_relay_notice(QRRelay *r, const QRSending *s, unsigned status,
+                     const QRHeaders *headers);
 /* What the sending says of its engine. */
 void qr_relay_outcome(QRRelay *r, QREngineOutcome outcome);
 /* The request to the engine is over, with or without an answer. */
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -125,6 +125,7 @@
     r->apart = false;
     qr_relay_suspect_sent(r, &r->now);
     r->now.engine = g_strdup(e->record->id);
+    r->now.born_ms = e->record->born_ms;
     g_ptr_array_add(r->tried, g_strdup(e->record->id));
     qr_sending_hold_place(r, &r->now);
     r->now.reading = r->prompt;
