An engine that says in an answer that it leaves gets no new calls

Cause: the store's record was the only source of that belief. Mend: the answer's word holds for that run of the engine, whatever its record says and though its record lapses and comes back meanwhile (kept for 10 minutes; another 'born' ends it). It goes through the one question whether an engine runs, which first sendings, repeats, rests of streams and granted slots all ask.

Unit test of a record that lapses.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -14,6 +14,8 @@
 #define MOVED_PAUSE_MS 250 /* doubled each time, so often at most: */
 #define MOVED_DOUBLED_MOST 4
 #define SMOOTHING 0.2
+/* What an engine said of its leaving outlasts its record by so long. */
+#define LEFT_KEEP_MS 600000
 
 void qr_engine_record_free(QREngineRecord *r)
 {
@@ -227,7 +229,14 @@
     return g_hash_table_lookup(t->by_service, service);
 }
 
-void qr_engines_sweep(QREngines *t)
+/* Its record may lapse while the store is away, and come back. */
+static bool is_to_be_remembered(const QREngine *e, uint64_t now_ms)
+{
+    return e->own > 0 ||
+           (e->notices.leaving && now_ms < e->heard_ms + LEFT_KEEP_MS);
+}
+
+void qr_engines_sweep(QREngines *t, uint64_t now_ms)
 {
     GHashTableIter it;
     void *value;
@@ -236,7 +245,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         QREngine *e = value;
 
-        if (e->gone && e->own == 0) {
+        if (e->gone && !is_to_be_remembered(e, now_ms)) {
             index_remove(t, e);
             g_hash_table_iter_remove(&it);
         }
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -114,7 +114,7 @@
  */
 bool qr_engines_any_unconfirmed(const QREngines *t);
 /* Forgets engines that are gone and carry no call of ours. */
-void qr_engines_sweep(QREngines *t);
+void qr_engines_sweep(QREngines *t, uint64_t now_ms);
 
 /* What 'gateway' told of its open calls. */
 void qr_engines_told_load(QREngines *t, const char *id, const char *gateway,
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -76,7 +76,8 @@
 
 static bool is_running(const QREngine *e)
 {
-    return !e->gone && !e->ended && !e->unreadable && !e->record->draining;
+    return !e->gone && !e->ended && !e->unreadable && !e->record->draining &&
+           !e->notices.leaving;
 }
 
 static bool is_usable(const QREngine *e, const QRBalanceInput *in)
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -115,7 +115,7 @@
     qr_gateway_check_lapsed(g);
     if (now >= g->sweep_ms) {
         g->sweep_ms = now + SWEEP_MS;
-        qr_engines_sweep(&g->engines);
+        qr_engines_sweep(&g->engines, now);
         qr_gateway_slots_sweep(g);
         qr_gateway_forget_changes(g, now);
     }
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -594,10 +594,10 @@
     ck_assert_uint_eq(qr_engine_open(x), 1);
     /* gone while a call of ours is open there: kept until that is over */
     qr_engines_drop(&t, "x", 1000);
-    qr_engines_sweep(&t);
+    qr_engines_sweep(&t, 1000);
     ck_assert_ptr_nonnull(qr_engines_get(&t, "x"));
     x->own = 0;
-    qr_engines_sweep(&t);
+    qr_engines_sweep(&t, 1000);
     ck_assert_ptr_null(qr_engines_get(&t, "x"));
     qr_engines_clear(&t);
 }
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -151,6 +151,44 @@
 }
 END_TEST
 
+static QREngineRecord *record_of(uint64_t born_ms)
+{
+    QREngineRecord *r = g_new0(QREngineRecord, 1);
+
+    r->id = g_strdup("e1");
+    r->service = g_strdup("s");
+    r->address = g_strdup("10.0.0.1:80");
+    r->zone = g_strdup("z1");
+    r->slots = 4;
+    r->born_ms = born_ms;
+    return r;
+}
+
+/* The store may be away when an engine says that it leaves: its record lapses
+   and comes back, ready as before. */
+START_TEST(notices_of_leaving_outlast_the_record)
+{
+    QRAnswerNotice leaving = {.leaving = true};
+    QREngines t;
+
+    qr_engines_init(&t);
+    qr_engines_record(&t, record_of(7), 1000);
+    qr_notices_take(&qr_engines_get(&t, "e1")->notices, &leaving, 1000, 1100);
+    qr_engines_drop(&t, "e1", 2000);
+    qr_engines_sweep(&t, 60000);
+    qr_engines_record(&t, record_of(7), 61000);
+    ck_assert(qr_engines_get(&t, "e1")->notices.leaving);
+    /* another run of it has said nothing */
+    qr_engines_record(&t, record_of(8), 62000);
+    ck_assert(!qr_engines_get(&t, "e1")->notices.leaving);
+    qr_notices_take(&qr_engines_get(&t, "e1")->notices, &leaving, 62000, 62100);
+    qr_engines_drop(&t, "e1", 63000);
+    qr_engines_sweep(&t, 63000 + 600000);
+    ck_assert_ptr_null(qr_engines_get(&t, "e1"));
+    qr_engines_clear(&t);
+}
+END_TEST
+
 TCase *unit_notices_case(void)
 {
     TCase *t = tcase_create("notices");
@@ -161,5 +199,6 @@
     tcase_add_test(t, notices_limits_end_in_order);
     tcase_add_test(t, rate_over_windows);
     tcase_add_test(t, limits_heard_make_sense);
+    tcase_add_test(t, notices_of_leaving_outlast_the_record);
     return t;
 }
