An engine that has said in an answer that it leaves ends as planned, not as a crash

The same cause elsewhere, found by reading: calls that break as such an engine ends made the requests at work there suspects of crashing engines, while its record, which the store could not take, still said ready. One question now whether an engine leaves (qr_engine_leaves), asked by the choice of engines and by the suspects. Not taken over: sidecars are told of a leaving only from records, since gateways that hear it from answers alone would deal pieces over different lists.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -281,6 +281,11 @@
     return e->slots.kind != QR_KEEPER_NONE && now_ms >= e->slots.mute_until_ms;
 }
 
+bool qr_engine_leaves(const QREngine *e)
+{
+    return e->record->draining || e->notices.leaving;
+}
+
 const QRLimitWord *qr_engine_limit(const QREngine *e)
 {
     return e->slots.limit.at_ms > e->notices.limit.at_ms ? &e->slots.limit
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -130,6 +130,8 @@
 double qr_engine_reading(const QREngine *e, double per_ms, uint64_t now_ms);
 /* The slots there have a keeper that answers. */
 bool qr_engine_has_keeper(const QREngine *e, uint64_t now_ms);
+/* It leaves, as its record says or an answer of it. */
+bool qr_engine_leaves(const QREngine *e);
 /* The limit on requests there, as we were told or its keeper was. */
 const QRLimitWord *qr_engine_limit(const QREngine *e);
 /* What we were told of its limit, or that it has none any more, is for the
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -76,8 +76,7 @@
 
 static bool is_running(const QREngine *e)
 {
-    return !e->gone && !e->ended && !e->unreadable && !e->record->draining &&
-           !e->notices.leaving;
+    return !e->gone && !e->ended && !e->unreadable && !qr_engine_leaves(e);
 }
 
 static bool is_usable(const QREngine *e, const QRBalanceInput *in)
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -59,7 +59,7 @@
 
     /* one that said that it would leave, or whose record went, has ended as
        planned; one that starts new weights cuts what still runs */
-    if (!e || e->gone || e->record->draining ||
+    if (!e || e->gone || qr_engine_leaves(e) ||
         (e->told && e->told_switching) || !make_fingerprint(r))
         return;
     s->on_trial = false; /* until it is known whether the engine has ended */
