An engine that turns a gateway away and asks for rest is left alone for so long

What callers saw: nine engines turned all away for 9 s, with Retry-After: 3; a gateway sent one of them 19 requests in one rest (2 allowed), and a quarter of all calls were refused though sound engines stood beside. Cause: of a 503 the status counted, not the time; after 60 ms the engine looked free, won each comparison, and each of its refusals took one of the service's retries, until the budget was spent: 698 of 773 refused after one sending. Mend: a rest is a belief on that run of the engine, at that gateway, asked wherever an engine is looked for. The keeper of its slots tells it to the other gateways as a hint for 5 s at most: they take such an engine only where all others are like it, so one engine costs a retry or two a rest, not one for each gateway. It is no more than a hint, as the engine may mean that gateway alone. Where all that may serve rest, or have reached their limit, for longer than the call may wait, it is refused at once, with Retry-After until the first of them takes calls again. Tried without a hint by arithmetic only: 64 gateways x 3 engines a rest of 3 s are 64 retries a second, the budget of 175 calls a second carries 17.

Unit tests of the hint, the choice and the rest.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -99,7 +99,7 @@
     e->answer_ms = 0;
     e->notices = (QRNotices){0};
     e->slots.limit = (QRLimitWord){0};
-    e->slots.paced_until_ms = 0;
+    e->slots.paced_until_ms = e->slots.rests_until_ms = 0;
     e->slots.others = e->slots.others_reading = 0;
     g_hash_table_remove_all(e->others);
 }
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -51,6 +51,7 @@
     uint64_t denied_until_ms;        /* it had none free a moment ago */
     uint64_t paced_until_ms;         /* its rate allowed no request then */
     QRLimitWord limit;               /* that the keeper told */
+    uint64_t rests_until_ms;         /* it has turned other gateways away */
 } QREngineSlots;
 
 typedef struct QREngine {
--- a/src/fleet/qr_notices.c
+++ b/src/fleet/qr_notices.c
@@ -5,6 +5,9 @@
 
 /* Longer rests and higher limits than these are taken for mistakes. */
 #define REST_MOST_S 3600
+/* A rest is over later by the engine's clock: its answer was under way, and was
+   read in a turn that had begun before. */
+#define REST_MARGIN_MS 50
 #define LIMIT_MOST_PER_S 1e6
 #define LIMIT_LOG_MS 1000 /* between two lines on one engine's limit */
 
@@ -37,10 +40,10 @@
 static bool take_rest(QRNotices *n, double rest_s, uint64_t now_ms)
 {
     bool resting = now_ms < n->rest_until_ms;
-    uint64_t until_ms = now_ms + (uint64_t)(rest_s * 1000);
+    uint64_t until_ms = now_ms + (uint64_t)(rest_s * 1000) + REST_MARGIN_MS;
 
     n->rest_until_ms = MAX(n->rest_until_ms, until_ms);
-    return !resting && until_ms > now_ms;
+    return !resting;
 }
 
 unsigned qr_notices_take(QRNotices *n, const QRAnswerNotice *answer,
@@ -56,7 +59,7 @@
     if (answer->leaving && !n->leaving)
         news |= QR_NOTICE_LEAVING;
     n->leaving = n->leaving || answer->leaving;
-    if (answer->has_rest && !rest_is_odd &&
+    if (answer->has_rest && answer->rest_s > 0 && !rest_is_odd &&
         take_rest(n, answer->rest_s, now_ms))
         news |= QR_NOTICE_REST;
     /* a limit that makes no sense is none that has ended */
@@ -68,7 +71,7 @@
     return news;
 }
 
-bool qr_notices_forbid(const QRNotices *n, uint64_t now_ms)
+uint64_t qr_notices_rest_ms(const QRNotices *n, uint64_t now_ms)
 {
-    return n->leaving || now_ms < n->rest_until_ms;
+    return n->rest_until_ms - MIN(n->rest_until_ms, now_ms);
 }
--- a/src/fleet/qr_notices.h
+++ b/src/fleet/qr_notices.h
@@ -51,7 +51,7 @@
    QRNoticeNews. */
 unsigned qr_notices_take(QRNotices *n, const QRAnswerNotice *answer,
                          uint64_t sent_ms, uint64_t now_ms);
-/* It has said that it leaves, or wants rest for now. */
-bool qr_notices_forbid(const QRNotices *n, uint64_t now_ms);
+/* For how long yet it wants nothing more from us. */
+uint64_t qr_notices_rest_ms(const QRNotices *n, uint64_t now_ms);
 
 #endif
--- a/src/fleet/qr_slots.c
+++ b/src/fleet/qr_slots.c
@@ -21,6 +21,7 @@
 typedef struct Held {
     QRSlotLoad load;
     uint64_t told_ms;
+    uint64_t rest_until_ms; /* the engine wants nothing from it until then */
 } Held;
 
 void qr_slots_init(QRSlots *s)
@@ -104,6 +105,21 @@
            now_ms < s->turned_away_ms + YIELD_MS;
 }
 
+uint64_t qr_slots_rest_ms(const QRSlots *s, const char *gateway,
+                          uint64_t now_ms)
+{
+    uint64_t until_ms = now_ms;
+    GHashTableIter it;
+    void *key, *value;
+
+    g_hash_table_iter_init(&it, s->held);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        if (!g_str_equal(key, gateway))
+            until_ms = MAX(until_ms, ((Held *)value)->rest_until_ms);
+    }
+    return until_ms - now_ms;
+}
+
 bool qr_slots_reserve(QRSlots *s, const char *gateway, const QRSlotCall *call,
                       uint64_t now_ms)
 {
@@ -124,6 +140,10 @@
         s->yielded++;
         return false;
     }
+    if (!call->despite_rest && qr_slots_rest_ms(s, gateway, now_ms) > 0) {
+        s->rested++;
+        return false;
+    }
     if (s->limit.named && !qr_rate_take(&s->rate, now_ms)) {
         s->paced++;
         return false;
@@ -194,12 +214,13 @@
                       QRSlotReply *reply)
 {
     QRSlotLoad holds = {request->open, request->reading}, others;
-    QRSlotCall call = {request->prompt, request->open_most,
+    QRSlotCall call = {request->prompt,       request->open_most,
                        request->reading_most, request->returned,
-                       request->denials};
+                       request->denials,      request->despite_rest};
     QRLimitWord limit;
 
     qr_slots_told(s, gateway, &holds, now_ms);
+    held_by(s, gateway)->rest_until_ms = now_ms + request->rest_ms;
     if (request->limit) {
         limit = qr_limit_heard(request->limit, now_ms);
         qr_slots_limit(s, &limit, now_ms);
@@ -212,6 +233,7 @@
     others = qr_slots_for(s, gateway, now_ms);
     reply->head.others_open = others.open;
     reply->head.others_reading = others.reading;
+    reply->head.rest_ms = (uint32_t)qr_slots_rest_ms(s, gateway, now_ms);
     fill_limit(s, now_ms, reply);
     return true;
 }
--- a/src/fleet/qr_slots.h
+++ b/src/fleet/qr_slots.h
@@ -38,6 +38,7 @@
     QRRate rate;       /* while it is named */
     uint64_t granted, denied, yielded; /* so far; yielded: to first tries */
     uint64_t paced;                    /* denied for the limit alone */
+    uint64_t rested; /* as the engine has turned another gateway away */
 } QRSlots;
 
 /* A call for which a gateway wants a slot. */
@@ -47,6 +48,7 @@
     unsigned reading_most; /* and no more tokens wait to be read */
     bool returned;         /* its caller was refused before */
     unsigned denials;      /* by engines so far */
+    bool despite_rest;     /* also while the engine rests from another */
 } QRSlotCall;
 
 void qr_slots_init(QRSlots *s);
@@ -62,6 +64,9 @@
 /* What others than 'gateway' hold, for it to go by. */
 QRSlotLoad qr_slots_for(QRSlots *s, const char *gateway, uint64_t now_ms);
 
+/* For how long yet the engine wants nothing from others than 'gateway'. */
+uint64_t qr_slots_rest_ms(const QRSlots *s, const char *gateway,
+                          uint64_t now_ms);
 /* A limit as it is told, and as it was heard. */
 void qr_limit_tell(const QRLimitWord *limit, uint64_t now_ms,
                    Qr__Fleet__RateLimit *told);
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -79,7 +79,8 @@
     return !e->gone && !e->ended && !e->unreadable && !qr_engine_leaves(e);
 }
 
-static bool is_usable(const QREngine *e, const QRBalanceInput *in)
+/* It may serve the call, if it wants any now. */
+static bool is_fit(const QREngine *e, const QRBalanceInput *in)
 {
     uint64_t version;
 
@@ -99,6 +100,11 @@
     return in->now_ms >= e->ejected_until_ms && !e->trial;
 }
 
+static bool is_usable(const QREngine *e, const QRBalanceInput *in)
+{
+    return is_fit(e, in) && qr_notices_rest_ms(&e->notices, in->now_ms) == 0;
+}
+
 static double distance_ms(const QREngine *e, const QRBalanceInput *in)
 {
     const char *region;
@@ -295,17 +301,74 @@
     (void)limits_of(best->engine, in, &c->limits);
 }
 
+/* How long an engine that is fit wants no request; 0: it takes them. */
+static uint64_t held_off_ms(const QREngine *e, const QRBalanceInput *in)
+{
+    uint64_t rest_ms = qr_notices_rest_ms(&e->notices, in->now_ms);
+
+    if (qr_engine_limit(e)->named && e->slots.paced_until_ms > in->now_ms)
+        return MAX(rest_ms, e->slots.paced_until_ms - in->now_ms);
+    return rest_ms;
+}
+
+/* What the engines that are fit for a call come to. */
+typedef struct Held {
+    unsigned fit, off; /* of these, held off */
+    uint64_t least_ms; /* until one of those is not */
+} Held;
+
+static void count_held(Held *h, const QREngine *e, const QRBalanceInput *in)
+{
+    uint64_t ms = held_off_ms(e, in);
+
+    h->fit++;
+    if (ms == 0)
+        return;
+    h->least_ms = h->off > 0 ? MIN(h->least_ms, ms) : ms;
+    h->off++;
+}
+
+/* Whether the call may be sent to a usable engine now, or a slot be asked for
+   there. */
+static bool is_candidate(const Candidate *x, const QRBalanceInput *in)
+{
+    const QREngine *e = x->engine;
+
+    if (is_tried(in, e->record->id) || in->now_ms < e->refused_until_ms ||
+        !is_within_limit(e, in))
+        return false;
+    return qr_engine_has_keeper(e, in->now_ms) ? may_ask(e, &x->forecast, in)
+                                               : may_take(&x->forecast, in);
+}
+
+/* The best of the near and the far ones drawn. */
+typedef struct Draws {
+    Draw near, far;
+} Draws;
+
+static const Candidate *draws_best(const Draws *d, const QRBalanceInput *in)
+{
+    return draw_best(&d->far, draw_best(&d->near, NULL, in), in);
+}
+
 QRBalanceChoice qr_balance_choose(const QREngines *engines,
                                   const QRBalanceInput *in)
 {
     const GPtrArray *list = qr_engines_of(engines, in->service);
-    Draw near = {.most = NEAR_DRAWN}, far = {.most = FAR_DRAWN};
-    const Candidate *best = NULL;
+    Draws rested = {{.most = NEAR_DRAWN}, {.most = FAR_DRAWN}};
+    /* those that have turned other gateways away: rather not */
+    Draws tired = rested;
+    const Candidate *best;
     QRBalanceChoice c = {0};
+    Held held = {0};
 
     for (unsigned i = 0; list && i < list->len; i++) {
         Candidate x = {.engine = list->pdata[i]};
+        Draws *draws =
+            in->now_ms < x.engine->slots.rests_until_ms ? &tired : &rested;
 
+        if (is_fit(x.engine, in))
+            count_held(&held, x.engine, in);
         if (!is_usable(x.engine, in)) {
             c.coming += is_running(x.engine);
             c.switching += is_running(x.engine) && x.engine->told &&
@@ -316,21 +379,21 @@
         c.usable++;
         c.open += MIN(x.forecast.open, x.forecast.slots);
         c.places += x.forecast.slots;
-        if (is_tried(in, x.engine->record->id) ||
-            in->now_ms < x.engine->refused_until_ms ||
-            !is_within_limit(x.engine, in))
-            continue;
-        if (qr_engine_has_keeper(x.engine, in->now_ms)
-                ? !may_ask(x.engine, &x.forecast, in)
-                : !may_take(&x.forecast, in))
+        if (!is_candidate(&x, in))
             continue;
         x.dice = qr_hash64(&in->random, sizeof(in->random), i);
-        draw_add(distance_ms(x.engine, in) > 0 ? &far : &near, &x);
+        draw_add(distance_ms(x.engine, in) > 0 ? &draws->far : &draws->near,
+                 &x);
+    }
+    best = draws_best(&rested, in);
+    if (!best) {
+        best = draws_best(&tired, in);
+        c.despite_rest = best != NULL;
     }
-    best = draw_best(&near, best, in);
-    best = draw_best(&far, best, in);
     if (best)
         choose(&c, best, in);
+    else if (held.off == held.fit)
+        c.held_off_ms = held.least_ms;
     return c;
 }
 
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -38,11 +38,15 @@
     unsigned coming;       /* others that run, and may serve later */
     unsigned switching;    /* of these, those that only finish an order */
     unsigned open, places; /* calls open at all of them, and slots */
-    double predicted_ms;   /* to the first byte, of the best one */
-    double gap_ms;         /* longest pause that others would see there */
+    /* no engine takes the call only since all that may serve have asked for
+       rest, or for fewer requests: until one of them does; 0: not so */
+    uint64_t held_off_ms;
+    double predicted_ms; /* to the first byte, of the best one */
+    double gap_ms;       /* longest pause that others would see there */
     unsigned engine_open, engine_slots; /* of the best one */
     bool is_reserved;       /* a slot is to be asked for there first */
     QRBalanceLimits limits; /* then: on these terms */
+    bool despite_rest;      /* and it has turned another gateway away */
 } QRBalanceChoice;
 
 QRBalanceChoice qr_balance_choose(const QREngines *engines,
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -212,6 +212,7 @@
     unsigned prompt, open_most, reading_most;
     bool returned;
     unsigned denials;
+    bool despite_rest;
 } QRSlotWish;
 
 /* Asks the keeper of the engine's slots, which it has. */
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -55,6 +55,7 @@
         qr_limit_tell(&e->notices.limit, now, &limit);
         request->limit = &limit;
     }
+    request->rest_ms = (uint32_t)qr_notices_rest_ms(&e->notices, now);
     e->slots.asked += request->call != 0;
     e->slots.asked_reading += request->prompt;
     e->slots.untold = false;
@@ -82,6 +83,7 @@
     request.reading_most = wish->reading_most;
     request.returned = wish->returned;
     request.denials = wish->denials;
+    request.despite_rest = wish->despite_rest;
     send_request(g, e, &request);
 }
 
@@ -111,6 +113,7 @@
         .others_open = reply->others_open,
         .others_reading = reply->others_reading,
         .wait_ms = reply->wait_ms,
+        .rest_ms = reply->rest_ms,
     };
 
     if (reply->limit)
@@ -184,7 +187,7 @@
     e->slots.kind = kind;
     e->slots.keeper = peer;
     e->slots.mute_until_ms = e->slots.denied_until_ms = 0;
-    e->slots.paced_until_ms = 0;
+    e->slots.paced_until_ms = e->slots.rests_until_ms = 0;
     e->slots.others = e->slots.others_reading = 0;
     qr_gateway_slots_changed(g, e);
     /* without a keeper the other gateways are told, what has not changed, too
--- a/src/gateway/qr_relay.h
+++ b/src/gateway/qr_relay.h
@@ -29,6 +29,7 @@
     unsigned others_open, others_reading; /* what others hold there */
     QRLimitWord limit;                    /* as the keeper knows it */
     uint32_t wait_ms; /* until the limit allows another request */
+    uint32_t rest_ms; /* the engine wants nothing from another gateway */
 } QRSlotWord;
 
 /* A slot that was asked for 'r' is granted, or there was none for it. */
--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -135,6 +135,9 @@
 {
     if (counter == QR_COUNTER_refused_held)
         return (unsigned)qr_requests_held_ms(r->g, &r->fingerprint);
+    if (r->held_off_ms > 0)
+        return (unsigned)r->held_off_ms + BACK_BUSY_MS +
+               (unsigned)(next_random(r->g) % BACK_BUSY_SPREAD_MS);
     if (r->slot.denials > 0 && counter == QR_COUNTER_refused_busy)
         return BACK_FULL_MS +
                (unsigned)(next_random(r->g) % BACK_FULL_SPREAD_MS);
--- a/src/gateway/qr_relay_notice.c
+++ b/src/gateway/qr_relay_notice.c
@@ -56,7 +56,7 @@
     r->g->platform->parse_notice(status, headers, &notice);
     news =
         qr_notices_take(&e->notices, &notice, s->sent_ms, qr_gateway_now(r->g));
-    if (qr_engine_limit_matters(e))
+    if (qr_engine_limit_matters(e) || news & QR_NOTICE_REST)
         qr_gateway_slots_changed(r->g, e);
     count_news(r->g, news);
     log_news(r, e, &notice, news);
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -84,7 +84,8 @@
     QRSending held;   /* one that fell silent before it, and may speak again */
     GPtrArray *tried; /* ids */
     unsigned runs, sendings;
-    bool has_retry; /* taken from the budget, not sent yet */
+    uint64_t held_off_ms; /* as in QRBalanceChoice, at the last choice */
+    bool has_retry;       /* taken from the budget, not sent yet */
     /* of the last sending that ended: how, for a repeat that gets no slot */
     QRAttemptEnd last_end;
     bool resuming;              /* the rest of a stream waits for room */
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -201,12 +201,16 @@
 {
     QRSuspicion suspicion = qr_relay_suspicion(r);
     QRBalanceInput in;
+    QRBalanceChoice c;
 
+    r->held_off_ms = 0;
     if (suspicion == QR_SUSPICION_WAIT || suspicion == QR_SUSPICION_HELD)
         return (QRBalanceChoice){0};
     in = balance_input(r);
     in.unreserved = unreserved;
-    return qr_balance_choose(&r->g->engines, &in);
+    c = qr_balance_choose(&r->g->engines, &in);
+    r->held_off_ms = c.held_off_ms;
+    return c;
 }
 
 QRBalanceChoice qr_relay_choose(QRRelay *r)
@@ -272,7 +276,9 @@
     uint64_t now = qr_gateway_now(r->g);
     char why[96];
 
-    if (now < r->wait_until_ms || waits_for_engines(r, c, now)) {
+    /* who cannot be served within the wait is told so at once */
+    if (now + c->held_off_ms < r->wait_until_ms ||
+        waits_for_engines(r, c, now)) {
         wait_in_line(r);
         return;
     }
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -15,6 +15,10 @@
    when it is asked again. */
 #define PACED_MOST_MS 1000
 
+/* What an engine wants of another gateway is heeded for no longer: it may mean
+   that one alone. */
+#define RESTS_MOST_MS 5000
+
 /* So many engines are asked one after the other, then one a tick. */
 #define ASKS_AT_ONCE 6
 
@@ -61,6 +65,7 @@
         .reading_most = terms.reading_most,
         .returned = r->late,
         .denials = r->slot.denials,
+        .despite_rest = c->despite_rest,
     };
 
     /* 0 is no call */
@@ -96,12 +101,13 @@
                         uint64_t now)
 {
     bool for_limit = qr_engine_limit(e)->named && word->wait_ms > 0;
+    bool for_rest = now < e->slots.rests_until_ms;
 
     r->slot.denied++;
     qr_relay_count(r->g, QR_COUNTER_slots_denied);
     if (for_limit) {
         qr_relay_count(r->g, QR_COUNTER_slots_paced);
-    } else {
+    } else if (!for_rest) {
         r->slot.denials += r->slot.on_full_terms;
         e->slots.denied_until_ms = now + DENIED_MS;
     }
@@ -117,6 +123,7 @@
     if (e) {
         qr_gateway_slots_others(e, word->others_open, word->others_reading,
                                 now);
+        e->slots.rests_until_ms = now + MIN(word->rest_ms, RESTS_MOST_MS);
         if (!take_limit(r, e, word, now)) {
             slot_denied(r, e, word, now);
         } else if (qr_relay_suspicion(r) <= QR_SUSPICION_TRIAL &&
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2407,7 +2407,7 @@
   (ProtobufCMessageInit) qr__fleet__rate_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__slot_request__field_descriptors[10] =
+static const ProtobufCFieldDescriptor qr__fleet__slot_request__field_descriptors[12] =
 {
   {
     "call",
@@ -2529,10 +2529,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rest_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__SlotRequest, rest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "despite_rest",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__SlotRequest, despite_rest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__slot_request__field_indices_by_name[] = {
   0,   /* field[0] = call */
   7,   /* field[7] = denials */
+  11,   /* field[11] = despite_rest */
   8,   /* field[8] = engine */
   9,   /* field[9] = limit */
   1,   /* field[1] = open */
@@ -2540,12 +2565,13 @@
   3,   /* field[3] = prompt */
   2,   /* field[2] = reading */
   5,   /* field[5] = reading_most */
+  10,   /* field[10] = rest_ms */
   6,   /* field[6] = returned */
 };
 static const ProtobufCIntRange qr__fleet__slot_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qr__fleet__slot_request__descriptor =
 {
@@ -2555,14 +2581,14 @@
   "Qr__Fleet__SlotRequest",
   "qr.fleet",
   sizeof(Qr__Fleet__SlotRequest),
-  10,
+  12,
   qr__fleet__slot_request__field_descriptors,
   qr__fleet__slot_request__field_indices_by_name,
   1,  qr__fleet__slot_request__number_ranges,
   (ProtobufCMessageInit) qr__fleet__slot_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__slot_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qr__fleet__slot_reply__field_descriptors[8] =
 {
   {
     "call",
@@ -2648,6 +2674,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rest_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__SlotReply, rest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__slot_reply__field_indices_by_name[] = {
   0,   /* field[0] = call */
@@ -2656,12 +2694,13 @@
   2,   /* field[2] = others_open */
   3,   /* field[3] = others_reading */
   5,   /* field[5] = paced */
+  7,   /* field[7] = rest_ms */
   6,   /* field[6] = wait_ms */
 };
 static const ProtobufCIntRange qr__fleet__slot_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qr__fleet__slot_reply__descriptor =
 {
@@ -2671,7 +2710,7 @@
   "Qr__Fleet__SlotReply",
   "qr.fleet",
   sizeof(Qr__Fleet__SlotReply),
-  7,
+  8,
   qr__fleet__slot_reply__field_descriptors,
   qr__fleet__slot_reply__field_indices_by_name,
   1,  qr__fleet__slot_reply__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -548,10 +548,18 @@
    * as answers told the sender itself
    */
   Qr__Fleet__RateLimit *limit;
+  /*
+   * the engine wants nothing more from the sender
+   */
+  uint32_t rest_ms;
+  /*
+   * the sender has no engine that nobody is to rest
+   */
+  protobuf_c_boolean despite_rest;
 };
 #define QR__FLEET__SLOT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__slot_request__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, NULL, 0, 0 }
 
 
 struct  Qr__Fleet__SlotReply
@@ -579,10 +587,14 @@
    * until the limit allows another request
    */
   uint32_t wait_ms;
+  /*
+   * another gateway is to leave the engine alone
+   */
+  uint32_t rest_ms;
 };
 #define QR__FLEET__SLOT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__slot_reply__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0 }
+    , 0, 0, 0, 0, NULL, 0, 0, 0 }
 
 
 typedef enum {
--- a/tests/engine_notices.py
+++ b/tests/engine_notices.py
@@ -2,6 +2,7 @@
 
     engine_notices.py [--gateways N] [--engines N] [--seconds S] [--seed N]
                       [--says NAME] [--course NAME] [--path PATH] [--beside]
+                      [--all]
 
 A third of the engines (one, where it leaves) begin to say something after
 BEGIN_S; the store hears nothing of it. Callers go on at any gateway. Prints the
@@ -27,11 +28,12 @@
     freezes   gateways stand still for 1 s, one after the other
     cuts      links between gateways are cut for 2 s, one gateway at a time
 
---beside: the engines have a process beside them.
+--beside: the engines have a process beside them. --all: all engines speak.
 """
 import argparse
 import math
 import random
+import statistics
 import sys
 import threading
 import time
@@ -52,6 +54,7 @@
 WINDOW_S = 4.0       # over which a limit is summed
 DRAIN_S = 2.0        # after which nothing more reaches an engine that leaves
 REST_MOST = 2        # requests that may reach an engine in one rest
+ODD_TURNED_AWAY = 0.2  # of the answers that name an odd rest
 ODD = (("Server-Limit", "-1"), ("Server-Limit", "many"), ("Server-Limit", ""),
        ("Server-Limit", "nan"), ("Server-Limit", "1e400"),
        ("Server-Limit", "1\r\nServer-Limit: 2"), ("Server-Leaving", "maybe"),
@@ -124,7 +127,10 @@
             return [], [("Retry-After", "%g" % rest)]
         if self.says == "odd":
             field = self.dice.choice(ODD)
-            return ([], [field]) if field[0] == "Retry-After" else ([field], [])
+            if field[0] != "Retry-After":
+                return [field], []
+            if self.dice.random() < ODD_TURNED_AWAY:
+                return [], [field]
         return [], []
 
     def serve_one(self, conn, request, extra):
@@ -163,6 +169,7 @@
     def __init__(self, fleet, seed, path):
         self.fleet, self.path, self.ended = fleet, path, False
         self.done = []  # (when, gateway, was it served, status)
+        self.refused_s, self.back_s = [], []  # how long it took, until when
         self.threads = [
             threading.Thread(target=self.run, daemon=True, args=(
                 i, random.Random("%s/%d" % (seed, i))))
@@ -177,12 +184,15 @@
             gateway = dice.randrange(len(self.fleet.gateways))
             started = time.monotonic()
             try:
-                status, _, got = self.fleet.call(
+                status, headers, got = self.fleet.call(
                     self.path, "g%d.c%d-%d" % (gateway, number, n), gateway)
             except Exception:  # pylint: disable=broad-except
-                status, got = 0, b""  # a gateway that was killed
+                status, headers, got = 0, {}, b""  # it was killed
             good = status == 200 and got in (b"done", events(0, EVENTS - 1))
             self.done.append((started, "g%d" % gateway, good, status))
+            if status == 503:
+                self.refused_s.append(time.monotonic() - started)
+                self.back_s.append(float(headers.get("Retry-After", 0)))
             time.sleep(dice.uniform(0.02, 0.06))
 
     def stop(self):
@@ -295,15 +305,17 @@
 
 class Run:
     def __init__(self, gateways=5, engines=9, seconds=9.0, seed=1,
-                 says="limit", course="calm", path=None, beside=False):
+                 says="limit", course="calm", path=None, beside=False, all=False):
+        # pylint: disable=redefined-builtin
         path = path or ("/model/x" if beside else "/safe/x")
         first = math.ceil(gateways / 2) if course == "late" else gateways
         with SpeakingFleet(first, engines, course == "cuts",
                            beside) as fleet, Watch() as watch:
             callers = Callers(fleet, seed, path)
             time.sleep(BEGIN_S)
-            speak = fleet.engines[:1] if says == "leaving" else [
-                e for i, e in enumerate(fleet.engines) if i % 3 == 0]
+            speak = fleet.engines[::1 if all else 3]
+            if says == "leaving" and not all:
+                speak = speak[:1]
             for e in speak:
                 e.say(says)
             if gateways > first:
@@ -320,6 +332,8 @@
             self.rest = max(worst_rest(e, happens) for e in speak)
             calls = [(good, status) for t, g, good, status in callers.done
                      if not happens.excused(g, t)]
+            self.refused_s = statistics.median(callers.refused_s or [0])
+            self.back_s = statistics.median(callers.back_s or [0])
             self.calls = len(calls)
             self.served = sum(good for good, _ in calls) / max(self.calls, 1)
             self.bad = {}
@@ -337,9 +351,11 @@
 
     def __str__(self):
         return ("limit=%.2f leaving_s=%.1f rest=%d served=%.3f calls=%d "
-                "bad=%s arrived=%d spoken=%s rig_late_s=%.2f logs=%s" % (
+                "bad=%s refused_s=%.3f back_s=%.1f arrived=%d spoken=%s "
+                "rig_late_s=%.2f logs=%s" % (
                     self.limit, self.leaving_s, self.rest, self.served,
-                    self.calls, self.bad, self.arrived, self.spoken,
+                    self.calls, self.bad, self.refused_s, self.back_s,
+                    self.arrived, self.spoken,
                     self.late_s, self.dir))
 
 
@@ -356,6 +372,7 @@
         "calm", "late", "kills", "kill_all", "freezes", "cuts"))
     p.add_argument("--path")
     p.add_argument("--beside", action="store_true")
+    p.add_argument("--all", action="store_true")
     run = Run(**vars(p.parse_args()))
     print(run)
     return 0 if run.kept() else 1
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -7,6 +7,7 @@
 #include "fleet/qr_engines.h"
 #include "fleet/qr_platform.h"
 #include "fleet/qr_slots.h"
+#include "gateway/qr_balance.h"
 
 #include <math.h>
 #include <string.h>
@@ -85,7 +86,7 @@
     ck_assert_uint_eq(qr_notices_take(&n, &century, 900, 2300), 0);
     ck_assert_uint_eq(qr_notices_take(&n, &absurd, 2000, 2400), 0);
     ck_assert(n.limit.named && n.limit.per_s == 2);
-    ck_assert(!qr_notices_forbid(&n, 2500));
+    ck_assert_uint_eq(qr_notices_rest_ms(&n, 2500), 0);
 }
 END_TEST
 
@@ -189,6 +190,116 @@
 }
 END_TEST
 
+/* What one gateway was turned away for is told by the keeper, and no more than
+   a hint to the others: the engine may mean that one alone. */
+START_TEST(slots_rests_are_told_to_others)
+{
+    Qr__Fleet__SlotRequest word = QR__FLEET__SLOT_REQUEST__INIT;
+    Qr__Fleet__SlotRequest wish = QR__FLEET__SLOT_REQUEST__INIT;
+    QRSlotReply reply;
+    QRSlots s;
+
+    qr_slots_init(&s);
+    word.rest_ms = 3000;
+    ck_assert(!qr_slots_request(&s, "a", &word, 1000, &reply));
+    wish.call = 1;
+    wish.open_most = 4;
+    wish.reading_most = 1000;
+    ck_assert(qr_slots_request(&s, "b", &wish, 1500, &reply));
+    ck_assert(!reply.head.granted);
+    ck_assert_uint_eq(reply.head.rest_ms, 2500);
+    wish.despite_rest = true;
+    ck_assert(qr_slots_request(&s, "b", &wish, 1500, &reply));
+    ck_assert(reply.head.granted);
+    wish.despite_rest = false;
+    ck_assert(qr_slots_request(&s, "b", &wish, 4000, &reply));
+    ck_assert(reply.head.granted);
+    qr_slots_clear(&s);
+}
+END_TEST
+
+/* Engines of one service, and a call that looks for one of them. */
+typedef struct Choice {
+    QREngines engines;
+    GHashTable *regions;
+    QRBalanceInput in;
+} Choice;
+
+static void choice_init(Choice *c)
+{
+    *c = (Choice){0};
+    qr_engines_init(&c->engines);
+    qr_engines_record(&c->engines, record_of(7), 1000);
+    c->regions = g_hash_table_new(g_str_hash, g_str_equal);
+    c->in = (QRBalanceInput){.service = "s",
+                             .zone = "z1",
+                             .region = "r1",
+                             .regions = c->regions,
+                             .now_ms = 2000};
+}
+
+static void choice_clear(Choice *c)
+{
+    g_hash_table_unref(c->regions);
+    qr_engines_clear(&c->engines);
+}
+
+START_TEST(balance_leaves_an_engine_its_rest)
+{
+    QRAnswerNotice rest = {.has_rest = true, .rest_s = 3};
+    QRBalanceChoice found;
+    Choice c;
+    QREngine *e;
+
+    choice_init(&c);
+    e = qr_engines_get(&c.engines, "e1");
+    qr_notices_take(&e->notices, &rest, 1900, 2000);
+    found = qr_balance_choose(&c.engines, &c.in);
+    ck_assert_ptr_null(found.engine);
+    /* and the caller can be told for how long */
+    ck_assert_uint_ge(found.held_off_ms, 3000);
+    ck_assert_uint_lt(found.held_off_ms, 3500);
+    ck_assert(!qr_balance_of(e, &c.in, &found));
+    c.in.now_ms += found.held_off_ms;
+    found = qr_balance_choose(&c.engines, &c.in);
+    ck_assert_ptr_eq(found.engine, e);
+    ck_assert_uint_eq(found.held_off_ms, 0);
+    /* one that has turned others away is taken if there is no other */
+    e->slots.rests_until_ms = c.in.now_ms + 1000;
+    found = qr_balance_choose(&c.engines, &c.in);
+    ck_assert(found.engine == e && found.despite_rest);
+    choice_clear(&c);
+}
+END_TEST
+
+START_TEST(balance_needs_a_keeper_for_a_limit)
+{
+    QRAnswerNotice limit = {.has_limit = true, .limit_per_s = 2};
+    QRBalanceChoice found;
+    Choice c;
+    QREngine *e;
+
+    choice_init(&c);
+    e = qr_engines_get(&c.engines, "e1");
+    qr_notices_take(&e->notices, &limit, 1900, 2000);
+    ck_assert_ptr_null(qr_balance_choose(&c.engines, &c.in).engine);
+    e->slots.kind = QR_KEEPER_SELF;
+    found = qr_balance_choose(&c.engines, &c.in);
+    ck_assert(found.engine == e && found.is_reserved);
+    /* repeats ask nobody */
+    c.in.unreserved = true;
+    ck_assert_ptr_null(qr_balance_choose(&c.engines, &c.in).engine);
+    c.in.unreserved = false;
+    e->slots.mute_until_ms = 2500;
+    ck_assert_ptr_null(qr_balance_choose(&c.engines, &c.in).engine);
+    e->slots.mute_until_ms = 0;
+    e->slots.paced_until_ms = 2400;
+    found = qr_balance_choose(&c.engines, &c.in);
+    ck_assert(!found.engine && found.held_off_ms == 400);
+    choice_clear(&c);
+}
+END_TEST
+
 TCase *unit_notices_case(void)
 {
     TCase *t = tcase_create("notices");
@@ -200,5 +311,8 @@
     tcase_add_test(t, rate_over_windows);
     tcase_add_test(t, limits_heard_make_sense);
     tcase_add_test(t, notices_of_leaving_outlast_the_record);
+    tcase_add_test(t, slots_rests_are_told_to_others);
+    tcase_add_test(t, balance_leaves_an_engine_its_rest);
+    tcase_add_test(t, balance_needs_a_keeper_for_a_limit);
     return t;
 }
