Engines that turn calls away without asking for rest are taken only after others

After 60 ms each looked free again, and each refusal took one of the service's retries. Mend: an engine that has turned a call away is tired for 0.5 s, doubled each round of calls to 4 s at most, until it answers one; others rather, and the keeper tells the other gateways, as of a rest that it asked for. Only a preference: where no other has room it is asked as before, so nothing is lost where all are like it.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -10,7 +10,13 @@
 #define WEIGHT_BREAK 2
 #define EJECT_FIRST_MS 1000
 #define EJECT_MOST_MS 8000
-#define FULL_PAUSE_MS 60   /* a full engine is left alone for so long */
+#define FULL_PAUSE_MS 60 /* a full engine is left alone for so long */
+/* An engine that has turned a call away may do so with more, and each takes one
+   of the few retries that its whole service has. */
+#define TIRED_FIRST_MS                                                         \
+    500 /* doubled each round of calls, so often at most:                      \
+         */
+#define TIRED_DOUBLED_MOST 3
 #define MOVED_PAUSE_MS 250 /* doubled each time, so often at most: */
 #define MOVED_DOUBLED_MOST 4
 #define SMOOTHING 0.2
@@ -95,7 +101,9 @@
     e->told_slow_link = e->trial = false;
     e->told_version = e->told_ms = 0;
     e->failures = e->ejections = e->moved = 0;
-    e->ejected_until_ms = e->refused_until_ms = 0;
+    e->ejected_until_ms = e->refused_until_ms = e->tired_until_ms = 0;
+    e->turned_away = 0;
+    e->turned_away_ms = 0;
     e->answer_ms = 0;
     e->notices = (QRNotices){0};
     e->slots.limit = (QRLimitWord){0};
@@ -286,6 +294,19 @@
     return e->record->draining || e->notices.leaving;
 }
 
+uint64_t qr_engine_tired_ms(const QREngine *e, uint64_t now_ms)
+{
+    uint64_t until_ms = MAX(e->tired_until_ms, e->notices.rest_until_ms);
+
+    return until_ms - MIN(until_ms, now_ms);
+}
+
+bool qr_engine_is_tired(const QREngine *e, uint64_t now_ms)
+{
+    return qr_engine_tired_ms(e, now_ms) > 0 ||
+           now_ms < e->slots.rests_until_ms;
+}
+
 const QRLimitWord *qr_engine_limit(const QREngine *e)
 {
     return e->slots.limit.at_ms > e->notices.limit.at_ms ? &e->slots.limit
@@ -401,18 +422,29 @@
     return true;
 }
 
+/* Calls that were sent before the last one was turned away are of its round. */
+static void outcome_full(QREngine *e, double first_ms, uint64_t now_ms)
+{
+    if (now_ms >= e->turned_away_ms + (uint64_t)first_ms)
+        e->turned_away = MIN(e->turned_away + 1, TIRED_DOUBLED_MOST + 1);
+    e->turned_away_ms = now_ms;
+    e->tired_until_ms =
+        now_ms + ((uint64_t)TIRED_FIRST_MS << (e->turned_away - 1));
+    e->refused_until_ms = now_ms + FULL_PAUSE_MS;
+}
+
 bool qr_engine_outcome(QREngine *e, QREngineOutcome outcome, double first_ms,
                        uint64_t now_ms)
 {
     switch (outcome) {
     case QR_OUTCOME_GOOD:
-        e->failures = e->ejections = e->moved = 0;
+        e->failures = e->ejections = e->moved = e->turned_away = 0;
         e->trial = false;
         e->answer_ms += SMOOTHING * (first_ms - e->answer_ms);
         return false;
     case QR_OUTCOME_FULL:
         e->trial = false;
-        e->refused_until_ms = now_ms + FULL_PAUSE_MS;
+        outcome_full(e, first_ms, now_ms);
         return false;
     case QR_OUTCOME_MOVED:
         e->trial = false;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -83,6 +83,9 @@
     double answer_ms;          /* smoothed time to the first byte */
     uint64_t refused_until_ms; /* it said that it is full, or not the one */
     unsigned moved;            /* times in a row that it was not the one */
+    unsigned turned_away;      /* rounds of calls in a row, for want of room */
+    uint64_t turned_away_ms;   /* when the last call was */
+    uint64_t tired_until_ms;   /* others rather: it may turn more away */
 } QREngine;
 
 typedef struct QREngines {
@@ -133,6 +136,11 @@
 bool qr_engine_has_keeper(const QREngine *e, uint64_t now_ms);
 /* It leaves, as its record says or an answer of it. */
 bool qr_engine_leaves(const QREngine *e);
+/* For how long yet engines that turn nobody away are rather taken, as far as we
+   know ourselves. */
+uint64_t qr_engine_tired_ms(const QREngine *e, uint64_t now_ms);
+/* Whether they are, as we know it or another gateway told. */
+bool qr_engine_is_tired(const QREngine *e, uint64_t now_ms);
 /* The limit on requests there, as we were told or its keeper was. */
 const QRLimitWord *qr_engine_limit(const QREngine *e);
 /* What we were told of its limit, or that it has none any more, is for the
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -356,7 +356,7 @@
 {
     const GPtrArray *list = qr_engines_of(engines, in->service);
     Draws rested = {{.most = NEAR_DRAWN}, {.most = FAR_DRAWN}};
-    /* those that have turned other gateways away: rather not */
+    /* those that have turned calls away: rather not */
     Draws tired = rested;
     const Candidate *best;
     QRBalanceChoice c = {0};
@@ -365,7 +365,7 @@
     for (unsigned i = 0; list && i < list->len; i++) {
         Candidate x = {.engine = list->pdata[i]};
         Draws *draws =
-            in->now_ms < x.engine->slots.rests_until_ms ? &tired : &rested;
+            qr_engine_is_tired(x.engine, in->now_ms) ? &tired : &rested;
 
         if (is_fit(x.engine, in))
             count_held(&held, x.engine, in);
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -46,7 +46,7 @@
     unsigned engine_open, engine_slots; /* of the best one */
     bool is_reserved;       /* a slot is to be asked for there first */
     QRBalanceLimits limits; /* then: on these terms */
-    bool despite_rest;      /* and it has turned another gateway away */
+    bool despite_rest;      /* and it has turned calls away */
 } QRBalanceChoice;
 
 QRBalanceChoice qr_balance_choose(const QREngines *engines,
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -55,7 +55,7 @@
         qr_limit_tell(&e->notices.limit, now, &limit);
         request->limit = &limit;
     }
-    request->rest_ms = (uint32_t)qr_notices_rest_ms(&e->notices, now);
+    request->rest_ms = (uint32_t)qr_engine_tired_ms(e, now);
     e->slots.asked += request->call != 0;
     e->slots.asked_reading += request->prompt;
     e->slots.untold = false;
--- a/tests/engine_notices.py
+++ b/tests/engine_notices.py
@@ -16,6 +16,8 @@
     leaving   one leaves
     rest      503 and 3 s of rest to all
     some      503 and 1.5 s of rest to three in ten
+    shed      503 to all, and nothing of rest
+    shed_some 503 to four in ten
     odd       numbers that make no sense
     nothing   nothing, for comparison
 
@@ -125,6 +127,9 @@
             rest = 3.0 if self.says == "rest" else 1.5
             self.rests.append((now, gateway, rest))
             return [], [("Retry-After", "%g" % rest)]
+        if self.says == "shed" or (self.says == "shed_some" and
+                                   self.dice.random() < 0.4):
+            return [], [("X-Why", "shed")]
         if self.says == "odd":
             field = self.dice.choice(ODD)
             if field[0] != "Retry-After":
@@ -366,8 +371,8 @@
     p.add_argument("--seconds", type=float, default=16.0)
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--says", default="limit", choices=(
-        "limit", "zero", "changes", "leaving", "rest", "some", "odd",
-        "nothing"))
+        "limit", "zero", "changes", "leaving", "rest", "some", "shed",
+        "shed_some", "odd", "nothing"))
     p.add_argument("--course", default="calm", choices=(
         "calm", "late", "kills", "kill_all", "freezes", "cuts"))
     p.add_argument("--path")
--- a/tests/test_engine_notices.py
+++ b/tests/test_engine_notices.py
@@ -27,3 +27,28 @@
 
 def test_an_engine_that_asks_for_rest_is_left_alone():
     check_kept(Run(says="rest"))
+
+
+def test_an_engine_that_turns_all_away_does_not_spend_the_retries_of_its_service():
+    check_kept(Run(says="shed"))
+
+
+def test_numbers_that_make_no_sense_slow_nobody():
+    run = Run(says="odd", seconds=5.0)
+    check_kept(run)
+    assert 0 < run.logs.count("says what makes no sense") <= 3 * 5, str(run)
+
+
+def test_a_limit_of_a_whole_service_is_kept_and_callers_are_told_at_once():
+    run = Run(says="zero", all=True, seconds=8.0)
+    assert run.kept(), str(run)
+    # a wait for room would be a quarter of the routes' objective
+    assert run.refused_s < 0.05 and run.back_s > 0, str(run)
+
+
+def test_limits_hold_while_gateways_are_killed_together():
+    check_kept(Run(says="limit", course="kill_all"), served=0.95)
+
+
+def test_limits_hold_for_engines_with_a_process_beside_them():
+    check_kept(Run(says="changes", beside=True, gateways=3, seconds=13.0))
