--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -549,11 +549,11 @@
    */
   Qr__Fleet__RateLimit *limit;
   /*
-   * the engine wants nothing more from the sender
+   * the engine has turned the sender away: others rather
    */
   uint32_t rest_ms;
   /*
-   * the sender has no engine that nobody is to rest
+   * the sender has none that turned nobody away
    */
   protobuf_c_boolean despite_rest;
 };
@@ -588,7 +588,7 @@
    */
   uint32_t wait_ms;
   /*
-   * another gateway is to leave the engine alone
+   * it has turned another gateway away
    */
   uint32_t rest_ms;
 };
