Soak: engines that say in their answers what they take, and three promises of theirs

Course 'notices': the faults of a seed, and limits that change, rests, and an engine that leaves while the store does not know. The oracle checks, from what callers and engines saw: the sum over all gateways that were told within 4 s, nothing new after a leaving was told, two requests at most in a rest; a gateway that was restarted, frozen or cut off is excused as the promise says. Three mutants. Schedules of the other courses are unchanged, so the seeds that once failed mean what they meant.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,11 +3,12 @@
 
     soak.py [--seeds N | --seed N] [--first N] [--mutant NAME]
             [--gateways N] [--plain N] [--models N] [--callers N]
-            [--course faults|work|last|upgrade] [--before PROGRAM]
+            [--course faults|notices|work|last|upgrade] [--before PROGRAM]
 
 A seed and a size fix the schedule and what callers send; both are printed with
 each failure, and --seed plays it again. Courses: "faults", then planned work in
-calm times; "work", planned work only, in series that overlap, without links of
+calm times; "notices", the faults, and engines that say in their answers what
+they take; "work", planned work only, in series that overlap, without links of
 ours between the processes, so that dozens of them fit, on engines that pause;
 "last", as that, and at
 its end all processes are killed right after a configuration; "upgrade", all
@@ -37,8 +38,8 @@
 from rig import Watch
 from soak_ends import ROUTES, Callers, SoakEngine
 from soak_oracle import History
-from soak_schedule import PLANNED, PLANNED_S, Size, last_fault, planned, \
-    schedule, upgrade, work
+from soak_schedule import LIMITS, PLANNED, PLANNED_S, RESTS, Size, \
+    last_fault, notices, planned, schedule, upgrade, work
 from standin_platform import CHUNKS, chunk_of
 
 QUIET_S = 1.5    # before the first fault
@@ -96,6 +97,18 @@
             self.join()
 
 
+    def leave_untold(self, away_s):
+        """Only its answers say that it leaves."""
+        with self.lock:
+            self.engine.leaves = True
+            time.sleep(soak_oracle.DRAIN_S + 1.5)
+            self.engine.leaves = False
+            self.engine.take_down()
+            self.put(None)
+            time.sleep(away_s)
+            self.join()
+
+
 class NoLink:
     """In a link's place where processes meet directly."""
 
@@ -343,6 +356,21 @@
     def spoil(self, target, seconds):
         self.fleet.origin.spoil += 3  # pieces
 
+    def limit(self, target, seconds):
+        engine = self.place(target).engine
+        engine.limit = LIMITS[int(seconds * 1000) % len(LIMITS)]
+        time.sleep(seconds)
+        engine.limit = None
+
+    def rest(self, target, seconds):
+        engine = self.place(target).engine
+        engine.rest = RESTS[int(seconds * 1000) % len(RESTS)]
+        time.sleep(seconds)
+        engine.rest = None
+
+    def leave_untold(self, target, seconds):
+        self.place(target).leave_untold(seconds)
+
     def place(self, target):
         return next(p for p in self.fleet.places if p.name == target)
 
@@ -466,14 +494,18 @@
     fleet.history.planned_at = fleet.history.now()
 
 
-def play_faults(fleet, faults, seed):
-    inject(fleet, faults, schedule(seed, fleet.size))
+def play_faults(fleet, faults, seed, rows=schedule):
+    inject(fleet, faults, rows(seed, fleet.size))
     settle(fleet)
     until = time.monotonic() + PLANNED_S
     inject(fleet, faults, planned(seed, fleet.size))
     time.sleep(max(until - time.monotonic(), 0))
 
 
+def play_notices(fleet, faults, seed):
+    play_faults(fleet, faults, seed, notices)
+
+
 def play_work(fleet, faults, seed):
     inject(fleet, faults, work(seed, fleet.size))
     settle(fleet)
@@ -496,7 +528,7 @@
     settle(fleet)
 
 
-COURSES = {"faults": play_faults, "work": play_work, "last": play_last,
+COURSES = {"faults": play_faults, "notices": play_notices, "work": play_work, "last": play_last,
            "upgrade": play_upgrade}
 
 
@@ -543,7 +575,7 @@
     if "san" in BINARY:
         history.rss_more_kb = SANITIZED_RSS_MORE_KB
     with Watch() as rig:
-        fleet = SoakFleet(history, size, direct=course != "faults",
+        fleet = SoakFleet(history, size, direct=course not in ("faults", "notices"),
                           earlier=earlier)
         ended = threading.Event()
         watcher = threading.Thread(target=watch, args=(fleet, ended))
@@ -610,7 +642,7 @@
     seeds = [args.seed] if args.seed is not None else \
         range(args.first, args.first + args.seeds)
     size = Size(args.gateways, args.plain, args.models, args.callers)
-    if args.course == "faults" and size.descriptors() > \
+    if args.course in ("faults", "notices") and size.descriptors() > \
             resource.getrlimit(resource.RLIMIT_NOFILE)[0]:
         p.error("links among so many take %d descriptors, more than this "
                 "shell allows; --course work needs none" % size.descriptors())
--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -68,6 +68,9 @@
         self.breaks = False  # every third answer is cut
         self.full = False    # turns all away
         self.pauses = False  # one stream in twenty, halfway
+        self.limit = None    # requests a second that it names
+        self.rest = None     # seconds that it asks for as it turns all away
+        self.leaves = False  # it says so in its answers, the store does not
         self.link = None
         super().__init__(ident, service, model, version)
         self.direct = self.address
@@ -79,7 +82,7 @@
         expected = request.headers.get("x-expect-version")
         if self.model and expected and expected != str(self.version):
             return 421
-        if self.full or self.running >= self.slots or \
+        if self.full or self.rest or self.running >= self.slots or \
                 (self.model and not self.version):
             return 503
         return None
@@ -94,15 +97,20 @@
                    "method": request.method,
                    "tenant": request.headers.get("x-tenant"),
                    "sent": digest(request.body), "ended": None, "left": None,
-                   "whole": False, "answer": None, "events": 0}
+                   "whole": False, "answer": None, "events": 0,
+                   "limit": self.limit, "leaves": self.leaves,
+                   "rest": self.rest if status == 503 else None,
+                   "told": None}
             self.running += status is None
         self.history.arrivals.append(run)
-        head = self.head(request)
+        head = self.head(request, self.notices(run))
         if status is not None:
+            run["told"] = self.history.now()
             answer(conn, status, b"", head + [("X-Not-Executed", "1")])
             return True
         try:
             if request.path.startswith(("/stream/", "/once/")):
+                run["told"] = self.history.now()
                 return self.stream(conn, request, run)
             return self.once(conn, request, run, head)
         finally:
@@ -110,6 +118,17 @@
                 self.running -= 1
             run["ended"] = self.history.now()
 
+    def notices(self, run):
+        """What the answer to a run says of the engine."""
+        said = []
+        if run["limit"] is not None:
+            said.append(("Server-Limit", "%g" % run["limit"]))
+        if run["leaves"]:
+            said.append(("Server-Leaving", "1"))
+        if run["rest"]:
+            said.append(("Retry-After", "%g" % run["rest"]))
+        return said
+
     def works(self, conn, run, seconds):
         """False if the caller has left meanwhile."""
         end = time.monotonic() + seconds
@@ -136,13 +155,14 @@
             self.reset(conn)
             return False
         run["answer"], run["whole"] = digest(body), True
+        run["told"] = self.history.now()
         answer(conn, 200, body, head)
         return True
 
     def stream(self, conn, request, run):
         ident, first = run["id"], stream_from(request)
         run["events"] = total = 3 + number_of(ident, 8)
-        start_stream(self, conn, request)
+        start_stream(self, conn, request, self.notices(run))
         for i in range(first, total):
             if self.breaks and i == 2 + first:
                 send_chunk(conn, event(ident, i)[:7])
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -9,6 +9,10 @@
 import time
 from collections import defaultdict
 
+HEARD_S = 0.5       # for a gateway to act on what an engine told it
+LIMIT_WINDOW_S = 4.0
+LIMIT_TIMES, LIMIT_MORE = 1.5, 5  # what may come over a limit that is named
+REST_MOST = 2       # requests that may reach an engine in a rest it asked for
 CONTACT_S = 3.0     # after a trouble nothing with a time bound is owed so long
 APPLY_S = 2.0       # a configuration is in force by then
 FORWARD_S = 0.25    # between an effect of a configuration and the check
@@ -177,6 +181,103 @@
                     a["id"], a["at"], a["engine"], e["at"])
 
 
+def sent_by(h):
+    """id -> (gateway, when its caller sent it)"""
+    return {c["id"]: (c["gateway"], c["at"]) for c in h.calls + h.probes}
+
+
+def restarted(h, gateway, since, until):
+    return any(x["gateway"] == gateway and since <= x["at"] <= until
+               for x in h.lives + h.stops)
+
+
+def struck(h, gateway, since, until, kinds):
+    """The gateway was restarted, or a trouble of these kinds struck it or the
+    links of the engines."""
+    own = ("", "all", "peers", "engines", "g%d" % gateway,
+           "peers/%d" % gateway)
+    return restarted(h, gateway, since, until) or any(
+        t["kind"].startswith(kinds) and t["at"] <= until and
+        t["until"] >= since and (t["target"] in own or
+                                 t["target"].startswith("engines/"))
+        for t in h.troubles)
+
+
+def arrivals_by_engine(h):
+    """engine -> [(arrival, gateway, when its caller sent it)]"""
+    sent, by_engine = sent_by(h), defaultdict(list)
+    for a in sorted(h.arrivals, key=lambda a: a["at"]):
+        if a["id"] in sent:
+            by_engine[a["engine"]].append((a, *sent[a["id"]]))
+    return by_engine
+
+
+def first_told(rows, says):
+    """gateway -> when an answer first told it"""
+    told = {}
+    for a, gateway, _ in rows:
+        if a["told"] and says(a):
+            told[gateway] = min(told.get(gateway, a["told"]), a["told"])
+    return told
+
+
+def check_limit(h):
+    """An engine that names a limit gets no more than that allows, from all
+    gateways that were told together."""
+    for engine, rows in arrivals_by_engine(h).items():
+        told = first_told(rows, lambda a: a["limit"] is not None)
+        if not told:
+            continue
+        owed_from = min(told.values()) + CONTACT_S
+        for last, _, _ in rows:
+            end, begin = last["at"], last["at"] - LIMIT_WINDOW_S
+            named = [a["limit"] for a, _, _ in rows
+                     if begin - HEARD_S <= a["at"] <= end]
+            if begin < owed_from or None in named:
+                continue
+            got = sum(begin < a["at"] <= end and g in told and
+                      told[g] + HEARD_S <= a["at"] and
+                      not struck(h, g, begin - CONTACT_S, end,
+                                 ("kill", "pause", "cut"))
+                      for a, g, _ in rows)
+            allowed = LIMIT_TIMES * LIMIT_WINDOW_S * max(named) + LIMIT_MORE
+            if got > allowed:
+                yield "%s: %d requests in %.0f s up to %.3f, limit %g" % (
+                    engine, got, LIMIT_WINDOW_S, end, max(named))
+                break
+
+
+def check_told_leaving(h):
+    """An engine that has said in an answer that it leaves gets nothing new
+    from the gateway that was told, in touch or not."""
+    for engine, rows in arrivals_by_engine(h).items():
+        told = first_told(rows, lambda a: a["leaves"])
+        for a, gateway, sent_at in rows:
+            since = told.get(gateway, float("inf"))
+            if sent_at > since + DRAIN_S + SLACK_S and not struck(
+                    h, gateway, since, a["at"], ("kill", "pause")):
+                yield "%s arrived at %.3f at %s, which told gateway %d at " \
+                    "%.3f" % (a["id"], a["at"], engine, gateway, since)
+
+
+def check_rest(h):
+    """An engine that turns a gateway away gets the rest that it asks for."""
+    for engine, rows in arrivals_by_engine(h).items():
+        for asked, gateway, _ in rows:
+            if not asked["rest"] or not asked["told"]:
+                continue
+            begin = asked["told"] + HEARD_S
+            end = asked["told"] + asked["rest"]
+            got = sum(g == gateway and begin < a["at"] < end
+                      for a, g, _ in rows)
+            if got > REST_MOST and not struck(
+                    h, gateway, asked["told"], end,
+                    ("kill", "pause", "cut", "delay")):
+                yield "%s: %d requests of gateway %d in the rest of %.1f s " \
+                    "from %.3f" % (engine, got, gateway, asked["rest"],
+                                   asked["told"])
+
+
 def check_stop(h):
     """A planned stop cuts nothing in flight and ends in order, in time. What
     an engine is still at work on in the last sixth of the grace may be cut."""
@@ -469,6 +570,35 @@
                            at=leaving["at"] + DRAIN_S + 0.5))
 
 
+def calls_after(h, seconds, told, n):
+    """'n' more calls that arrive where a call did in calm, each after its
+    answer, which says what 'told' says."""
+    call, run = served(h, "safe")
+    run.update(told, told=run["ended"])
+    for i in range(n):
+        at = run["ended"] + seconds + i * 0.001
+        ident = "after-%d" % i
+        h.calls.append(dict(call, id=ident, at=at, ended=at + 0.05,
+                            status=None, answer=None, error="reset"))
+        h.arrivals.append(dict(run, id=ident, at=at, ran=False, told=at))
+        h.logged.append(ident)
+
+
+def over_a_limit(h):
+    calls_after(h, CONTACT_S + LIMIT_WINDOW_S + 0.5, {"limit": 1.0}, 20)
+    for a in h.arrivals:  # whatever else came there was named it, too
+        if a["engine"] == h.arrivals[-1]["engine"]:
+            a["limit"] = 1.0
+
+
+def call_to_one_that_told(h):
+    calls_after(h, DRAIN_S + SLACK_S + 0.5, {"leaves": True}, 1)
+
+
+def calls_in_a_rest(h):
+    calls_after(h, HEARD_S + 0.1, {"rest": 3.0}, 3)
+
+
 def cut_by_a_stop(h):
     stop = h.stops[-1]
     call, run = served(h, "safe")
@@ -553,6 +683,9 @@
     "old-weights": ("version", old_weights),
     "a-piece-missing": ("weights", a_piece_missing),
     "call-to-a-leaving-engine": ("draining", call_to_a_leaving_engine),
+    "over-a-limit": ("limit", over_a_limit),
+    "call-to-one-that-told": ("told_leaving", call_to_one_that_told),
+    "calls-in-a-rest": ("rest", calls_in_a_rest),
     "cut-by-a-stop": ("stop", cut_by_a_stop),
     "cut-in-calm": ("lost", cut_in_calm),
     "cut-untold": ("told", cut_untold),
--- a/tests/soak_schedule.py
+++ b/tests/soak_schedule.py
@@ -23,8 +23,12 @@
         return 4 * self.gateways * (self.gateways + self.models)
 
 
+LIMITS = (0.0, 0.5, 2.2, 5.0, 20.0)  # requests a second
+RESTS = (0.5, 1.5, 3.0)              # seconds
+NOTICE_S = (4.0, 9.0)                # that an engine says one thing
+
 # Not in the way of what is owed.
-PLANNED = ("config", "weights", "leave", "stop", "reload", "add", "upgrade",
+PLANNED = ("limit", "rest", "config", "weights", "leave", "stop", "reload", "add", "upgrade",
            "downgrade")
 
 
@@ -58,6 +62,26 @@
     return sorted(rows)
 
 
+def notices(seed, size=Size()):
+    """The faults of the seed, and what engines say in their answers: limits
+    that change, rests, and one that leaves while the store does not know."""
+    rng = random.Random(f"{seed}/notices")
+    plain = ["p%d" % i for i in range(size.plain)]
+    models = ["m%d" % i for i in range(size.models)]
+    rows = schedule(seed, size)
+    for _ in range(rng.randint(2, 4)):
+        kind, target = rng.choice(("limit", "limit", "rest")), \
+            rng.choice(plain + models)
+        at, until = rng.uniform(0, FAULTS_S / 2), rng.uniform(*NOTICE_S)
+        while at < until:
+            part = min(rng.uniform(1.5, 6.0), until - at)
+            rows.append((at, kind, target, part))
+            at += part + 0.05
+    rows.append((rng.uniform(0, FAULTS_S), "leave_untold",
+                 rng.choice(plain + models), 0.3))
+    return sorted(rows)
+
+
 def planned(seed, size=Size()):
     """Work in calm times; an engine without its sidecar gets no new weights,
     and must get no calls behind the version's bound."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from soak_schedule import planned, schedule
 
 SEEDS = (4, 12, 16)
+NOTICES = (1, 2)  # of the course in which engines say what they take
 SIDE_BY_SIDE = 5  # seven processes each
 
 # Seeds that failed once -> the cause; they are played with the others.
@@ -40,11 +41,11 @@
     PLAYED += BY_HAND
 
 
-def play(seed):
+def play(seed, course="faults"):
     """(exit status, report)"""
     done = subprocess.run(
         [sys.executable, os.path.join(HERE, "soak.py"), "--seed", str(seed),
-         "--mutant", "all"], env=dict(os.environ, QUAYRING=BINARY),
+         "--mutant", "all", "--course", course], env=dict(os.environ, QUAYRING=BINARY),
         stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
         timeout=120, check=False)
     return done.returncode, done.stdout
@@ -68,6 +69,12 @@
     assert status == 0, output
 
 
+def test_promises_hold_while_engines_say_what_they_take():
+    with ThreadPoolExecutor(len(NOTICES)) as pool:
+        for status, output in pool.map(lambda s: play(s, "notices"), NOTICES):
+            assert status == 0, output
+
+
 def test_a_seed_fixes_the_schedule():
     for seed in SEEDS:
         assert schedule(seed) == schedule(seed)
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -21,7 +21,9 @@
            "version": version, "path": call["path"], "method": "POST",
            "tenant": soak_oracle.TEAM, "sent": call["sent"],
            "ended": at + 0.04, "left": None, "whole": True,
-           "answer": call["answer"], "events": 3 if stream else 0}
+           "answer": call["answer"], "events": 3 if stream else 0,
+           "limit": None, "leaves": False, "rest": None,
+           "told": at + (0.01 if stream else 0.04)}
     h.calls.append(call)
     h.arrivals.append(run)
     return call, run
