A record of an engine that went before our own listing is not taken from others

One lists 47 engines at 36.182; the record of one of them goes at 36.175 to 36.2 (acked 36.175); another gateway lists 46 at 36.246, and 8 ms later is told the 47 of the first, so the one that has gone is 'new engine' there. Its own reading goes on behind the end of its listing, and it asks others for nothing that lies before: nobody tells it. Cause: told records were compared with changes seen, not with what an own listing lacked. Mend: what is told of an engine that is not known, from before the end of our last own listing, had gone by then. Test red before: test_an_engine_that_went_before_our_listing_is_not_told_into_it.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -54,6 +54,8 @@
     GHashTable *engine_changes;                     /* id -> last change */
     uint64_t engines_changed, engines_changed_told; /* offset of the last one */
     uint64_t engines_since;    /* all changes from that offset on are known */
+    uint64_t engines_listed;   /* all records of before were in our last own
+                                  listing, or had gone; 0: none yet */
     bool reading_rests;        /* others read the store for us */
     uint64_t engines_seen;     /* offset of the last change heard from them */
     uint64_t engines_asked_ms; /* when a reader was asked last */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -224,6 +224,7 @@
        latest; the next one is still to come, and must not count as seen */
     for (unsigned i = 0; i < gone->len; i++)
         engine_gone(g, gone->pdata[i], next - MIN(next, 1));
+    g->engines_listed = next;
     if (!g->engines_known)
         g->engines_since = next;
     g->engines_known = true;
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -216,8 +216,11 @@
 {
     g_autoptr(GBytes) value = g_bytes_new(told->value.data, told->value.len);
     QRStoreRecord r = {told->key, value, told->offset};
-    QREngine *e;
+    QREngine *e = qr_engines_get(&g->engines, told->key);
 
+    /* it had gone by our own listing, and nobody will tell us so again */
+    if (!e && told->offset < g->engines_listed)
+        return;
     qr_gateway_engine_record(g, &r);
     e = qr_engines_get(&g->engines, told->key);
     if (e && told->confirmed)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -186,6 +186,30 @@
         assert "ready again engine=p0" not in f.log("g0")
 
 
+def test_an_engine_that_went_before_our_listing_is_not_told_into_it():
+    """Calls went to an engine that had left: another gateway, which had listed
+    a moment before, told its record after ours, and nobody told its end."""
+    with Fleet(gateways=0, plain=1) as f:
+        old = f.add_engine("old", "ledger")
+        f.store.put("keyed.servers", "old", None)
+        f.add_gateways(1)
+        f.wait_ready()
+        wait_for("the listing", lambda: "listed count=1" in f.log("g0"))
+        teller = Peer(f.peers[0], hello("teller", "gateway"))
+        record = json.dumps(old.record()).encode()
+        teller.send(records=fleet_pb2.Records(
+            engines=True, end=2, records=[fleet_pb2.Record(
+                key="old", value=record, offset=1)]))
+        wait_for("the word", lambda: "told by=teller" in f.log("g0"), 1)
+        assert "new engine=old" not in f.log("g0")
+        # one that was written behind the listing is news
+        teller.send(records=fleet_pb2.Records(
+            engines=True, end=9, records=[fleet_pb2.Record(
+                key="old", value=record, offset=8)]))
+        wait_for("the news", lambda: "new engine=old" in f.log("g0"), 1)
+        teller.conn.close()
+
+
 def test_a_gateway_that_lost_power_is_dialled_again():
     """Bench: DRAIN. Its old connection stood open at the other side, so it
     was never dialled again, nor told what it asked for."""
