--- a/tests/unit.c
+++ b/tests/unit.c
@@ -3,6 +3,7 @@
  */
 #include "unit_budget.h"
 #include "unit_entries.h"
+#include "unit_limits.h"
 #include "unit_load.h"
 #include "unit_notices.h"
 #include "unit_sources.h"
@@ -413,6 +414,7 @@
     suite_add_tcase(s, unit_budget_case());
     suite_add_tcase(s, unit_entries_case());
     suite_add_tcase(s, unit_suspects_case());
+    suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_notices_case());
     suite_add_tcase(s, unit_sources_case());
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -120,6 +120,7 @@
         QRRate r = {0};
 
         qr_rate_set(&r, rates[i], 1);
+        ck_assert(!qr_rate_take(&r, 1));
         for (unsigned t = 1; t <= RUN_MS; t++) {
             /* asked all the time, but for a pause that saves some up */
             sent[t] =
