A call is not sent round all engines that have turned others away

Cause: where all engines turn part of their calls away, each keeper denied in turn, and a call asked up to six. After two such denials the next one is taken as it is. Also: a mutant of the probe of a limit of 0 went unnoticed; the test of the bucket now counts probes over the whole run.

--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -58,6 +58,7 @@
     bool on_full_terms;     /* the last one: see qr_balance_terms() */
     bool is_repeat;         /* the last one: the call was sent before */
     unsigned denials;       /* so far, on full terms */
+    unsigned rested; /* so far, as the engine had turned others away */
 } QRRelaySlot;
 
 struct QRRelay {
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -15,6 +15,10 @@
    when it is asked again. */
 #define PACED_MOST_MS 1000
 
+/* After so many that have turned other gateways away the next one is taken all
+   the same: perhaps all do so now and then. */
+#define RESTED_MOST 2
+
 /* What an engine wants of another gateway is heeded for no longer: it may mean
    that one alone. */
 #define RESTS_MOST_MS 5000
@@ -65,7 +69,7 @@
         .reading_most = terms.reading_most,
         .returned = r->late,
         .denials = r->slot.denials,
-        .despite_rest = c->despite_rest,
+        .despite_rest = c->despite_rest || r->slot.rested >= RESTED_MOST,
     };
 
     /* 0 is no call */
@@ -107,7 +111,9 @@
     qr_relay_count(r->g, QR_COUNTER_slots_denied);
     if (for_limit) {
         qr_relay_count(r->g, QR_COUNTER_slots_paced);
-    } else if (!for_rest) {
+    } else if (for_rest) {
+        r->slot.rested++;
+    } else {
         r->slot.denials += r->slot.on_full_terms;
         e->slots.denied_until_ms = now + DENIED_MS;
     }
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -131,6 +131,7 @@
         }
         /* it is used, too */
         ck_assert_double_ge(sent[9000], MAX(rates[i], 0.2) * 9 - 2);
+        ck_assert_double_ge(sent[RUN_MS], MAX(rates[i], 0.2) * 29 - 2);
     }
 }
 END_TEST
