--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -27,7 +27,7 @@
 import threading
 import time
 
-from linked_fleet import LinkedFleet
+from linked_fleet import LinkedFleet, SteadyCallers
 from rig import Watch, readable
 from standin_platform import (Engine, answer, events, send_chunk,
                               start_stream, stream_from)
@@ -159,42 +159,23 @@
         return super().stop()
 
 
-class Others:
+class Others(SteadyCallers):
     """Callers with honest requests: half of them all send the same one."""
 
     def __init__(self, fleet, seed, path):
-        self.fleet, self.path, self.ended = fleet, path, False
-        self.done = []  # (is it the same one, was it served, when, status)
-        self.threads = [
-            threading.Thread(target=self.run, daemon=True, args=(
-                i, random.Random("%s/%d" % (seed, i))))
-            for i in range(CALLERS)]
-        for t in self.threads:
-            t.start()
-
-    def run(self, number, dice):
-        n = 0
-        while not self.ended:
-            n += 1
-            ident = "c%d-%d" % (number, n)
-            same = number % 2 == 0
-            body = SAME if same else b"body of " + ident.encode()
-            started = time.monotonic()
-            try:
-                status, _, got = self.fleet.call(
-                    self.path, ident, dice.randrange(len(self.fleet.gateways)),
-                    body=body)
-            except Exception:  # pylint: disable=broad-except
-                status, got = 0, b""  # a gateway that was killed
-            good = status == 200 and (got == b"done " + body or
-                                      got == events(0, EVENTS - 1))
-            self.done.append((same, good, started, status))
-            time.sleep(dice.uniform(0.02, 0.06))
-
-    def stop(self):
-        self.ended = True
-        for t in self.threads:
-            t.join(15)
+        super().__init__(fleet, seed, path, CALLERS)
+
+    def call(self, number, n, dice):
+        """(is it the same one, was it served, when, status)"""
+        ident = "c%d-%d" % (number, n)
+        same = number % 2 == 0
+        body = SAME if same else b"body of " + ident.encode()
+        gateway = dice.randrange(len(self.fleet.gateways))
+        started = time.monotonic()
+        status, _, got = self.send(ident, gateway, body)
+        good = status == 200 and (got == b"done " + body or
+                                  got == events(0, EVENTS - 1))
+        return same, good, started, status
 
     def served(self, same, first=0.0):
         mine = [good for s, good, at, _ in self.done
--- a/tests/engine_notices.py
+++ b/tests/engine_notices.py
@@ -42,7 +42,7 @@
 
 from bench import wait_for
 from fleet import MODEL
-from linked_fleet import LinkedFleet
+from linked_fleet import LinkedFleet, SteadyCallers
 from rig import Watch
 from standin_platform import (Engine, answer, events, send_chunk,
                               start_stream, stream_from)
@@ -170,40 +170,22 @@
                    len(self.engines) for i in range(len(self.gateways)))
 
 
-class Callers:
+class NoticeCallers(SteadyCallers):
     def __init__(self, fleet, seed, path):
-        self.fleet, self.path, self.ended = fleet, path, False
-        self.done = []  # (when, gateway, was it served, status)
         self.refused_s, self.back_s = [], []  # how long it took, until when
-        self.threads = [
-            threading.Thread(target=self.run, daemon=True, args=(
-                i, random.Random("%s/%d" % (seed, i))))
-            for i in range(CALLERS)]
-        for t in self.threads:
-            t.start()
-
-    def run(self, number, dice):
-        n = 0
-        while not self.ended:
-            n += 1
-            gateway = dice.randrange(len(self.fleet.gateways))
-            started = time.monotonic()
-            try:
-                status, headers, got = self.fleet.call(
-                    self.path, "g%d.c%d-%d" % (gateway, number, n), gateway)
-            except Exception:  # pylint: disable=broad-except
-                status, headers, got = 0, {}, b""  # it was killed
-            good = status == 200 and got in (b"done", events(0, EVENTS - 1))
-            self.done.append((started, "g%d" % gateway, good, status))
-            if status == 503:
-                self.refused_s.append(time.monotonic() - started)
-                self.back_s.append(float(headers.get("Retry-After", 0)))
-            time.sleep(dice.uniform(0.02, 0.06))
+        super().__init__(fleet, seed, path, CALLERS)
 
-    def stop(self):
-        self.ended = True
-        for t in self.threads:
-            t.join(15)
+    def call(self, number, n, dice):
+        """(when, gateway, was it served, status)"""
+        gateway = dice.randrange(len(self.fleet.gateways))
+        started = time.monotonic()
+        status, headers, got = self.send(
+            "g%d.c%d-%d" % (gateway, number, n), gateway)
+        if status == 503:
+            self.refused_s.append(time.monotonic() - started)
+            self.back_s.append(float(headers.get("Retry-After", 0)))
+        good = status == 200 and got in (b"done", events(0, EVENTS - 1))
+        return started, "g%d" % gateway, good, status
 
 
 class Course:
@@ -316,7 +298,7 @@
         first = math.ceil(gateways / 2) if course == "late" else gateways
         with SpeakingFleet(first, engines, course == "cuts",
                            beside) as fleet, Watch() as watch:
-            callers = Callers(fleet, seed, path)
+            callers = NoticeCallers(fleet, seed, path)
             time.sleep(BEGIN_S)
             speak = fleet.engines[::1 if all else 3]
             if says == "leaving" and not all:
--- a/tests/linked_fleet.py
+++ b/tests/linked_fleet.py
@@ -1,6 +1,8 @@
 """Gateways behind links that can be cut, which are killed, frozen and started
-again."""
+again, and callers that go on meanwhile."""
+import random
 import signal
+import threading
 import time
 
 from bench import free_ports, wait_for
@@ -75,3 +77,40 @@
         if self.loop:
             self.loop.close()
         return codes
+
+
+class SteadyCallers:
+    """Threads that send one call after the other; a subclass makes them."""
+
+    def __init__(self, fleet, seed, path, count):
+        self.fleet, self.path, self.ended = fleet, path, False
+        self.done = []  # what call() returned
+        self.threads = [
+            threading.Thread(target=self.run, daemon=True, args=(
+                i, random.Random("%s/%d" % (seed, i))))
+            for i in range(count)]
+        for t in self.threads:
+            t.start()
+
+    def run(self, number, dice):
+        n = 0
+        while not self.ended:
+            n += 1
+            self.done.append(self.call(number, n, dice))
+            time.sleep(dice.uniform(0.02, 0.06))
+
+    def call(self, number, n, dice):
+        """The n-th of caller 'number'."""
+        raise NotImplementedError
+
+    def send(self, ident, gateway, body=b"hello"):
+        """(status, headers, body); status 0: the gateway was killed."""
+        try:
+            return self.fleet.call(self.path, ident, gateway, body=body)
+        except Exception:  # pylint: disable=broad-except
+            return 0, {}, b""
+
+    def stop(self):
+        self.ended = True
+        for t in self.threads:
+            t.join(15)
