--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -13,9 +13,7 @@
 #define FULL_PAUSE_MS 60 /* a full engine is left alone for so long */
 /* An engine that has turned a call away may do so with more, and each takes one
    of the few retries that its whole service has. */
-#define TIRED_FIRST_MS                                                         \
-    500 /* doubled each round of calls, so often at most:                      \
-         */
+#define TIRED_FIRST_MS 500 /* doubled each round, so often at most: */
 #define TIRED_DOUBLED_MOST 3
 #define MOVED_PAUSE_MS 250 /* doubled each time, so often at most: */
 #define MOVED_DOUBLED_MOST 4
--- a/src/fleet/qr_slots.c
+++ b/src/fleet/qr_slots.c
@@ -182,6 +182,7 @@
 {
     uint64_t age_ms = MIN(told->age_ms, now_ms - MIN(now_ms, 1));
 
+    /* from another process: what makes no sense says nothing */
     if (!isfinite(told->per_s) || told->per_s < 0)
         return (QRLimitWord){0};
     return (QRLimitWord){told->named, told->per_s, now_ms - age_ms};
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -312,12 +312,12 @@
 }
 
 /* What the engines that are fit for a call come to. */
-typedef struct Held {
+typedef struct HeldOff {
     unsigned fit, off; /* of these, held off */
     uint64_t least_ms; /* until one of those is not */
-} Held;
+} HeldOff;
 
-static void count_held(Held *h, const QREngine *e, const QRBalanceInput *in)
+static void count_held(HeldOff *h, const QREngine *e, const QRBalanceInput *in)
 {
     uint64_t ms = held_off_ms(e, in);
 
@@ -360,7 +360,7 @@
     Draws tired = rested;
     const Candidate *best;
     QRBalanceChoice c = {0};
-    Held held = {0};
+    HeldOff held = {0};
 
     for (unsigned i = 0; list && i < list->len; i++) {
         Candidate x = {.engine = list->pdata[i]};
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -56,9 +56,10 @@
     uint64_t asked_ms;
     unsigned asked, denied; /* requests so far, and those denied */
     bool on_full_terms;     /* the last one: see qr_balance_terms() */
+    bool despite_rest;      /* the last one: also if it turned others away */
     bool is_repeat;         /* the last one: the call was sent before */
     unsigned denials;       /* so far, on full terms */
-    unsigned rested; /* so far, as the engine had turned others away */
+    unsigned rested;        /* so far, as the engine had turned others away */
 } QRRelaySlot;
 
 struct QRRelay {
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -274,7 +274,7 @@
 {
     QRServiceStats *stats = qr_gateway_stats(r->g, r->service);
     uint64_t now = qr_gateway_now(r->g);
-    char why[96];
+    char why[128];
 
     /* who cannot be served within the wait is told so at once */
     if (now + c->held_off_ms < r->wait_until_ms ||
@@ -286,8 +286,8 @@
     note_late(r, false);
     g_snprintf(why, sizeof(why),
                "no room usable=%u open=%u places=%u "
-               "hold_ms=%.0f",
-               c->usable, c->open, c->places, stats->hold_ms);
+               "hold_ms=%.0f held_off_ms=%" G_GUINT64_FORMAT,
+               c->usable, c->open, c->places, stats->hold_ms, c->held_off_ms);
     if (r->runs > 0)
         qr_relay_finish_own(r, 502, QR_COUNTER_failed, why);
     else
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -63,13 +63,16 @@
 {
     QRGateway *g = r->g;
     QRBalanceLimits terms = qr_balance_terms(&c->limits, r->slot.asked);
-    QRSlotWish wish = {
+    QRSlotWish wish;
+
+    r->slot.despite_rest = c->despite_rest || r->slot.rested >= RESTED_MOST;
+    wish = (QRSlotWish){
         .prompt = r->prompt,
         .open_most = terms.open_most,
         .reading_most = terms.reading_most,
         .returned = r->late,
         .denials = r->slot.denials,
-        .despite_rest = c->despite_rest || r->slot.rested >= RESTED_MOST,
+        .despite_rest = r->slot.despite_rest,
     };
 
     /* 0 is no call */
@@ -105,7 +108,7 @@
                         uint64_t now)
 {
     bool for_limit = qr_engine_limit(e)->named && word->wait_ms > 0;
-    bool for_rest = now < e->slots.rests_until_ms;
+    bool for_rest = !r->slot.despite_rest && now < e->slots.rests_until_ms;
 
     r->slot.denied++;
     qr_relay_count(r->g, QR_COUNTER_slots_denied);
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -39,6 +39,8 @@
     ck_assert_ptr_null(n.odd);
     /* only who is turned away is asked for rest */
     ck_assert(!parse(200, all).has_rest);
+    /* nor is one team that has asked for too much the engine's state */
+    ck_assert(!parse(429, all).has_rest);
     n = parse(200, none);
     ck_assert(!n.leaving && !n.has_limit && !n.has_rest && !n.odd);
 }
