--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -40,51 +40,50 @@
     return s;
 }
 
-/* What is told, or asked, of an engine; to its keeper. */
-static void send_request(QRGateway *g, QREngine *e,
-                         Qr__Fleet__SlotRequest *request)
+/* What we hold at an engine, what it told us, and what we want there, if
+   anything (wish.call is 0); to the keeper of its slots. */
+static void tell_keeper(QRGateway *g, QREngine *e, const QRSlotWish *wish)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__SlotRequest request = QR__FLEET__SLOT_REQUEST__INIT;
     Qr__Fleet__RateLimit limit;
     QRSlotReply reply;
     uint64_t now = qr_gateway_now(g);
 
-    request->open = qr_engine_held(e);
-    request->reading = qr_engine_held_reading(e);
+    request.call = wish->call;
+    request.prompt = wish->prompt;
+    request.open_most = wish->open_most;
+    request.reading_most = wish->reading_most;
+    request.returned = wish->returned;
+    request.denials = wish->denials;
+    request.despite_rest = wish->despite_rest;
+    request.open = qr_engine_held(e);
+    request.reading = qr_engine_held_reading(e);
+    request.rest_ms = (uint32_t)qr_engine_tired_ms(e, now);
     if (qr_engine_limit_matters(e)) {
         qr_limit_tell(&e->notices.limit, now, &limit);
-        request->limit = &limit;
+        request.limit = &limit;
     }
-    request->rest_ms = (uint32_t)qr_engine_tired_ms(e, now);
-    e->slots.asked += request->call != 0;
-    e->slots.asked_reading += request->prompt;
+    e->slots.asked += wish->call != 0;
+    e->slots.asked_reading += wish->prompt;
     e->slots.untold = false;
     e->slots.told_ms = now;
     if (e->slots.kind == QR_KEEPER_SELF) {
         if (qr_slots_request(slots_kept(g, e->record->id), g->set->host,
-                             request, now, &reply))
+                             &request, now, &reply))
             qr_gateway_slot_reply(g, &reply.head);
         return;
     }
     if (e->slots.kind == QR_KEEPER_GATEWAY)
-        request->engine = e->record->id;
+        request.engine = e->record->id;
     frame.body_case = QR__FLEET__FRAME__BODY_SLOT_REQUEST;
-    frame.slot_request = request;
+    frame.slot_request = &request;
     qr_peer_send(e->slots.keeper, &frame);
 }
 
 void qr_gateway_slot_ask(QRGateway *g, QREngine *e, const QRSlotWish *wish)
 {
-    Qr__Fleet__SlotRequest request = QR__FLEET__SLOT_REQUEST__INIT;
-
-    request.call = wish->call;
-    request.prompt = wish->prompt;
-    request.open_most = wish->open_most;
-    request.reading_most = wish->reading_most;
-    request.returned = wish->returned;
-    request.denials = wish->denials;
-    request.despite_rest = wish->despite_rest;
-    send_request(g, e, &request);
+    tell_keeper(g, e, wish);
 }
 
 void qr_gateway_slots_changed(QRGateway *g, QREngine *e)
@@ -143,11 +142,11 @@
 
 static void tell(QRGateway *g, QREngine *e)
 {
-    Qr__Fleet__SlotRequest request = QR__FLEET__SLOT_REQUEST__INIT;
+    static const QRSlotWish nothing;
 
     e->slots.untold = false;
     if (e->slots.kind != QR_KEEPER_NONE)
-        send_request(g, e, &request);
+        tell_keeper(g, e, &nothing);
 }
 
 void qr_gateway_slots_tick(QRGateway *g)
