--- a/src/fleet/qr_notices.c
+++ b/src/fleet/qr_notices.c
@@ -51,8 +51,7 @@
 {
     bool rest_is_odd = answer->has_rest && answer->rest_s > REST_MOST_S;
     bool limit_is_odd =
-        answer->limit_is_odd ||
-        (answer->has_limit && answer->limit_per_s > LIMIT_MOST_PER_S);
+        answer->has_limit && answer->limit_per_s > LIMIT_MOST_PER_S;
     bool odd = answer->odd || rest_is_odd || limit_is_odd;
     unsigned news = 0;
 
@@ -63,7 +62,8 @@
         take_rest(n, answer->rest_s, now_ms))
         news |= QR_NOTICE_REST;
     /* a limit that makes no sense is none that has ended */
-    if (!limit_is_odd && take_limit(n, answer, sent_ms, now_ms))
+    if ((answer->has_limit || answer->has_no_limit) && !limit_is_odd &&
+        take_limit(n, answer, sent_ms, now_ms))
         news |= QR_NOTICE_LIMIT;
     if (odd && !n->odd)
         news |= QR_NOTICE_ODD;
--- a/src/fleet/qr_notices.h
+++ b/src/fleet/qr_notices.h
@@ -12,10 +12,10 @@
 typedef struct QRAnswerNotice {
     bool leaving; /* it ends soon, and wants nothing new */
     bool has_limit, has_rest;
+    bool has_no_limit;  /* a good answer of the engine itself that names none */
     double limit_per_s; /* requests that it takes, of all gateways together */
     double rest_s;      /* turned away: nothing more from us for so long */
     const char *odd;    /* name of a field that makes no sense, or NULL */
-    bool limit_is_odd;  /* the limit is there, and makes none */
 } QRAnswerNotice;
 
 /*
--- a/tests/unit_limits.c
+++ b/tests/unit_limits.c
@@ -229,6 +229,7 @@
 {
     Gateway *g = &m->gateways[e->gateway];
     QRAnswerNotice notice = {.has_limit = e->limit.named,
+                             .has_no_limit = !e->limit.named,
                              .limit_per_s = e->limit.per_s};
 
     if (g->life != e->life)
--- a/tests/unit_notices.c
+++ b/tests/unit_notices.c
@@ -46,6 +46,25 @@
 }
 END_TEST
 
+/* The lack of a limit is a word, too, but not of whoever else answers there. */
+START_TEST(notices_of_others_end_no_limit)
+{
+    const char *const good[] = {"X-Server-Signature", "s", NULL};
+    const char *const named[] = {"X-Server-Signature", "s", "Server-Limit", "?",
+                                 NULL};
+    const char *const nothing[] = {NULL};
+    const char *const leaves[] = {"Server-Leaving", "1", "Server-Limit", "1",
+                                  NULL};
+
+    ck_assert(parse(200, good).has_no_limit);
+    ck_assert(!parse(200, named).has_no_limit);
+    ck_assert(!parse(200, nothing).has_no_limit);
+    ck_assert(!parse(500, good).has_no_limit);
+    ck_assert(!parse(503, nothing).has_no_limit);
+    ck_assert(!parse(421, leaves).leaving && !parse(421, leaves).has_limit);
+}
+END_TEST
+
 /* One engine's nonsense must neither slow its service nor end a limit. */
 START_TEST(notices_that_make_no_sense)
 {
@@ -77,7 +96,7 @@
 START_TEST(notices_odd_ones_change_nothing)
 {
     QRAnswerNotice limit = {.has_limit = true, .limit_per_s = 2};
-    QRAnswerNotice odd = {.odd = "Server-Limit", .limit_is_odd = true};
+    QRAnswerNotice odd = {.odd = "Server-Limit"};
     QRAnswerNotice century = {.has_rest = true, .rest_s = 1e12};
     QRAnswerNotice absurd = {.has_limit = true, .limit_per_s = 1e300};
     QRNotices n = {0};
@@ -97,7 +116,7 @@
 START_TEST(notices_limits_end_in_order)
 {
     QRAnswerNotice limit = {.has_limit = true, .limit_per_s = 2};
-    QRAnswerNotice none = {0};
+    QRAnswerNotice none = {.has_no_limit = true};
     QRNotices n = {0};
 
     qr_notices_take(&n, &limit, 900, 1000);
@@ -309,6 +328,7 @@
     TCase *t = tcase_create("notices");
 
     tcase_add_test(t, notices_are_decoded);
+    tcase_add_test(t, notices_of_others_end_no_limit);
     tcase_add_test(t, notices_that_make_no_sense);
     tcase_add_test(t, notices_odd_ones_change_nothing);
     tcase_add_test(t, notices_limits_end_in_order);
