Rests are heeded by gateways that say so: those of earlier builds are granted slots

By reading: a keeper of this build denied a slot while the engine rested from another gateway, unless the request said that there was no other engine. Gateways of earlier builds never say that, so while all engines of a service turn calls away now and then they would have got none from keepers already replaced. The field is turned round: who heeds rests says so.

--- a/src/fleet/qr_slots.c
+++ b/src/fleet/qr_slots.c
@@ -217,7 +217,7 @@
     QRSlotLoad holds = {request->open, request->reading}, others;
     QRSlotCall call = {request->prompt,       request->open_most,
                        request->reading_most, request->returned,
-                       request->denials,      request->despite_rest};
+                       request->denials,      !request->heeds_rest};
     QRLimitWord limit;
 
     qr_slots_told(s, gateway, &holds, now_ms);
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -56,7 +56,7 @@
     request.reading_most = wish->reading_most;
     request.returned = wish->returned;
     request.denials = wish->denials;
-    request.despite_rest = wish->despite_rest;
+    request.heeds_rest = !wish->despite_rest;
     request.open = qr_engine_held(e);
     request.reading = qr_engine_held_reading(e);
     request.rest_ms = (uint32_t)qr_engine_tired_ms(e, now);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2542,12 +2542,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "despite_rest",
+    "heeds_rest",
     12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__SlotRequest, despite_rest),
+    offsetof(Qr__Fleet__SlotRequest, heeds_rest),
     NULL,
     NULL,
     0,             /* flags */
@@ -2557,8 +2557,8 @@
 static const unsigned qr__fleet__slot_request__field_indices_by_name[] = {
   0,   /* field[0] = call */
   7,   /* field[7] = denials */
-  11,   /* field[11] = despite_rest */
   8,   /* field[8] = engine */
+  11,   /* field[11] = heeds_rest */
   9,   /* field[9] = limit */
   1,   /* field[1] = open */
   4,   /* field[4] = open_most */
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -553,9 +553,10 @@
    */
   uint32_t rest_ms;
   /*
-   * the sender has none that turned nobody away
+   * deny it if the engine has turned another gateway away; not set by builds that
+   * would find no engine then
    */
-  protobuf_c_boolean despite_rest;
+  protobuf_c_boolean heeds_rest;
 };
 #define QR__FLEET__SLOT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__slot_request__descriptor) \
