Logs: a store that goes back says so, with its era

Nothing told that the store's records had gone back, nor where to. An answer's header fields are kept with it, the platform decodes the era that it names, and a follower logs one line when that changes: era, the one before, offset to be read next, end of the answer. No logic changes. Old lines could tell this hypothesis from the others only through the offsets of configurations.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -46,6 +46,7 @@
                           did not */
     unsigned backoff_ms;
     bool reached, paused;
+    uint64_t era; /* that the last answer named; 0: none did */
     uint64_t calls;
 };
 
@@ -170,15 +171,51 @@
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
-/* What a call that failed, was slow or brought much has cost. */
-static void answer_log(const QRFollower *f, const QRWholeAnswer *a,
-                       const char *why)
+static const char *topic_name(const QRFollower *f)
 {
     static const char *const topics[QR_TOPIC_COUNT] = {
         [QR_TOPIC_OPERATOR] = "operator",
         [QR_TOPIC_ENGINES] = "engines",
         [QR_TOPIC_HELD] = "held",
     };
+
+    return topics[f->options.topic];
+}
+
+/* The store has come back without its last records. */
+static void went_back_log(const QRFollower *f, uint64_t era,
+                          const QRStorePage *page)
+{
+    qr_logf(QR_LEVEL_WARN, "store",
+            "went back topic=%s era=%" G_GUINT64_FORMAT
+            " before=%" G_GUINT64_FORMAT " read_to=%" G_GUINT64_FORMAT
+            " end=%" G_GUINT64_FORMAT " lost=%d",
+            topic_name(f), era, f->era, f->offset, page->end, page->lost);
+}
+
+/* Notes which history of the store's records the answer is from. */
+static void note_era(QRFollower *f, const QRWholeAnswer *a,
+                     const QRStorePage *page)
+{
+    g_auto(QRFindings) findings = {0};
+    uint64_t era;
+
+    qr_findings_init(&findings, f->address);
+    era = f->platform->parse_era(a->headers, &findings);
+    if (qr_findings_count(&findings) > 0)
+        qr_logf(QR_LEVEL_WARN, "store", "answer topic=%s finding=%s",
+                topic_name(f), (const char *)findings.lines->pdata[0]);
+    if (era == 0)
+        return;
+    if (f->era > 0 && era != f->era)
+        went_back_log(f, era, page);
+    f->era = era;
+}
+
+/* What a call that failed, was slow or brought much has cost. */
+static void answer_log(const QRFollower *f, const QRWholeAnswer *a,
+                       const char *why)
+{
     uint64_t took = f->now_ms - MIN(f->sent_ms, f->now_ms);
 
     if (a->status == 200 && a->received < LOG_LARGE_BYTES &&
@@ -187,8 +224,8 @@
     qr_logf(QR_LEVEL_INFO, "store",
             "%s topic=%s offset=%" G_GUINT64_FORMAT
             " took_ms=%" G_GUINT64_FORMAT " wait_ms=%u bytes=%zu outcome=%s",
-            f->listing ? "listing" : "read", topics[f->options.topic], f->asked,
-            took, f->wait_ms, a->received, why);
+            f->listing ? "listing" : "read", topic_name(f), f->asked, took,
+            f->wait_ms, a->received, why);
 }
 
 static void answer_done(void *owner, unsigned ref, const QRWholeAnswer *a)
@@ -215,6 +252,7 @@
         note_outage(f, a->status != 0);
         follower_failed(f, why);
     } else {
+        note_era(f, a, &page);
         follower_worked(f);
         if (f->listing)
             take_listing(f, &page);
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -100,6 +100,13 @@
     int (*parse_read)(unsigned status, const char *data, size_t len,
                       uint64_t offset, QRStorePage *page);
 
+    /*
+     * Which history of its records the store answers from: rises when it comes
+     * back without the last ones. 0: the answer does not say, with a finding if
+     * it should.
+     */
+    uint64_t (*parse_era)(const QRHeaders *headers, QRFindings *f);
+
     QROperatorKind (*operator_kind)(const char *key);
     /* NULL if the record is not a configuration. */
     QRPolicy *(*parse_policy)(const char *data, size_t len, QRFindings *f);
--- a/src/net/qr_headers.c
+++ b/src/net/qr_headers.c
@@ -27,6 +27,13 @@
     g_array_set_size(h->fields, 0);
 }
 
+void qr_headers_copy(QRHeaders *h, const QRHeaders *from)
+{
+    qr_headers_reset(h);
+    g_string_append_len(h->text, from->text->str, (gssize)from->text->len);
+    g_array_append_vals(h->fields, from->fields->data, from->fields->len);
+}
+
 void qr_headers_add(QRHeaders *h, const char *name, const char *value)
 {
     QRHeaderField f;
--- a/src/net/qr_headers.h
+++ b/src/net/qr_headers.h
@@ -19,6 +19,8 @@
 void qr_headers_clear(QRHeaders *h);
 /* Forgets all fields and keeps the memory. */
 void qr_headers_reset(QRHeaders *h);
+/* Makes 'h' hold what 'from' holds. */
+void qr_headers_copy(QRHeaders *h, const QRHeaders *from);
 void qr_headers_add(QRHeaders *h, const char *name, const char *value);
 unsigned qr_headers_count(const QRHeaders *h);
 const char *qr_headers_name(const QRHeaders *h, unsigned i);
--- a/src/net/qr_whole.c
+++ b/src/net/qr_whole.c
@@ -10,12 +10,14 @@
     QRWholeDone done;
     void *owner;
     unsigned ref, status;
+    QRHeaders headers;
     GByteArray *body;
 };
 
 static void whole_free(QRWhole *w)
 {
     g_byte_array_unref(w->body);
+    qr_headers_clear(&w->headers);
     g_free(w);
 }
 
@@ -25,8 +27,8 @@
     QRWhole *w = owner;
 
     (void)call;
-    (void)headers;
     w->status = status;
+    qr_headers_copy(&w->headers, headers);
 }
 
 static void whole_over(QRWhole *w, QRWholeAnswer *answer)
@@ -37,6 +39,9 @@
 
     w->call = NULL;
     answer->received = w->body->len;
+    if (answer->status == 0)
+        qr_headers_reset(&w->headers);
+    answer->headers = &w->headers;
     done(owner, ref, answer);
     whole_free(w);
 }
@@ -45,7 +50,7 @@
                        size_t len)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {0, true, NULL, 0, "answer too large", 0};
+    QRWholeAnswer answer = {.maybe_done = true, .why = "answer too large"};
 
     g_byte_array_append(w->body, (const guint8 *)data, (guint)len);
     if (w->body->len <= ANSWER_MAX)
@@ -57,8 +62,9 @@
 static void whole_end(void *owner, QRClientCall *call)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {w->status,    false, (const char *)w->body->data,
-                            w->body->len, NULL,  0};
+    QRWholeAnswer answer = {.status = w->status,
+                            .data = (const char *)w->body->data,
+                            .len = w->body->len};
 
     (void)call;
     whole_over(w, &answer);
@@ -68,7 +74,8 @@
                          const char *why)
 {
     QRWhole *w = owner;
-    QRWholeAnswer answer = {0, fault != QR_CALL_FAULT_UNSENT, NULL, 0, why, 0};
+    QRWholeAnswer answer = {.maybe_done = fault != QR_CALL_FAULT_UNSENT,
+                            .why = why};
 
     (void)call;
     whole_over(w, &answer);
@@ -104,6 +111,7 @@
     w->owner = owner;
     w->ref = ref;
     w->body = g_byte_array_new();
+    qr_headers_init(&w->headers);
     r.address = request->address;
     r.data = text->str;
     r.len = text->len;
--- a/src/net/qr_whole.h
+++ b/src/net/qr_whole.h
@@ -13,8 +13,9 @@
     bool maybe_done; /* of status 0: the peer may have acted on it */
     const char *data;
     size_t len;
-    const char *why; /* of status 0 */
-    size_t received; /* bytes of the body that came, whole or not */
+    const char *why;          /* of status 0 */
+    size_t received;          /* bytes of the body that came, whole or not */
+    const QRHeaders *headers; /* of status 0: empty */
 } QRWholeAnswer;
 
 /* 'ref' is what qr_whole_send() was given. The request is over. */
