Red: a store that goes back gives its offsets out again

tests/test_store_goes_back.py, real processes at 5 and 16 gateways; the stand-in store goes back, names its era and answers 410 from offsets it does not have.

--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -128,18 +128,21 @@
     conn.sendall(head.encode() + b"\r\n" + body)
 
 
-def answer_json(conn, value):
+def answer_json(conn, value, headers=()):
     answer(conn, 200, json.dumps(value).encode(),
-           [("Content-Type", "application/json")])
+           [("Content-Type", "application/json")] + list(headers))
 
 
 class Store(Server):
-    """Topics that keep the newest record of each key."""
+    """Topics that keep the newest record of each key. It may go back to an
+    older copy of them; then its era rises, which all its answers name."""
 
     def __init__(self):
         self.topics = {}
+        self.era = 1  # None: answers do not name it
         self.calls = 0
         self.appends = 0  # records that processes wrote
+        self.gone = 0     # reads from offsets that it does not have
         self.reads = {}  # topic -> calls
         self.listings = {}  # topic -> those of them that list it
         self.page = 500  # records a page of a listing
@@ -157,6 +160,19 @@
             self.records(topic).append((key, data))
             self.changed.notify_all()
 
+    def go_back(self, lost):
+        """'lost' tells how many of the last records of each topic are gone."""
+        with self.changed:
+            for topic, n in lost.items():
+                rows = self.records(topic)
+                del rows[len(rows) - n:]
+            if self.era is not None:
+                self.era += 1
+            self.changed.notify_all()
+
+    def headers(self):
+        return [] if self.era is None else [("Store-Era", str(self.era))]
+
     def handle(self, conn, request):
         self.calls += 1
         topic = request.query.get("topic")
@@ -182,12 +198,14 @@
                 self.appends += 1
             self.changed.notify_all()
             end = len(self.records(topic))
-        answer_json(conn, {"offset": offset, "end": end})
+        answer_json(conn, {"offset": offset, "end": end}, self.headers())
 
     def newest(self, conn, topic, after):
         self.listings[topic] = self.listings.get(topic, 0) + (not after)
         last = {}
-        for offset, (key, data) in enumerate(self.records(topic)):
+        with self.changed:
+            rows, headers = list(self.records(topic)), self.headers()
+        for offset, (key, data) in enumerate(rows):
             last[key] = (offset, data)
         keys = sorted(k for k, (_, d) in last.items() if d and k > after)
         if after:
@@ -196,23 +214,27 @@
                   "value": base64.b64encode(last[k][1]).decode()}
                  for k in keys[:self.page]]
         answer_json(conn, {"items": items, "more": len(keys) > self.page,
-                           "end": len(self.records(topic))})
+                           "end": len(rows)}, headers)
 
     def read(self, conn, topic, source, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         with self.changed:
-            while len(self.records(topic)) <= source:
+            while len(self.records(topic)) == source:
                 left = until - time.monotonic()
                 if left <= 0:
                     break
                 self.changed.wait(left)
             rows = self.records(topic)[source:]
-            end = len(self.records(topic))
+            end, headers = len(self.records(topic)), self.headers()
+        if source > end:
+            self.gone += 1
+            answer(conn, 410, b'{"first":0}', headers)
+            return
         body = struct.pack(">QQ", end, 0)
         for key, data in rows:
             record = bytes([len(key)]) + key.encode() + data
             body += struct.pack(">I", len(record)) + record
-        answer(conn, 200, body)
+        answer(conn, 200, body, headers)
 
 
 CHUNKS, CHUNK_BYTES = 6, 2000
