--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -204,13 +204,14 @@
 
         if (e->gone || e->ended || strcmp(e->record->address, address) != 0)
             continue;
-        if (!latest || e->offset > latest->offset)
+        if (!latest || qr_position_cmp(e->position, latest->position) > 0)
             latest = e;
     }
     return latest;
 }
 
-unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed)
+unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed,
+                                bool eras_settle)
 {
     GHashTableIter it;
     void *value;
@@ -219,11 +220,14 @@
     g_hash_table_iter_init(&it, t->by_id);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         QREngine *e = value;
-        QREngine *earlier = e->offset < changed->offset ? e : changed;
+        QREngine *earlier =
+            qr_position_cmp(e->position, changed->position) < 0 ? e : changed;
 
         if (e == changed || e->gone || e->ended || changed->ended ||
             strcmp(e->record->address, changed->record->address) != 0)
             continue;
+        if (eras_settle && e->position.era != changed->position.era)
+            continue;
         earlier->ended = true;
         n++;
     }
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -7,6 +7,7 @@
 
 #include "qr_notices.h"
 #include "qr_policy.h"
+#include "qr_position.h"
 
 /* An engine's own record in the store. */
 typedef struct QREngineRecord {
@@ -56,18 +57,18 @@
 
 typedef struct QREngine {
     QREngineRecord *record;
-    uint64_t heard_ms;  /* when the record last changed here */
-    uint64_t offset;    /* of its newest record; 0: none seen */
-    bool gone;          /* no record any more; no new calls */
-    uint64_t lapsed_ms; /* its record went while the store was away; 0: no */
-    bool unreadable;    /* its newest record is none: no new calls */
-    bool ended;         /* a later run is at its address: no new calls */
-    bool unconfirmed;   /* from our first listing, and nothing heard since: it
-                           may have ended long ago */
-    unsigned own;       /* calls that we have open there */
-    unsigned reading;   /* prompt tokens of ours whose answer has not begun */
-    GArray *awaited;    /* uint64_t: when calls were sent that have no first
-                           byte yet, oldest first */
+    uint64_t heard_ms;   /* when the record last changed here */
+    QRPosition position; /* of its newest record, if any was seen */
+    bool gone;           /* no record any more; no new calls */
+    uint64_t lapsed_ms;  /* its record went while the store was away; 0: no */
+    bool unreadable;     /* its newest record is none: no new calls */
+    bool ended;          /* a later run is at its address: no new calls */
+    bool unconfirmed;    /* from our first listing, and nothing heard since: it
+                            may have ended long ago */
+    unsigned own;        /* calls that we have open there */
+    unsigned reading;    /* prompt tokens of ours whose answer has not begun */
+    GArray *awaited;     /* uint64_t: when calls were sent that have no first
+                            byte yet, oldest first */
     unsigned own_told, reading_told; /* what the other gateways know of it */
     GHashTable *others;              /* gateway's name -> QRToldLoad * */
     /* told by the sidecar; newer than the record */
@@ -110,9 +111,11 @@
 /*
  * Of all records with the address of 'changed' only the one that was written
  * last is of an engine that runs: the others stand in the store until their
- * leases run out. Returns how many engines have ended.
+ * leases run out. Returns how many engines have ended. While 'eras_settle' a
+ * record of a later era may be the older one, and ends none of an earlier era.
  */
-unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed);
+unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed,
+                                bool eras_settle);
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
 /* Whether an engine that is not gone was not heard of since our first listing.
  */
--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -29,13 +29,14 @@
     const QRFollowerHandlers *handlers;
     void *owner;
     QRWhole *call;
-    bool listing;      /* the call under way is a listing */
-    bool listed;       /* a listing was taken, reads go on from 'offset' */
-    char *after;       /* last key of the page before */
-    GPtrArray *pages;  /* QRStoreRecord *, owned: of this listing so far */
-    uint64_t list_end; /* end as the first page told it */
-    uint64_t offset;   /* to be read next */
-    uint64_t asked;    /* 'offset' when the call under way was sent */
+    bool listing;        /* the call under way is a listing */
+    bool listed;         /* a listing was taken, reads go on from 'offset' */
+    char *after;         /* last key of the page before */
+    GPtrArray *pages;    /* QRStoreRecord *, owned: of this listing so far */
+    QRPosition list_end; /* end as the first page told it */
+    QRPosition next;     /* to be read next */
+    QRPosition asked;    /* 'next' when the call under way was sent */
+    bool lost;           /* the last read asked for what is no longer there */
     uint64_t next_ms, now_ms, answered_ms, gap_ms, tick_ms;
     uint64_t current_ms; /* all records put there before are known */
     QROutage outage;
@@ -46,7 +47,6 @@
                           did not */
     unsigned backoff_ms;
     bool reached, paused;
-    uint64_t era; /* that the last answer named; 0: none did */
     uint64_t calls;
 };
 
@@ -122,6 +122,33 @@
     f->next_ms = f->now_ms;
 }
 
+static const char *topic_name(const QRFollower *f)
+{
+    static const char *const topics[QR_TOPIC_COUNT] = {
+        [QR_TOPIC_OPERATOR] = "operator",
+        [QR_TOPIC_ENGINES] = "engines",
+        [QR_TOPIC_HELD] = "held",
+    };
+
+    return topics[f->options.topic];
+}
+
+/*
+ * The store came back without its last records: nothing that follows on from
+ * what we had read can be told by offsets, so all is listed anew.
+ */
+static void went_back(QRFollower *f, uint64_t era, const QRStorePage *page)
+{
+    qr_logf(
+        QR_LEVEL_WARN, "store",
+        "went back topic=%s era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+        " read_to=%" G_GUINT64_FORMAT " end=%" G_GUINT64_FORMAT " lost=%d",
+        topic_name(f), era, f->next.era, f->next.offset, page->end, page->lost);
+    qr_follower_restart(f);
+    f->next = (QRPosition){era, 0};
+    f->handlers->went_back(f->owner, era);
+}
+
 /* Hands a whole listing on: of half a one nobody could say what it lacks. */
 static void listing_done(QRFollower *f)
 {
@@ -133,16 +160,21 @@
         g_hash_table_add(keys, ((QRStoreRecord *)records->pdata[i])->key);
     take_records(f, records);
     /* what changed while pages were read stands behind the first end */
-    f->offset = MAX(f->offset, f->list_end);
+    if (qr_position_cmp(f->list_end, f->next) < 0)
+        qr_logf(QR_LEVEL_WARN, "store",
+                "listing ends before what was read topic=%s "
+                "read_to=%" G_GUINT64_FORMAT " " QR_POSITION_FORMAT,
+                topic_name(f), f->next.offset, QR_POSITION_ARGS(f->list_end));
+    f->next = f->list_end;
     f->listed = true;
     f->current_ms = f->now_ms;
     f->handlers->listed(f->owner, keys);
 }
 
-static void take_listing(QRFollower *f, QRStorePage *page)
+static void take_listing(QRFollower *f, uint64_t era, QRStorePage *page)
 {
     if (!f->after)
-        f->list_end = page->end;
+        f->list_end = (QRPosition){era, page->end};
     g_ptr_array_extend_and_steal(f->pages, g_steal_pointer(&page->records));
     f->next_ms = f->now_ms;
     if (page->more && f->pages->len > 0) {
@@ -158,58 +190,92 @@
         f->next_ms = f->now_ms + f->options.interval_ms;
 }
 
-static void take_read(QRFollower *f, const QRStorePage *page)
+/* What was to be read next is not there: all is listed anew, after a pause if
+   the listing before has not helped. */
+static void take_lost(QRFollower *f)
+{
+    qr_follower_restart(f);
+    if (f->lost)
+        f->next_ms = f->now_ms + BACKOFF_MOST_MS;
+    f->lost = true;
+}
+
+static void take_read(QRFollower *f, uint64_t era, const QRStorePage *page)
 {
     if (page->lost) {
-        qr_follower_restart(f);
+        take_lost(f);
         return;
     }
+    f->lost = false;
     take_records(f, page->records);
-    f->offset = MAX(f->offset, f->asked + page->records->len);
+    f->next = qr_position_max(
+        f->next, (QRPosition){era, f->asked.offset + page->records->len});
     if (!page->more)
         f->current_ms = f->now_ms;
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
-static const char *topic_name(const QRFollower *f)
+/* The era that an answer names; one that names none is of that before it. */
+static uint64_t answer_era(const QRFollower *f, const QRWholeAnswer *a)
 {
-    static const char *const topics[QR_TOPIC_COUNT] = {
-        [QR_TOPIC_OPERATOR] = "operator",
-        [QR_TOPIC_ENGINES] = "engines",
-        [QR_TOPIC_HELD] = "held",
-    };
+    g_auto(QRFindings) findings = {0};
+    uint64_t era;
 
-    return topics[f->options.topic];
+    qr_findings_init(&findings, f->address);
+    era = f->platform->parse_era(a->headers, &findings);
+    if (qr_findings_count(&findings) > 0)
+        qr_logf(QR_LEVEL_WARN, "store", "answer topic=%s finding=%s",
+                topic_name(f), (const char *)findings.lines->pdata[0]);
+    if (era > 0)
+        return era;
+    return f->listing && f->after ? f->list_end.era : f->next.era;
 }
 
-/* The store has come back without its last records. */
-static void went_back_log(const QRFollower *f, uint64_t era,
-                          const QRStorePage *page)
+/* An answer from before the store went back, which we know of already. */
+static void answer_outdated(QRFollower *f, uint64_t era)
 {
     qr_logf(QR_LEVEL_WARN, "store",
-            "went back topic=%s era=%" G_GUINT64_FORMAT
-            " before=%" G_GUINT64_FORMAT " read_to=%" G_GUINT64_FORMAT
-            " end=%" G_GUINT64_FORMAT " lost=%d",
-            topic_name(f), era, f->era, f->offset, page->end, page->lost);
+            "answer passed over topic=%s era=%" G_GUINT64_FORMAT
+            " known=%" G_GUINT64_FORMAT,
+            topic_name(f), era, f->next.era);
+    f->next_ms = f->now_ms + f->backoff_ms;
+    f->backoff_ms = MIN(f->backoff_ms * 2, BACKOFF_MOST_MS);
 }
 
-/* Notes which history of the store's records the answer is from. */
-static void note_era(QRFollower *f, const QRWholeAnswer *a,
-                     const QRStorePage *page)
+static void page_stamp(const QRStorePage *page, uint64_t era)
 {
-    g_auto(QRFindings) findings = {0};
-    uint64_t era;
+    for (unsigned i = 0; i < page->records->len; i++)
+        ((QRStoreRecord *)page->records->pdata[i])->position.era = era;
+}
 
-    qr_findings_init(&findings, f->address);
-    era = f->platform->parse_era(a->headers, &findings);
-    if (qr_findings_count(&findings) > 0)
-        qr_logf(QR_LEVEL_WARN, "store", "answer topic=%s finding=%s",
-                topic_name(f), (const char *)findings.lines->pdata[0]);
-    if (era == 0)
+/*
+ * An answer of a later era than what we had read begins anew; of a listing that
+ * is so from its first page on.
+ */
+static void take_page(QRFollower *f, uint64_t era, QRStorePage *page)
+{
+    bool is_known = !qr_position_is_none(f->next);
+    bool is_back = is_known && era > f->next.era;
+    bool is_torn = f->listing && f->after && era != f->list_end.era;
+
+    if (era < f->next.era) {
+        answer_outdated(f, era);
+        return;
+    }
+    follower_worked(f);
+    if (is_back)
+        went_back(f, era, page);
+    else if (is_torn)
+        qr_follower_restart(f);
+    if (is_torn || (is_back && !f->listing))
         return;
-    if (f->era > 0 && era != f->era)
-        went_back_log(f, era, page);
-    f->era = era;
+    page_stamp(page, era);
+    if (f->listing)
+        take_listing(f, era, page);
+    else if (is_known && era != f->asked.era)
+        f->next_ms = f->now_ms; /* another has told us of the new era since */
+    else
+        take_read(f, era, page);
 }
 
 /* What a call that failed, was slow or brought much has cost. */
@@ -224,8 +290,8 @@
     qr_logf(QR_LEVEL_INFO, "store",
             "%s topic=%s offset=%" G_GUINT64_FORMAT
             " took_ms=%" G_GUINT64_FORMAT " wait_ms=%u bytes=%zu outcome=%s",
-            f->listing ? "listing" : "read", topic_name(f), f->asked, took,
-            f->wait_ms, a->received, why);
+            f->listing ? "listing" : "read", topic_name(f), f->asked.offset,
+            took, f->wait_ms, a->received, why);
 }
 
 static void answer_done(void *owner, unsigned ref, const QRWholeAnswer *a)
@@ -246,18 +312,13 @@
     if (a->status)
         rc = f->listing
                  ? f->platform->parse_list(a->status, a->data, a->len, &page)
-                 : f->platform->parse_read(a->status, a->data, a->len, f->asked,
-                                           &page);
+                 : f->platform->parse_read(a->status, a->data, a->len,
+                                           f->asked.offset, &page);
     if (rc != 0) {
         note_outage(f, a->status != 0);
         follower_failed(f, why);
     } else {
-        note_era(f, a, &page);
-        follower_worked(f);
-        if (f->listing)
-            take_listing(f, &page);
-        else
-            take_read(f, &page);
+        take_page(f, answer_era(f, a), &page);
     }
     qr_store_page_clear(&page);
 }
@@ -276,7 +337,7 @@
     f->listing = !f->listed;
     path = f->listing
                ? f->platform->list_path(f->options.topic, f->after)
-               : f->platform->read_path(f->options.topic, f->offset, wait);
+               : f->platform->read_path(f->options.topic, f->next.offset, wait);
     r.address = f->address;
     r.method = "GET";
     r.path = path;
@@ -286,7 +347,7 @@
     f->calls++;
     f->wait_ms = f->listing ? 0 : wait;
     f->sent_ms = f->now_ms;
-    f->asked = f->offset;
+    f->asked = f->next;
     f->still_ms = 0;
     f->call = qr_whole_send(f->client, &r, answer_done, f, 0);
     f->fresh = qr_client_opened(f->client) > opened;
@@ -328,9 +389,9 @@
         follower_send(f);
 }
 
-uint64_t qr_follower_offset(const QRFollower *f)
+QRPosition qr_follower_next(const QRFollower *f)
 {
-    return f->listed ? f->offset : 0;
+    return f->listed ? f->next : (QRPosition){0};
 }
 
 bool qr_follower_reached(const QRFollower *f)
@@ -366,9 +427,19 @@
     f->call = NULL;
 }
 
-void qr_follower_skip(QRFollower *f, uint64_t offset)
+void qr_follower_expect(QRFollower *f, uint64_t era)
+{
+    if (f->paused || !f->listed || f->next.era >= era)
+        return;
+    if (f->call)
+        call_cancel(f);
+    qr_follower_restart(f);
+}
+
+void qr_follower_skip(QRFollower *f, QRPosition end)
 {
-    if (f->listed && offset <= f->offset)
+    if (qr_position_cmp(end, f->next) < 0 ||
+        (f->listed && qr_position_cmp(end, f->next) == 0))
         return;
     /* of a listing under way the pages so far are dropped: its end says nothing
        of what stood on them */
@@ -376,7 +447,7 @@
         call_cancel(f);
     f->listed = true;
     listing_reset(f);
-    f->offset = MAX(f->offset, offset);
+    f->next = end;
 }
 
 void qr_follower_set_interval(QRFollower *f, unsigned interval_ms)
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -12,6 +12,9 @@
 typedef struct QRFollowerHandlers {
     /* A record, newest last; an empty value says that its key is gone. */
     void (*record)(void *owner, const QRStoreRecord *record);
+    /* The store has come back without its last records; those that follow are
+       of this era. */
+    void (*went_back)(void *owner, uint64_t era);
     /* All records of a listing were given: keys that are not in the set 'keys'
        are gone. */
     void (*listed)(void *owner, GHashTable *keys);
@@ -34,8 +37,9 @@
                             const QRFollowerHandlers *handlers, void *owner);
 void qr_follower_free(QRFollower *f);
 void qr_follower_tick(QRFollower *f, uint64_t now_ms);
-/* Offset behind the newest record seen; 0 before the first listing. */
-uint64_t qr_follower_offset(const QRFollower *f);
+/* Position behind the newest record seen; none before the first listing, and
+   while all is listed anew. */
+QRPosition qr_follower_next(const QRFollower *f);
 /* Whether the last call was answered, and when the last answer came. */
 bool qr_follower_reached(const QRFollower *f);
 uint64_t qr_follower_answered_ms(const QRFollower *f);
@@ -54,10 +58,13 @@
 
 QROutage qr_follower_outage(const QRFollower *f);
 /*
- * All newest records before 'offset' are known from elsewhere: they are not
- * read, nor is the topic listed for them.
+ * All newest records before 'end' are known from elsewhere: they are not read,
+ * nor is the topic listed for them.
  */
-void qr_follower_skip(QRFollower *f, uint64_t offset);
+void qr_follower_skip(QRFollower *f, QRPosition end);
+/* The store is known to answer from 'era' by now: one that reads looks at
+   once. */
+void qr_follower_expect(QRFollower *f, uint64_t era);
 /* Stops reading, or goes on with a read at once. */
 void qr_follower_pause(QRFollower *f, bool paused);
 /* Between two reads from now on. */
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -5,6 +5,7 @@
 #define QR_MEMBERS_H
 
 #include "base/qr_base.h"
+#include "qr_operator.h"
 #include "wire/fleet.pb-c.h"
 
 #define QR_ROLE_GATEWAY "gateway"
@@ -17,14 +18,14 @@
     bool listed;       /* a gateway counts it among the sidecars */
     uint64_t lost_ms;  /* since when it has no connection; 0: it has */
     const void *conn;  /* connection on which it greeted us last; not owned */
-    uint64_t control_offset; /* of the operator's records that it knows */
+    QRKnowledge known; /* of the operator's records */
     /* gateways: engines' records that they read from the store */
     uint64_t engines_read_ms; /* when the store last answered; 0: reads none */
-    uint64_t engines_changed; /* offset of the last change */
-    uint64_t engines_since;   /* it knows all changes from that offset on */
-    uint64_t load_ms;         /* when it told its load last; 0: none counts */
-    unsigned gateways;        /* how many it knows */
-    unsigned gateways_asked;  /* how many when we asked it for them last */
+    QRPosition engines_changed; /* of the last change */
+    QRPosition engines_since;   /* it knows all changes from there on */
+    uint64_t load_ms;           /* when it told its load last; 0: none counts */
+    unsigned gateways;          /* how many it knows */
+    unsigned gateways_asked;    /* how many when we asked it for them last */
     bool leaving;
     bool reserves_slots; /* it said so itself: builds of before do not */
     /* sidecars, as told */
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -44,8 +44,7 @@
     return now_ms > age_ms ? now_ms - age_ms : 0;
 }
 
-static void take_policy(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
-                        uint64_t now_ms)
+static QRPolicy *parse_policy(const QROperator *o, const QRStoreRecord *r)
 {
     g_auto(QRFindings) f = {0};
     gsize len;
@@ -57,22 +56,65 @@
     for (unsigned i = 0; i < f.lines->len; i++)
         qr_logf(QR_LEVEL_WARN, "policy", "finding %s",
                 (char *)f.lines->pdata[i]);
+    return p;
+}
+
+static uint64_t age_of(uint64_t since_ms, uint64_t now_ms)
+{
+    return since_ms > 0 ? now_ms - since_ms : QR_AGE_UNKNOWN_MS;
+}
+
+/* One record that names what another one does as well. */
+typedef struct Writing {
+    QRPosition position;
+    uint64_t since_ms;
+} Writing;
+
+/*
+ * Of two records that name the same version, the first one put it into force.
+ * Of one record that several know, each knows only that it is no older than
+ * some age: the least is the nearest to the truth.
+ */
+static bool writing_counts(QRPosition known, uint64_t known_since_ms,
+                           const Writing *other)
+{
+    int cmp = qr_position_is_none(other->position)
+                  ? 0 /* told by a build that names no positions */
+                  : qr_position_cmp(other->position, known);
+
+    return cmp < 0 || (cmp == 0 && other->since_ms > known_since_ms);
+}
+
+static bool take_policy(QROperator *o, const QRStoreRecord *r,
+                        const Writing *writing, uint64_t now_ms)
+{
+    QRPolicy *p = parse_policy(o, r);
+    gsize len = g_bytes_get_size(r->value);
+
     if (!p)
-        return;
+        return false;
     if (o->policy && p->version <= o->policy->version) {
+        if (p->version < o->policy->version)
+            qr_logf(QR_LEVEL_INFO, "policy",
+                    "kept version=%" G_GUINT64_FORMAT
+                    " passed_over=%" G_GUINT64_FORMAT " " QR_POSITION_FORMAT,
+                    o->policy->version, p->version,
+                    QR_POSITION_ARGS(r->position));
         qr_policy_free(p);
-        return;
+        return false;
     }
     qr_logf(QR_LEVEL_INFO, "policy",
             "in force version=%" G_GUINT64_FORMAT " routes=%u teams=%u "
-            "bytes=%zu offset=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
-            p->version, p->routes->len, p->teams->len, len, r->offset, age_ms);
+            "bytes=%zu " QR_POSITION_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+            p->version, p->routes->len, p->teams->len, len,
+            QR_POSITION_ARGS(r->position), age_of(writing->since_ms, now_ms));
     qr_policy_free(o->policy);
     o->policy = p;
-    o->policy_since_ms = since(now_ms, age_ms);
+    o->policy_since_ms = writing->since_ms;
+    return true;
 }
 
-/* Notes a version in its place; of one that is known the lesser age counts. */
+/* Notes a version in its place. */
 static void versions_add(QROperator *o, const char *model,
                          const QRNamedVersion *named)
 {
@@ -89,7 +131,10 @@
         if (v->version < named->version)
             break;
         if (v->version == named->version) {
-            v->since_ms = MAX(v->since_ms, named->since_ms);
+            Writing other = {named->position, named->since_ms};
+
+            if (writing_counts(v->position, v->since_ms, &other))
+                *v = *named;
             return;
         }
     }
@@ -98,31 +143,34 @@
         g_array_remove_index(list, 0);
 }
 
-static void take_version(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
-                         uint64_t now_ms)
+static bool take_version(QROperator *o, const QRStoreRecord *r,
+                         const Writing *writing, uint64_t now_ms)
 {
     g_autofree char *model = NULL;
     const QRNamedVersion *known;
-    QRNamedVersion named = {0, since(now_ms, age_ms)};
+    QRNamedVersion named = {0, writing->position, writing->since_ms};
     gsize len;
     const char *data = g_bytes_get_data(r->value, &len);
 
     if (o->platform->parse_weights(data, len, &model, &named.version) != 0) {
         qr_logf(QR_LEVEL_WARN, "weights", "unreadable record key=%s", r->key);
-        return;
+        return false;
     }
     known = qr_operator_version(o, model);
     if (known && named.version <= known->version)
-        return;
+        return false;
     qr_logf(QR_LEVEL_INFO, "weights",
             "named model=%s version=%" G_GUINT64_FORMAT
-            " age_ms=%" G_GUINT64_FORMAT,
-            model, named.version, age_ms);
+            " age_ms=%" G_GUINT64_FORMAT " " QR_POSITION_FORMAT,
+            model, named.version, age_of(named.since_ms, now_ms),
+            QR_POSITION_ARGS(named.position));
     versions_add(o, model, &named);
+    return true;
 }
 
-static void version_is_younger(QROperator *o, const QRStoreRecord *r,
-                               uint64_t since_ms)
+/* The version that a record names was put into force by another writing. */
+static void version_is_of(QROperator *o, const QRStoreRecord *r,
+                          const Writing *writing)
 {
     g_autofree char *model = NULL;
     uint64_t version;
@@ -136,64 +184,119 @@
     for (unsigned i = 0; list && i < list->len; i++) {
         QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
 
-        if (v->version == version)
-            v->since_ms = since_ms;
+        if (v->version != version)
+            continue;
+        v->position = writing->position;
+        v->since_ms = writing->since_ms;
     }
 }
 
-/*
- * Each process knows only that a record is no older than some age. The least
- * of them all is the nearest to the truth.
- */
-static void held_is_younger(QROperator *o, QRHeldRecord *held, uint64_t age_ms,
-                            uint64_t now_ms)
+/* What is held was written or heard of once more. */
+static void held_again(QROperator *o, QRHeldRecord *held,
+                       const Writing *writing, uint64_t now_ms)
 {
-    uint64_t since_ms = since(now_ms, age_ms);
+    bool later = writing->since_ms > held->since_ms;
 
-    if (since_ms <= held->since_ms)
+    if (!writing_counts(held->record->position, held->since_ms, writing))
         return;
-    held->since_ms = since_ms;
+    held->record->position = writing->position;
+    held->since_ms = writing->since_ms;
     if (o->platform->operator_kind(held->record->key) != QR_OPERATOR_WEIGHTS)
         return;
-    version_is_younger(o, held->record, since_ms);
+    version_is_of(o, held->record, writing);
     qr_logf(QR_LEVEL_INFO, "weights",
-            "named later than assumed key=%s age_ms=%" G_GUINT64_FORMAT,
-            held->record->key, age_ms);
+            "named %s than assumed key=%s age_ms=%" G_GUINT64_FORMAT
+            " " QR_POSITION_FORMAT,
+            later ? "later" : "earlier", held->record->key,
+            age_of(writing->since_ms, now_ms),
+            QR_POSITION_ARGS(writing->position));
+}
+
+/*
+ * Configurations and versions rise in themselves. That order holds where that
+ * of positions does not: the store may have come back from a copy that lacks
+ * what is in force.
+ */
+static bool record_counts(QROperator *o, const QRStoreRecord *r,
+                          const Writing *writing, uint64_t now_ms)
+{
+    switch (o->platform->operator_kind(r->key)) {
+    case QR_OPERATOR_POLICY:
+        return take_policy(o, r, writing, now_ms);
+    case QR_OPERATOR_WEIGHTS:
+        return take_version(o, r, writing, now_ms);
+    case QR_OPERATOR_OTHER:
+        break;
+    }
+    return true;
+}
+
+static bool is_outdated(const QRHeldRecord *held, QRPosition position)
+{
+    return held && held->record->position.era == position.era &&
+           held->record->position.offset >= position.offset;
 }
 
 bool qr_operator_take(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
                       uint64_t now_ms)
 {
     QRHeldRecord *held = g_hash_table_lookup(o->records, r->key);
+    Writing writing = {r->position, since(now_ms, age_ms)};
 
     if (g_bytes_get_size(r->value) == 0)
         return false; /* a dropped key takes nothing back */
-    if (held && r->offset == held->record->offset)
-        held_is_younger(o, held, age_ms, now_ms);
-    if (held && r->offset <= held->record->offset)
+    o->end = qr_position_max(o->end, qr_position_after(r->position));
+    if (held && g_bytes_equal(held->record->value, r->value)) {
+        held_again(o, held, &writing, now_ms);
+        return false;
+    }
+    if (is_outdated(held, r->position) ||
+        !record_counts(o, r, &writing, now_ms))
         return false;
     held = g_new0(QRHeldRecord, 1);
     held->record = g_new0(QRStoreRecord, 1);
     held->record->key = g_strdup(r->key);
     held->record->value = g_bytes_ref(r->value);
-    held->record->offset = r->offset;
-    held->since_ms = since(now_ms, age_ms);
+    held->record->position = r->position;
+    held->since_ms = writing.since_ms;
     g_hash_table_replace(o->records, held->record->key, held);
-    o->end = MAX(o->end, r->offset + 1);
-    switch (o->platform->operator_kind(r->key)) {
-    case QR_OPERATOR_POLICY:
-        take_policy(o, r, age_ms, now_ms);
-        break;
-    case QR_OPERATOR_WEIGHTS:
-        take_version(o, r, age_ms, now_ms);
-        break;
-    case QR_OPERATOR_OTHER:
-        break;
-    }
     o->news(o->owner, r);
     return true;
 }
 
+bool qr_operator_is_empty(const QROperator *o)
+{
+    return g_hash_table_size(o->records) == 0;
+}
+
+QRKnowledge qr_operator_knowledge(const QROperator *o)
+{
+    QRKnowledge k = {.policy = o->policy ? o->policy->version : 0,
+                     .offset = o->end.offset};
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, o->versions);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const GArray *list = value;
+
+        k.weights += g_array_index(list, QRNamedVersion, list->len - 1).version;
+    }
+    return k;
+}
+
+static bool names_versions(const QRKnowledge *k)
+{
+    return k->policy > 0 || k->weights > 0;
+}
+
+bool qr_knowledge_exceeds(const QRKnowledge *a, const QRKnowledge *b)
+{
+    if (!names_versions(a) || !names_versions(b))
+        return a->offset > b->offset;
+    return a->policy > b->policy || a->weights > b->weights;
+}
+
 const QRNamedVersion *qr_operator_version(const QROperator *o,
                                           const char *model)
 {
@@ -258,7 +361,7 @@
 
         if (unknown && o->platform->operator_kind(held->record->key) ==
                            QR_OPERATOR_WEIGHTS)
-            least = MIN(least, held->record->offset);
+            least = MIN(least, held->record->position.offset);
     }
     return least;
 }
@@ -286,8 +389,9 @@
         value = o->policy->for_sidecars;
     qr__fleet__record__init(out);
     out->key = held->record->key;
-    out->offset = held->record->offset;
-    out->age_ms = held->since_ms ? now_ms - held->since_ms : QR_AGE_UNKNOWN_MS;
+    out->offset = held->record->position.offset;
+    out->era = held->record->position.era;
+    out->age_ms = age_of(held->since_ms, now_ms);
     if (packed) {
         out->packed.data = (uint8_t *)g_bytes_get_data(packed, &len);
         out->packed.len = len;
@@ -331,46 +435,115 @@
             break;
         qr__fleet__earlier_version__init(&rows[i]);
         rows[i].version = v->version;
-        rows[i].age_ms = v->since_ms ? now_ms - v->since_ms : QR_AGE_UNKNOWN_MS;
+        rows[i].era = v->position.era;
+        rows[i].offset = v->position.offset;
+        rows[i].age_ms = age_of(v->since_ms, now_ms);
         out->earlier[out->n_earlier++] = &rows[i];
     }
 }
 
-void qr_operator_tell(const QROperator *o, uint64_t offset, QRAudience audience,
-                      uint64_t now_ms,
-                      void (*send)(void *to, const Qr__Fleet__Frame *frame),
-                      void *to)
+/* Whether one that knows 'known' lacks what a record says. */
+static bool is_lacked(const QROperator *o, const QRHeldRecord *held,
+                      const QRKnowledge *own, const QRKnowledge *known)
+{
+    if (!names_versions(known))
+        return held->record->position.offset >= known->offset;
+    switch (o->platform->operator_kind(held->record->key)) {
+    case QR_OPERATOR_POLICY:
+        return own->policy > known->policy;
+    case QR_OPERATOR_WEIGHTS:
+        return own->weights > known->weights;
+    case QR_OPERATOR_OTHER:
+        break;
+    }
+    return false;
+}
+
+typedef struct Telling {
+    const QROperator *o;
+    QRAudience audience;
+    uint64_t now_ms;
+    GArray *rows;    /* Qr__Fleet__Record */
+    GPtrArray *kept; /* what rows point at */
+} Telling;
+
+static void telling_init(Telling *t, const QROperator *o, QRAudience audience,
+                         uint64_t now_ms)
+{
+    t->o = o;
+    t->audience = audience;
+    t->now_ms = now_ms;
+    t->rows = g_array_new(FALSE, FALSE, sizeof(Qr__Fleet__Record));
+    t->kept = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void telling_clear(Telling *t)
 {
-    unsigned most = g_hash_table_size(o->records), n = 0;
-    g_autofree Qr__Fleet__Record *rows = g_new(Qr__Fleet__Record, most + 1);
-    g_autofree Qr__Fleet__Record **list = g_new(Qr__Fleet__Record *, most + 1);
-    g_autoptr(GPtrArray) kept = g_ptr_array_new_with_free_func(g_free);
+    g_array_unref(t->rows);
+    g_ptr_array_unref(t->kept);
+}
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(Telling, telling_clear)
+
+static void telling_add(Telling *t, QRHeldRecord *held)
+{
+    Qr__Fleet__Record row;
+
+    record_fill(t->o, held, t->audience, t->now_ms, &row);
+    earlier_fill(t->o, held, t->now_ms, &row, t->kept);
+    g_array_append_val(t->rows, row);
+}
+
+static void telling_send(const Telling *t, QROperatorSend send, void *to)
+{
+    g_autofree Qr__Fleet__Record **list =
+        g_new(Qr__Fleet__Record *, t->rows->len + 1);
     Qr__Fleet__Frame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
-    GHashTableIter it;
-    void *value;
 
-    g_hash_table_iter_init(&it, o->records);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        QRHeldRecord *held = value;
-
-        if (held->record->offset < offset)
-            continue;
-        record_fill(o, held, audience, now_ms, &rows[n]);
-        earlier_fill(o, held, now_ms, &rows[n], kept);
-        list[n] = &rows[n];
-        n++;
-    }
-    if (n == 0)
+    if (t->rows->len == 0)
         return;
+    for (unsigned i = 0; i < t->rows->len; i++)
+        list[i] = &g_array_index(t->rows, Qr__Fleet__Record, i);
     records.records = list;
-    records.n_records = n;
-    records.end = o->end;
+    records.n_records = t->rows->len;
+    records.end = t->o->end.offset;
+    records.era = t->o->end.era;
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = &records;
     send(to, &frame);
 }
 
+void qr_operator_tell(const QROperator *o, const QRKnowledge *known,
+                      QRAudience audience, uint64_t now_ms, QROperatorSend send,
+                      void *to)
+{
+    g_auto(Telling) telling = {0};
+    QRKnowledge own = qr_operator_knowledge(o);
+    GHashTableIter it;
+    void *value;
+
+    telling_init(&telling, o, audience, now_ms);
+    g_hash_table_iter_init(&it, o->records);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (is_lacked(o, value, &own, known))
+            telling_add(&telling, value);
+    }
+    telling_send(&telling, send, to);
+}
+
+void qr_operator_tell_one(const QROperator *o, const char *key,
+                          QRAudience audience, uint64_t now_ms,
+                          QROperatorSend send, void *to)
+{
+    g_auto(Telling) telling = {0};
+    QRHeldRecord *held = g_hash_table_lookup(o->records, key);
+
+    telling_init(&telling, o, audience, now_ms);
+    if (held)
+        telling_add(&telling, held);
+    telling_send(&telling, send, to);
+}
+
 static GBytes *told_value(const Qr__Fleet__Record *told)
 {
     GBytes *value;
@@ -398,8 +571,9 @@
         o->platform->parse_weights(data, len, &model, &version) != 0)
         return;
     for (size_t i = 0; i < told->n_earlier; i++) {
-        QRNamedVersion named = {told->earlier[i]->version,
-                                since(now_ms, told->earlier[i]->age_ms)};
+        const Qr__Fleet__EarlierVersion *row = told->earlier[i];
+        QRNamedVersion named = {
+            row->version, {row->era, row->offset}, since(now_ms, row->age_ms)};
 
         versions_add(o, model, &named);
     }
@@ -409,16 +583,23 @@
                            uint64_t now_ms)
 {
     unsigned news = 0;
+    bool whole = true;
 
     for (size_t i = 0; i < records->n_records; i++) {
         const Qr__Fleet__Record *told = records->records[i];
         g_autoptr(GBytes) value = told_value(told);
-        QRStoreRecord r = {told->key, value, told->offset};
+        QRStoreRecord r = {
+            told->key, value,
+            qr_position_told(told->era, told->offset, o->end.era)};
 
+        whole &= value != NULL;
         if (!value)
             continue;
         heard_earlier(o, told, value, now_ms);
         news += qr_operator_take(o, &r, told->age_ms, now_ms);
     }
+    if (whole)
+        o->end = qr_position_max(
+            o->end, qr_position_told(records->era, records->end, o->end.era));
     return news;
 }
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -8,6 +8,7 @@
 #include "net/qr_headers.h"
 #include "qr_engines.h"
 #include "qr_policy.h"
+#include "qr_position.h"
 
 /* Header fields between callers, gateways and engines. */
 typedef struct QRHeaderNames {
@@ -36,14 +37,14 @@
 typedef struct QRStoreRecord {
     char *key;
     GBytes *value;
-    uint64_t offset;
+    QRPosition position;
 } QRStoreRecord;
 
 void qr_store_record_free(void *record);
 
 /* An answer of the store to a read. */
 typedef struct QRStorePage {
-    GPtrArray *records; /* QRStoreRecord * */
+    GPtrArray *records; /* QRStoreRecord *, era not set */
     uint64_t end;       /* offset behind the newest record of the topic */
     bool more;          /* of a listing: another page follows */
     bool lost;          /* of a read: what was asked for is no longer kept */
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -51,13 +51,19 @@
     uint64_t engines_regained_ms; /* the store was away until then; 0: long ago
                                    */
     /* records of the store shared among gateways: see qr_gateway_share.c */
-    GHashTable *engine_changes;                     /* id -> last change */
-    uint64_t engines_changed, engines_changed_told; /* offset of the last one */
-    uint64_t engines_since;    /* all changes from that offset on are known */
-    uint64_t engines_listed;   /* all records of before were in our last own
-                                  listing, or had gone; 0: none yet */
-    bool reading_rests;        /* others read the store for us */
-    uint64_t engines_seen;     /* offset of the last change heard from them */
+    GHashTable *engine_changes;                       /* id -> last change */
+    QRPosition engines_changed, engines_changed_told; /* of the last one */
+    QRPosition engines_since;  /* all changes from there on are known */
+    QRPosition engines_listed; /* all records of before were in our last own
+                                  listing, or had gone; none yet */
+    uint64_t store_era;        /* the newest that was heard of; 0: none was */
+    uint64_t store_era_told;   /* the last one that was told to others */
+    uint64_t era_ms;           /* when it was heard of; 0: it has settled */
+    bool went_back;            /* that era began while we ran */
+    uint64_t relist_ms; /* when a reader is asked for all of that era; 0: it was
+                         */
+    bool reading_rests; /* others read the store for us */
+    QRPosition engines_seen;   /* of the last change heard from them */
     uint64_t engines_asked_ms; /* when a reader was asked last */
     uint64_t confirm_ms;     /* when others are asked next which engines live */
     uint64_t hurry_until_ms; /* see qr_gateway_share_hurry() */
@@ -65,7 +71,7 @@
                                    */
     uint64_t readers_since_ms;    /* others read in our place; 0: they do not */
     uint64_t readers_lack_ms;     /* since when too few do; 0: enough do */
-    uint64_t operator_told;       /* the last offset that was told to others */
+    QRKnowledge operator_told;    /* what was told to others last */
     uint64_t hold_ms;             /* others may tell us until then: not read */
     uint64_t operator_current_ms; /* when we last were sure to know all of the
                                      operator's records; 0: not yet */
@@ -129,9 +135,9 @@
 
 /* An operator's record that is news here goes on to those who follow us. */
 void qr_gateway_operator_news(void *owner, const QRStoreRecord *r);
-/* A gateway said that it knows the operator's records up to 'offset'. */
+/* A gateway said what it knows of the operator's records. */
 void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member,
-                           uint64_t offset);
+                           const QRKnowledge *known);
 /* Asks one that knows more, when due. */
 void qr_gateway_catch_up(QRGateway *g, uint64_t now_ms);
 /*
@@ -156,12 +162,23 @@
 /* Takes engines for gone whose records lapsed and did not come back. */
 void qr_gateway_check_lapsed(QRGateway *g);
 GHashTable *qr_gateway_changes_new(void);
-/* Keeps a record that says more than that the engine is still there. */
-void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r);
+/* Keeps a record that says more than that the engine is still there; 'leaves':
+   that it will not be, or is not. */
+void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r,
+                               bool leaves);
 void qr_gateway_forget_changes(QRGateway *g, uint64_t now_ms);
-/* Whether a newer change of the engine's record is known than 'offset'. */
+/* Whether a newer change of the engine's record is known than one at
+   'position' that says whether it 'leaves'. */
 bool qr_gateway_engine_is_outdated(const QRGateway *g, const char *id,
-                                   uint64_t offset);
+                                   QRPosition position, bool leaves);
+/* The store answers from 'era', as an answer of it said or a gateway told. */
+void qr_gateway_note_era(QRGateway *g, uint64_t era);
+/*
+ * The store went back a moment ago, or may have before we started: what it
+ * lists may be older than what was known before.
+ */
+bool qr_gateway_eras_settle(const QRGateway *g);
+void qr_gateway_era_tick(QRGateway *g, uint64_t now_ms);
 /* Decides who reads the store, and asks for what readers know. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
 /* Engines that have started are not known yet: who reads their records does so
@@ -180,8 +197,9 @@
 uint64_t qr_gateway_bounds_run_to(const QRGateway *g, uint64_t now_ms);
 /* Fills our part of a heartbeat; whether others wait for it. */
 bool qr_gateway_share_tell(QRGateway *g, Qr__Fleet__Load *load);
-/* Answers a gateway that asked for changes from 'offset' on. */
-void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset);
+/* Answers a gateway that asked for changes of engines. */
+void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer,
+                             const Qr__Fleet__Fetch *fetch);
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records);
 /* What another gateway said at its heartbeat. */
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -26,7 +26,8 @@
     uint64_t current = qr_gateway_operator_current(g);
     QROutage out = qr_follower_outage(g->follow_operator);
 
-    if (qr_follower_offset(g->follow_operator) == 0 && g->operator.end == 0)
+    if (qr_operator_is_empty(&g->operator) &&
+        qr_position_is_none(qr_follower_next(g->follow_operator)))
         return (RecordAge){QR_AGE_UNKNOWN_MS, "start"};
     if (gap == 0)
         return (RecordAge){0, "waited for"};
@@ -46,12 +47,11 @@
 
     if (g->platform->operator_kind(r->key) == QR_OPERATOR_WEIGHTS)
         qr_logf(QR_LEVEL_INFO, "store",
-                "age key=%s offset=%" G_GUINT64_FORMAT
-                " age_ms=%" G_GUINT64_FORMAT
+                "age key=%s " QR_POSITION_FORMAT " age_ms=%" G_GUINT64_FORMAT
                 " from=\"%s\" known_ago_ms=%" G_GUINT64_FORMAT
                 " failed_first_ago_ms=%" G_GUINT64_FORMAT
                 " failed_last_ago_ms=%" G_GUINT64_FORMAT,
-                r->key, r->offset, age.ms, age.from,
+                r->key, QR_POSITION_ARGS(r->position), age.ms, age.from,
                 now - qr_gateway_operator_current(g),
                 out.first_ms ? now - out.first_ms : 0,
                 out.last_ms ? now - out.last_ms : 0);
@@ -62,10 +62,17 @@
     }
 }
 
+static void store_went_back(void *owner, uint64_t era)
+{
+    qr_gateway_note_era(owner, era);
+}
+
 static void operator_listed(void *owner, GHashTable *keys)
 {
-    (void)owner;
+    QRGateway *g = owner;
+
     (void)keys; /* nothing of the operator's is ever taken back */
+    qr_gateway_note_era(g, qr_follower_next(g->follow_operator).era);
 }
 
 static void operator_reached(void *owner, bool reached, const char *why)
@@ -76,7 +83,7 @@
 }
 
 const QRFollowerHandlers qr_gateway_operator_handlers = {
-    operator_record, operator_listed, operator_reached};
+    operator_record, store_went_back, operator_listed, operator_reached};
 
 /*
  * The store was away until a moment ago: records that went meanwhile are those
@@ -102,24 +109,24 @@
  * told so at once: whether it may have lapsed is for each to say, by when it
  * reached the store itself.
  */
-static void engine_gone(QRGateway *g, const char *id, uint64_t offset)
+static void engine_gone(QRGateway *g, const char *id, QRPosition position)
 {
     QREngine *e = qr_engines_get(&g->engines, id);
-    QRStoreRecord r = {(char *)id, NULL, offset};
+    QRStoreRecord r = {(char *)id, NULL, position};
 
     if (!e || e->gone || e->lapsed_ms > 0 ||
-        qr_gateway_engine_is_outdated(g, id, offset))
+        qr_gateway_engine_is_outdated(g, id, position, true))
         return;
     r.value = g_bytes_new_static("", 0);
-    qr_gateway_engine_changed(g, &r);
+    qr_gateway_engine_changed(g, &r, true);
     g_bytes_unref(r.value);
     if (!may_have_lapsed(g)) {
         engine_drop(g, e);
         return;
     }
     e->lapsed_ms = MAX(qr_gateway_now(g), 1);
-    qr_logf(QR_LEVEL_INFO, "engines",
-            "lapsed engine=%s offset=%" G_GUINT64_FORMAT, id, offset);
+    qr_logf(QR_LEVEL_INFO, "engines", "lapsed engine=%s " QR_POSITION_FORMAT,
+            id, QR_POSITION_ARGS(position));
 }
 
 /* Odd records may be written as often as good ones: what is logged of them is
@@ -148,14 +155,27 @@
     g->counters.counts[QR_COUNTER_unreadable]++;
     if (may_log_unreadable(g))
         qr_logf(QR_LEVEL_WARN, "engines",
-                "unreadable record engine=%s offset=%" G_GUINT64_FORMAT
+                "unreadable record engine=%s " QR_POSITION_FORMAT
                 " known=%d finding=%s",
-                r->key, r->offset, e && !e->gone,
+                r->key, QR_POSITION_ARGS(r->position), e && !e->gone,
                 f->lines->len > 0 ? (const char *)f->lines->pdata[0] : "-");
     if (!e || e->gone || e->unreadable)
         return;
     e->unreadable = true;
-    qr_gateway_engine_changed(g, r);
+    qr_gateway_engine_changed(g, r, false);
+}
+
+/*
+ * Only a record that was written since our first listing says that the engine
+ * lives; one that has a greater position in a later era may be the same.
+ */
+static void confirm(QREngine *e, QRPosition position, bool was_unconfirmed)
+{
+    if (position.era == e->position.era && position.offset > e->position.offset)
+        e->ended = false;
+    else
+        e->unconfirmed = was_unconfirmed;
+    e->position = qr_position_max(e->position, position);
 }
 
 void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r)
@@ -169,42 +189,42 @@
     const char *change;
 
     if (len == 0) {
-        engine_gone(g, r->key, r->offset);
+        engine_gone(g, r->key, r->position);
         return;
     }
-    /* another gateway has told us more than our own reading has come to */
-    if (qr_gateway_engine_is_outdated(g, r->key, r->offset))
-        return;
     qr_findings_init(&findings, r->key);
     record = g->platform->parse_engine(r->key, data, len, &findings);
     if (!record) {
-        engine_unreadable(g, r, &findings);
+        if (!qr_gateway_engine_is_outdated(g, r->key, r->position, false))
+            engine_unreadable(g, r, &findings);
+        return;
+    }
+    /* another gateway has told us more than our own reading has come to */
+    if (qr_gateway_engine_is_outdated(g, r->key, r->position,
+                                      record->draining)) {
+        qr_engine_record_free(record);
         return;
     }
     e = qr_engines_get(&g->engines, record->id);
     was_unconfirmed = e ? e->unconfirmed : !g->engines_known;
     change = qr_engines_record(&g->engines, record, qr_gateway_now(g));
     e = qr_engines_get(&g->engines, record->id);
-    /* only one that was written since our first listing says that it lives */
-    if (e->offset == 0 || r->offset <= e->offset)
-        e->unconfirmed = was_unconfirmed;
-    else
-        e->ended = false;
-    e->offset = MAX(e->offset, r->offset);
-    if (change && qr_engines_end_earlier(&g->engines, e) > 0)
+    confirm(e, r->position, was_unconfirmed);
+    if (change &&
+        qr_engines_end_earlier(&g->engines, e, qr_gateway_eras_settle(g)) > 0)
         qr_logf(QR_LEVEL_INFO, "engines",
-                "ended earlier ones address=%s seen=%s "
-                "offset=%" G_GUINT64_FORMAT,
-                record->address, record->id, r->offset);
+                "ended earlier ones address=%s seen=%s " QR_POSITION_FORMAT,
+                record->address, record->id, QR_POSITION_ARGS(r->position));
     if (g_strcmp0(change, QR_CHANGE_STARTED) == 0)
         qr_requests_engine_over(g, record->id);
     if (change) {
         qr_logf(QR_LEVEL_INFO, "engines",
                 "%s engine=%s service=%s address=%s zone=%s draining=%d "
-                "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT,
+                "version=%" G_GUINT64_FORMAT " " QR_POSITION_FORMAT,
                 change, record->id, record->service, record->address,
-                record->zone, record->draining, record->version, r->offset);
-        qr_gateway_engine_changed(g, r);
+                record->zone, record->draining, record->version,
+                QR_POSITION_ARGS(r->position));
+        qr_gateway_engine_changed(g, r, record->draining);
     }
     qr_gateway_sidecar_leaves(g, record->address, record->draining);
 }
@@ -217,19 +237,21 @@
 static void engines_listed(void *owner, GHashTable *keys)
 {
     QRGateway *g = owner;
-    uint64_t next = qr_follower_offset(g->follow_engines);
+    QRPosition next = qr_follower_next(g->follow_engines);
     g_autoptr(GPtrArray) gone = qr_engines_missing(&g->engines, keys);
 
+    qr_gateway_note_era(g, next.era);
     /* a record that went did so by the last change that was listed at the
        latest; the next one is still to come, and must not count as seen */
     for (unsigned i = 0; i < gone->len; i++)
-        engine_gone(g, gone->pdata[i], next - MIN(next, 1));
+        engine_gone(g, gone->pdata[i], qr_position_before(next));
     g->engines_listed = next;
     if (!g->engines_known)
         g->engines_since = next;
     g->engines_known = true;
-    qr_logf(QR_LEVEL_INFO, "engines", "listed count=%u gone=%u",
-            g_hash_table_size(keys), gone->len);
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "listed count=%u gone=%u " QR_POSITION_FORMAT,
+            g_hash_table_size(keys), gone->len, QR_POSITION_ARGS(next));
 }
 
 /* Whether our own reading would have shown which records are back; else it is
@@ -277,7 +299,7 @@
 }
 
 const QRFollowerHandlers qr_gateway_engines_handlers = {
-    engines_record, engines_listed, engines_reached};
+    engines_record, store_went_back, engines_listed, engines_reached};
 
 uint64_t qr_gateway_version_in_force(const QRGateway *g,
                                      const QRService *service,
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -1,8 +1,8 @@
 /*
  * Operator's records from other gateways.
  *
- * Each gateway tells by hello and heartbeat which record it knows last. One
- * that is behind asks one of those that know more, and then the next: were all
+ * Each gateway tells by hello and heartbeat which versions it knows. One that
+ * is behind asks one of those that know more, and then the next: were all
  * to tell it, the same configuration would come from each.
  *
  * A configuration is long, and the links between regions are narrow. So one of
@@ -28,10 +28,18 @@
 #define AGES_ASKED_MOST 4
 #define AGES_AGAIN_MS 200 /* a round trip between regions, on a busy link */
 
-void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member, uint64_t offset)
+static bool knows_more(const QRGateway *g, const QRFleetMember *m)
 {
-    member->control_offset = offset;
-    if (offset > g->operator.end && g->behind_ms == 0)
+    QRKnowledge own = qr_operator_knowledge(&g->operator);
+
+    return qr_knowledge_exceeds(&m->known, &own);
+}
+
+void qr_gateway_peer_knows(QRGateway *g, QRFleetMember *member,
+                           const QRKnowledge *known)
+{
+    member->known = *known;
+    if (knows_more(g, member) && g->behind_ms == 0)
         g->behind_ms = MAX(qr_gateway_now(g), 1);
 }
 
@@ -60,7 +68,7 @@
 
 static uint64_t far_turn_ms(const QRGateway *g, uint64_t now_ms)
 {
-    return (uint64_t)qr_gateway_near_before(g, g->operator.end, now_ms) *
+    return (uint64_t)qr_gateway_near_before(g, g->operator.end.offset, now_ms) *
            FAR_TURN_MS;
 }
 
@@ -88,8 +96,7 @@
         QRPeerConn *peer = g->followers->pdata[i];
         const QRFleetMember *m = qr_peer_data(peer);
 
-        if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 ||
-            m->control_offset <= g->operator.end)
+        if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 || !knows_more(g, m))
             continue;
         if (!best || preference(g, m) < least) {
             best = peer;
@@ -109,29 +116,38 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        behind |= m->control_offset >
-                  g->operator.end &&
+        behind |= knows_more(g, m) &&
                   qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms);
     }
     return behind;
 }
 
-static void ask_teller(QRGateway *g, QRPeerConn *teller, uint64_t now_ms)
+static void ask_for(QRPeerConn *teller, const QRKnowledge *known)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
 
-    g->fetch_ms = now_ms;
-    g->fetches++;
-    fetch.offset = g->operator.end;
+    fetch.offset = known->offset;
+    fetch.policy_version = known->policy;
+    fetch.weights_revision = known->weights;
     frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
     frame.fetch = &fetch;
     qr_peer_send(teller, &frame);
+}
+
+static void ask_teller(QRGateway *g, QRPeerConn *teller, uint64_t now_ms)
+{
+    const QRFleetMember *m = qr_peer_data(teller);
+    QRKnowledge own = qr_operator_knowledge(&g->operator);
+
+    g->fetch_ms = now_ms;
+    g->fetches++;
+    ask_for(teller, &own);
     qr_logf(QR_LEVEL_INFO, "members",
             "behind own=%" G_GUINT64_FORMAT " behind_for_ms=%" G_GUINT64_FORMAT
-            " asked=%s",
-            g->operator.end, now_ms - g->behind_ms,
-            ((const QRFleetMember *)qr_peer_data(teller))->name);
+            " asked=%s policy=%" G_GUINT64_FORMAT " theirs=%" G_GUINT64_FORMAT,
+            own.offset, now_ms - g->behind_ms, m->name, own.policy,
+            m->known.policy);
 }
 
 static void catch_up(QRGateway *g, uint64_t now_ms)
@@ -152,7 +168,8 @@
         qr_logf(QR_LEVEL_WARN, "members",
                 "behind own=%" G_GUINT64_FORMAT
                 " behind_for_ms=%" G_GUINT64_FORMAT " asked=- followers=%u",
-                g->operator.end, now_ms - g->behind_ms, g->followers->len);
+                g->operator.end.offset, now_ms - g->behind_ms,
+                g->followers->len);
         return;
     }
     if (is_near(g, qr_peer_data(teller)) ||
@@ -164,13 +181,14 @@
 static QRPeerConn *choose_witness(const QRGateway *g)
 {
     unsigned n = g->followers->len;
+    QRKnowledge own = qr_operator_knowledge(&g->operator);
 
     for (unsigned i = 0; i < n; i++) {
         QRPeerConn *peer = g->followers->pdata[(i + g->ages_asked) % n];
         const QRFleetMember *m = qr_peer_data(peer);
 
         if (m && strcmp(m->role, QR_ROLE_GATEWAY) == 0 &&
-            m->control_offset >= g->operator.end)
+            !qr_knowledge_exceeds(&own, &m->known))
             return peer;
     }
     return NULL;
@@ -183,14 +201,16 @@
  */
 static void ask_ages(QRGateway *g, uint64_t now_ms)
 {
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
+    /* all versions are asked for, and no configuration that we know */
+    QRKnowledge known = {
+        .policy = qr_operator_knowledge(&g->operator).policy,
+        .offset = qr_operator_unsure(&g->operator, now_ms),
+    };
     QRPeerConn *witness;
 
     if (g->ages_ms == 0 || now_ms < g->ages_ms)
         return;
-    fetch.offset = qr_operator_unsure(&g->operator, now_ms);
-    if (fetch.offset == UINT64_MAX || g->ages_asked >= AGES_ASKED_MOST) {
+    if (known.offset == UINT64_MAX || g->ages_asked >= AGES_ASKED_MOST) {
         g->ages_ms = 0;
         return;
     }
@@ -199,11 +219,9 @@
         return;
     g->ages_ms = now_ms + AGES_AGAIN_MS;
     g->ages_asked++;
-    frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
-    frame.fetch = &fetch;
-    qr_peer_send(witness, &frame);
+    ask_for(witness, &known);
     qr_logf(QR_LEVEL_INFO, "members",
-            "age unknown offset=%" G_GUINT64_FORMAT " asked=%s", fetch.offset,
+            "age unknown offset=%" G_GUINT64_FORMAT " asked=%s", known.offset,
             ((const QRFleetMember *)qr_peer_data(witness))->name);
 }
 
@@ -216,8 +234,8 @@
 void qr_gateway_operator_heard(QRGateway *g, const Qr__Fleet__Records *records)
 {
     uint64_t now = qr_gateway_now(g);
-
     uint64_t under_way = now - qr_gateway_sent_ms(g);
+    QRPosition end;
 
     /* ages are as of when they were sent */
     for (size_t i = 0; i < records->n_records; i++) {
@@ -230,6 +248,8 @@
     qr_operator_heard(&g->operator, records, now);
     g->fetch_ms = g->behind_ms = 0; /* who still knows more says so again */
     /* what a peer told is not read once more from the store */
-    if (g->operator.end >= records->end)
-        qr_follower_skip(g->follow_operator, records->end);
+    end = qr_position_told(records->era, records->end, g->store_era);
+    qr_gateway_note_era(g, end.era);
+    if (qr_position_cmp(g->operator.end, end) >= 0)
+        qr_follower_skip(g->follow_operator, end);
 }
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -15,7 +15,9 @@
 
 /* The last change of an engine's record that says more than 'still here'. */
 typedef struct EngineChange {
-    uint64_t offset, noted_ms;
+    QRPosition position;
+    uint64_t noted_ms;
+    bool leaves;
     GBytes *value; /* empty: gone */
 } EngineChange;
 
@@ -32,23 +34,35 @@
     return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, change_free);
 }
 
-void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r)
+void qr_gateway_engine_changed(QRGateway *g, const QRStoreRecord *r,
+                               bool leaves)
 {
     EngineChange *c = g_new0(EngineChange, 1);
 
-    c->offset = r->offset;
+    c->position = r->position;
+    c->leaves = leaves;
     c->noted_ms = qr_gateway_now(g);
     c->value = g_bytes_ref(r->value);
     g_hash_table_replace(g->engine_changes, g_strdup(r->key), c);
-    g->engines_changed = MAX(g->engines_changed, r->offset);
+    g->engines_changed = qr_position_max(g->engines_changed, r->position);
 }
 
+/*
+ * The copy from which the store has come back may hold an engine's record of
+ * before the engine left. Until those that live have written theirs again and
+ * the others' have gone, what leaves stays so.
+ */
 bool qr_gateway_engine_is_outdated(const QRGateway *g, const char *id,
-                                   uint64_t offset)
+                                   QRPosition position, bool leaves)
 {
     const EngineChange *c = g_hash_table_lookup(g->engine_changes, id);
 
-    return c && c->offset > offset;
+    if (!c)
+        return false;
+    if (c->position.era != position.era && c->leaves != leaves &&
+        qr_gateway_eras_settle(g))
+        return c->leaves;
+    return qr_position_cmp(c->position, position) > 0;
 }
 
 static gboolean is_forgotten(void *key, void *value, void *now)
@@ -73,17 +87,19 @@
 static bool can_tell_changes(const QRGateway *g, const QRFleetMember *m,
                              uint64_t now_ms)
 {
-    uint64_t known = qr_share_seen(g);
+    QRPosition known = qr_share_seen(g);
 
-    return qr_share_is_fresh(g, m, now_ms) && m->engines_changed > known &&
-           m->engines_since <= known + 1;
+    return qr_share_is_fresh(g, m, now_ms) &&
+           qr_position_cmp(m->engines_changed, known) > 0 &&
+           qr_position_cmp(m->engines_since, qr_position_after(known)) <= 0;
 }
 
 /* Whether 'm' can tell us all engines: any that knows them. */
 static bool can_tell_all(const QRGateway *g, const QRFleetMember *m,
                          uint64_t now_ms)
 {
-    return m->engines_since > 0 && qr_share_is_alive(g, m, now_ms);
+    return !qr_position_is_none(m->engines_since) &&
+           qr_share_is_alive(g, m, now_ms);
 }
 
 static bool is_near(const QRGateway *g, const QRFleetMember *m)
@@ -111,14 +127,15 @@
     return best;
 }
 
-static void ask_from(QRGateway *g, QRPeerConn *teller, uint64_t offset,
+static void ask_from(QRGateway *g, QRPeerConn *teller, QRPosition position,
                      uint64_t now_ms)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
 
     g->engines_asked_ms = now_ms;
-    fetch.offset = offset;
+    fetch.offset = position.offset;
+    fetch.era = position.era;
     fetch.engines = true;
     frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
     frame.fetch = &fetch;
@@ -148,7 +165,7 @@
         return;
     if (is_near(g, qr_peer_data(teller)) ||
         now_ms >= g->started_ms + turn * ASK_ALL_TURN_MS)
-        ask_from(g, teller, 0, now_ms);
+        ask_from(g, teller, (QRPosition){0}, now_ms);
 }
 
 /* Engines of the first listing of which nothing was heard since may have ended
@@ -165,7 +182,24 @@
     teller = choose_teller(g, qr_share_is_fresh, now_ms);
     g->confirm_ms = now_ms + CONFIRM_MS;
     if (teller)
-        ask_from(g, teller, 0, now_ms);
+        ask_from(g, teller, (QRPosition){0}, now_ms);
+}
+
+/*
+ * What readers of a new era take only once it has settled stands at positions
+ * that others may have passed, so that they ask for all of them.
+ */
+static void ask_settled(QRGateway *g, uint64_t now_ms)
+{
+    QRPeerConn *teller;
+
+    if (g->relist_ms == 0 || now_ms < g->relist_ms)
+        return;
+    teller = choose_teller(g, qr_share_is_fresh, now_ms);
+    if (!teller)
+        return;
+    g->relist_ms = 0;
+    ask_from(g, teller, (QRPosition){g->store_era, 0}, now_ms);
 }
 
 void qr_share_ask(QRGateway *g, uint64_t now_ms)
@@ -175,10 +209,15 @@
     else
         ask_changes(g, now_ms);
     ask_confirmed(g, now_ms);
+    ask_settled(g, now_ms);
 }
 
-void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer, uint64_t offset)
+void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer,
+                             const Qr__Fleet__Fetch *fetch)
 {
+    QRPosition from =
+        qr_position_told(fetch->offset > 0 ? fetch->era : 0, fetch->offset,
+                         fetch->offset > 0 ? g->engines_changed.era : 0);
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
     g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
@@ -192,20 +231,22 @@
         Qr__Fleet__Record *r;
         gsize len;
 
-        if (c->offset < offset)
+        if (qr_position_cmp(c->position, from) < 0)
             continue;
         r = g_new(Qr__Fleet__Record, 1);
         qr__fleet__record__init(r);
         r->key = key;
         r->value.data = (uint8_t *)g_bytes_get_data(c->value, &len);
         r->value.len = len;
-        r->offset = c->offset;
+        r->offset = c->position.offset;
+        r->era = c->position.era;
         r->confirmed = e && !e->unconfirmed;
         g_ptr_array_add(list, r);
     }
     records.records = (Qr__Fleet__Record **)list->pdata;
     records.n_records = list->len;
-    records.end = g->engines_changed;
+    records.end = g->engines_changed.offset;
+    records.era = g->engines_changed.era;
     records.engines = true;
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = &records;
@@ -215,11 +256,12 @@
 static void take_told(QRGateway *g, const Qr__Fleet__Record *told)
 {
     g_autoptr(GBytes) value = g_bytes_new(told->value.data, told->value.len);
-    QRStoreRecord r = {told->key, value, told->offset};
+    QRStoreRecord r = {told->key, value,
+                       qr_position_told(told->era, told->offset, g->store_era)};
     QREngine *e = qr_engines_get(&g->engines, told->key);
 
     /* it had gone by our own listing, and nobody will tell us so again */
-    if (!e && told->offset < g->engines_listed)
+    if (!e && qr_position_cmp(r.position, g->engines_listed) < 0)
         return;
     qr_gateway_engine_record(g, &r);
     e = qr_engines_get(&g->engines, told->key);
@@ -230,15 +272,18 @@
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records)
 {
+    QRPosition end = qr_position_told(records->era, records->end, g->store_era);
+
+    qr_gateway_note_era(g, end.era);
     for (size_t i = 0; i < records->n_records; i++)
         take_told(g, records->records[i]);
     qr_logf(QR_LEVEL_INFO, "engines",
             "told by=%s records=%zu seen=%" G_GUINT64_FORMAT
-            " end=%" G_GUINT64_FORMAT " all=%d",
-            from->name, records->n_records, g->engines_seen, records->end,
-            !g->engines_known);
-    g->engines_seen = MAX(g->engines_seen, records->end);
-    if (g->engines_known || from->engines_since == 0)
+            " end=%" G_GUINT64_FORMAT " all=%d era=%" G_GUINT64_FORMAT,
+            from->name, records->n_records, g->engines_seen.offset, end.offset,
+            !g->engines_known, end.era);
+    g->engines_seen = qr_position_max(g->engines_seen, end);
+    if (g->engines_known || qr_position_is_none(from->engines_since))
         return;
     g->engines_known = true;
     g->engines_since = from->engines_since;
--- a/src/gateway/qr_gateway_heartbeat.c
+++ b/src/gateway/qr_gateway_heartbeat.c
@@ -17,7 +17,10 @@
 void qr_gateway_load_told(QRGateway *g, QRFleetMember *member,
                           const Qr__Fleet__Load *load)
 {
-    qr_gateway_peer_knows(g, member, load->control_offset);
+    QRKnowledge known = {load->policy_version, load->weights_revision,
+                         load->control_offset};
+
+    qr_gateway_peer_knows(g, member, &known);
     member->gateways = load->gateways;
     qr_gateway_share_told(g, member, load);
     member->load_ms = qr_gateway_now(g);
@@ -126,9 +129,12 @@
     QRFrame frame = QR__FLEET__FRAME__INIT;
     g_autoptr(GPtrArray) all = pointers_to(rows->all);
     g_autoptr(GPtrArray) unreserved = pointers_to(rows->unreserved);
+    QRKnowledge known = qr_operator_knowledge(&g->operator);
 
     load->leaving = g->stopping_ms > 0;
-    load->control_offset = g->operator.end;
+    load->policy_version = known.policy;
+    load->weights_revision = known.weights;
+    load->control_offset = known.offset;
     load->gateways = qr_gateway_count(g);
     frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
     frame.load = load;
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -43,14 +43,15 @@
         QRPeerConn *peer = g->followers->pdata[i];
 
         if (is_sidecar(qr_peer_data(peer)))
-            qr_operator_tell(&g->operator, r->offset, QR_FOR_SIDECARS,
-                             qr_gateway_now(g), tell_follower, peer);
+            qr_operator_tell_one(&g->operator, r->key, QR_FOR_SIDECARS,
+                                 qr_gateway_now(g), tell_follower, peer);
     }
 }
 
 static void peer_greet(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
 {
     QRGateway *g = owner;
+    QRKnowledge known = qr_operator_knowledge(&g->operator);
 
     (void)frame;
     hello->name = g->set->host;
@@ -60,7 +61,9 @@
     hello->region = g->set->region;
     hello->service_address = g->set->callers;
     hello->incarnation = g->incarnation;
-    hello->control_offset = g->operator.end;
+    hello->policy_version = known.policy;
+    hello->weights_revision = known.weights;
+    hello->control_offset = known.offset;
     hello->leaving = g->stopping_ms > 0;
     hello->gateways = qr_gateway_count(g);
     hello->reserves_slots = true;
@@ -102,7 +105,8 @@
  * All that a sidecar needs to know that has just come. Gateways ask for what
  * they lack: see qr_gateway_meet.c and qr_gateway_catchup.c.
  */
-static void welcome_sidecar(QRGateway *g, QRPeerConn *peer, uint64_t known)
+static void welcome_sidecar(QRGateway *g, QRPeerConn *peer,
+                            const QRKnowledge *known)
 {
     GHashTableIter it;
     void *value;
@@ -173,6 +177,8 @@
 static void peer_hello(QRGateway *g, QRPeerConn *peer,
                        const Qr__Fleet__Hello *h)
 {
+    QRKnowledge knows = {h->policy_version, h->weights_revision,
+                         h->control_offset};
     const QRFleetMember *known = qr_members_get(&g->members, h->name);
     bool is_restarted = known && known->incarnation != h->incarnation;
     FormerRun former = former_run(known, qr_gateway_now(g));
@@ -190,7 +196,7 @@
     if (news)
         heard_of(g, news, &former);
     if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer)) {
-        qr_gateway_peer_knows(g, qr_peer_data(peer), h->control_offset);
+        qr_gateway_peer_knows(g, qr_peer_data(peer), &knows);
         ((QRFleetMember *)qr_peer_data(peer))->gateways = h->gateways;
     }
     if (qr_peer_dialled(
@@ -213,7 +219,7 @@
         g_ptr_array_add(g->followers, peer);
         g->follower_is_new |= !is_sidecar(qr_peer_data(peer));
         if (is_sidecar(qr_peer_data(peer)))
-            welcome_sidecar(g, peer, h->control_offset);
+            welcome_sidecar(g, peer, &knows);
         else
             qr_requests_welcome(g, peer);
     }
@@ -316,6 +322,16 @@
     }
 }
 
+static void tell_lacked(QRGateway *g, QRPeerConn *peer,
+                        const Qr__Fleet__Fetch *fetch)
+{
+    QRKnowledge known = {fetch->policy_version, fetch->weights_revision,
+                         fetch->offset};
+
+    qr_operator_tell(&g->operator, & known, QR_FOR_GATEWAYS, qr_gateway_now(g),
+                     tell_follower, peer);
+}
+
 static void peer_frame(void *owner, QRPeerConn *peer, const QRFrame *frame)
 {
     QRGateway *g = owner;
@@ -344,11 +360,10 @@
             break;
         }
         if (frame->fetch->engines) {
-            qr_gateway_share_answer(g, peer, frame->fetch->offset);
+            qr_gateway_share_answer(g, peer, frame->fetch);
             break;
         }
-        qr_operator_tell(&g->operator, frame->fetch->offset, QR_FOR_GATEWAYS,
-                         qr_gateway_now(g), tell_follower, peer);
+        tell_lacked(g, peer, frame->fetch);
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
         if (frame->records->engines) {
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -85,23 +85,23 @@
             now_ms >= g->readers_lack_ms + (before - READERS + 1) * TURN_MS);
 }
 
-/* Offset of the last change of engines' records that we know of. */
-uint64_t qr_share_seen(const QRGateway *g)
+QRPosition qr_share_seen(const QRGateway *g)
 {
-    uint64_t next = qr_follower_offset(g->follow_engines);
-    uint64_t read = next > 0 ? next - 1 : 0;
+    QRPosition read = qr_position_before(qr_follower_next(g->follow_engines));
 
     if (g->reading_rests)
         return g->engines_seen;
-    return MAX(g->engines_seen, MAX(g->engines_changed, read));
+    return qr_position_max(g->engines_seen,
+                           qr_position_max(g->engines_changed, read));
 }
 
 static void set_reading(QRGateway *g, bool reads)
 {
     qr_logf(QR_LEVEL_INFO, "engines",
-            "%s seen=%" G_GUINT64_FORMAT " operator=%" G_GUINT64_FORMAT,
+            "%s seen=%" G_GUINT64_FORMAT " operator=%" G_GUINT64_FORMAT
+            " era=%" G_GUINT64_FORMAT,
             reads ? "read from the store" : "heard from other gateways",
-            g->engines_seen, g->operator.end);
+            g->engines_seen.offset, g->operator.end.offset, g->store_era);
     g->reading_rests = !reads;
     qr_follower_pause(g->follow_engines, !reads);
     qr_follower_pause(g->follow_operator, !reads);
@@ -168,7 +168,7 @@
         const QRFleetMember *m = list->pdata[i];
 
         unseen |= qr_share_is_fresh(g, m, now_ms) &&
-                  m->engines_changed > g->engines_seen;
+                  qr_position_cmp(m->engines_changed, g->engines_seen) > 0;
     }
     if (!unseen)
         g->engines_unseen_ms = 0;
@@ -299,6 +299,7 @@
                                      : (unsigned)g->set->engines_poll_ms);
     choose_reading(g, now_ms);
     note_store(g, now_ms);
+    qr_gateway_era_tick(g, now_ms);
     if (qr_follower_outage(g->follow_operator).first_ms > 0 &&
         is_alone(g, now_ms))
         g->alone_ms = now_ms;
@@ -313,21 +314,33 @@
     }
 }
 
+/* From where on a gateway knows all changes; none: it knows none yet. */
+static QRPosition told_since(const QRGateway *g, const Qr__Fleet__Load *load)
+{
+    if (load->engines_since == 0 && load->engines_since_era == 0)
+        return (QRPosition){0};
+    return qr_position_told(load->engines_since_era, load->engines_since,
+                            g->store_era);
+}
+
 void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
                            const Qr__Fleet__Load *load)
 {
     uint64_t now = qr_gateway_now(g), sent = qr_gateway_sent_ms(g);
+    QRKnowledge own = qr_operator_knowledge(&g->operator);
 
     member->engines_read_ms = load->reads_engines && now > load->engines_age_ms
                                   ? now - load->engines_age_ms
                                   : 0;
-    member->engines_changed = load->engines_changed;
-    member->engines_since = load->engines_since;
+    qr_gateway_note_era(g, load->store_era);
+    member->engines_changed = qr_position_told(
+        load->engines_changed_era, load->engines_changed, g->store_era);
+    member->engines_since = told_since(g, load);
     note_others_read(g, member->engines_read_ms);
     /* only what its own reading knew: told on and on, a word would grow younger
        by its time under way each time */
     if (load->operator_age_ms > 0 && sent > load->operator_age_ms &&
-        load->control_offset <= g->operator.end)
+        !qr_knowledge_exceeds(&member->known, &own))
         note_current(g, sent - load->operator_age_ms);
     if (!qr_share_is_reading_fresh(g, now))
         qr_share_ask(g, now);
@@ -337,8 +350,11 @@
 {
     uint64_t answered = qr_follower_answered_ms(g->follow_engines);
     uint64_t current = qr_follower_current_ms(g->follow_operator);
-    bool news = g->engines_changed != g->engines_changed_told;
-    bool operator_news = g->operator.end != g->operator_told;
+    QRKnowledge known = qr_operator_knowledge(&g->operator);
+    bool news =
+        qr_position_cmp(g->engines_changed, g->engines_changed_told) != 0;
+    bool operator_news = qr_knowledge_exceeds(&known, &g->operator_told) ||
+                         g->store_era != g->store_era_told;
 
     load->reads_engines = !g->reading_rests && g->engines_known &&
                           qr_follower_reached(g->follow_engines);
@@ -346,9 +362,13 @@
         (uint32_t)(qr_gateway_now(g) - MIN(answered, qr_gateway_now(g)));
     if (!g->reading_rests && current > 0)
         load->operator_age_ms = (uint32_t)(qr_gateway_now(g) - current + 1);
-    load->engines_changed = g->engines_changed;
-    load->engines_since = g->engines_since;
+    load->engines_changed = g->engines_changed.offset;
+    load->engines_changed_era = g->engines_changed.era;
+    load->engines_since = g->engines_since.offset;
+    load->engines_since_era = g->engines_since.era;
+    load->store_era = g->store_era;
     g->engines_changed_told = g->engines_changed;
-    g->operator_told = g->operator.end;
+    g->operator_told = known;
+    g->store_era_told = g->store_era;
     return (load->reads_engines && news) || operator_news;
 }
--- a/src/gateway/qr_gateway_share_parts.h
+++ b/src/gateway/qr_gateway_share_parts.h
@@ -19,8 +19,8 @@
                        uint64_t now_ms);
 /* Our own was. */
 bool qr_share_is_reading_fresh(const QRGateway *g, uint64_t now_ms);
-/* Offset of the last change of engines' records that we know of. */
-uint64_t qr_share_seen(const QRGateway *g);
+/* The last change of engines' records that we know of. */
+QRPosition qr_share_seen(const QRGateway *g);
 /* Asks others for what they know of engines and we do not, when due. */
 void qr_share_ask(QRGateway *g, uint64_t now_ms);
 
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -157,7 +157,7 @@
     }
     if (due && !q->write && now_ms >= q->write_ms)
         write_row(g, due);
-    if (hot != q->reads && qr_follower_offset(q->follow) > 0) {
+    if (hot != q->reads && qr_follower_next(q->follow).offset > 0) {
         q->reads = hot;
         qr_follower_pause(q->follow, !hot);
     }
@@ -200,10 +200,11 @@
         s = qr_suspects_tried(t, &f, TRIES_STORED, now);
     s->stored = true;
     s->store_due_ms = 0;
-    qr_logf(QR_LEVEL_WARN, "requests",
-            "read held request=%s for_s=%d times=%u tries=%u "
-            "offset=%" G_GUINT64_FORMAT,
-            r->key, (int)left_s, s->holds, qr_suspect_tries(s), r->offset);
+    qr_logf(
+        QR_LEVEL_WARN, "requests",
+        "read held request=%s for_s=%d times=%u tries=%u " QR_POSITION_FORMAT,
+        r->key, (int)left_s, s->holds, qr_suspect_tries(s),
+        QR_POSITION_ARGS(r->position));
 }
 
 /* All is known; the rest is told by others. */
@@ -223,8 +224,13 @@
             "%s topic=held why=%s", reached ? "reached" : "lost", why);
 }
 
-static const QRFollowerHandlers handlers = {held_record, held_listed,
-                                            held_reached};
+static void held_went_back(void *owner, uint64_t era)
+{
+    qr_gateway_note_era(owner, era);
+}
+
+static const QRFollowerHandlers handlers = {held_record, held_went_back,
+                                            held_listed, held_reached};
 
 void qr_requests_follow(QRGateway *g)
 {
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -158,7 +158,7 @@
     /* the gateway that we followed told what it heard as it heard it */
     uint64_t age = MIN(gap, now - s->told_ms);
 
-    if (s->operator.end == 0)
+    if (qr_operator_is_empty(&s->operator))
         age = QR_AGE_UNKNOWN_MS;
     qr_operator_take(&s->operator, r, MIN(age, QR_AGE_UNKNOWN_MS), now);
 }
@@ -169,6 +169,12 @@
     qr_weights_retarget(owner);
 }
 
+static void operator_went_back(void *owner, uint64_t era)
+{
+    (void)owner;
+    (void)era; /* versions that the store has lost stay named */
+}
+
 static void operator_listed(void *owner, GHashTable *keys)
 {
     (void)owner;
@@ -183,7 +189,7 @@
 }
 
 static const QRFollowerHandlers operator_handlers = {
-    operator_record, operator_listed, operator_reached};
+    operator_record, operator_went_back, operator_listed, operator_reached};
 
 /*
  * The gateway that we follow tells us what concerns us. What the store would
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -10,6 +10,7 @@
 static void peer_greet(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
 {
     QRSidecar *s = owner;
+    QRKnowledge known = qr_operator_knowledge(&s->operator);
 
     (void)frame;
     hello->name = s->set->host;
@@ -20,7 +21,9 @@
     hello->service_address = s->set->engine;
     hello->service = s->set->service;
     hello->incarnation = s->incarnation;
-    hello->control_offset = s->operator.end;
+    hello->policy_version = known.policy;
+    hello->weights_revision = known.weights;
+    hello->control_offset = known.offset;
     hello->follow = false;
     hello->reserves_slots = true;
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -82,7 +82,7 @@
 {
     const QRService *service = qr_sidecar_service(s);
     const char *model = service ? service->engine.model : NULL;
-    QRNamedVersion first = {s->platform->first_version, 0};
+    QRNamedVersion first = {.version = s->platform->first_version};
     const QRNamedVersion *named = qr_operator_version(&s->operator, model);
     QRTarget *t;
 
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -862,7 +862,7 @@
   assert(message->base.descriptor == &qr__fleet__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[14] =
+static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[16] =
 {
   {
     "name",
@@ -1032,6 +1032,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "policy_version",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, policy_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weights_revision",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, weights_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1043,16 +1067,18 @@
   5,   /* field[5] = incarnation */
   10,   /* field[10] = leaving */
   0,   /* field[0] = name */
+  14,   /* field[14] = policy_version */
   4,   /* field[4] = region */
   13,   /* field[13] = reserves_slots */
   1,   /* field[1] = role */
   8,   /* field[8] = service */
   6,   /* field[6] = service_address */
+  15,   /* field[15] = weights_revision */
 };
 static const ProtobufCIntRange qr__fleet__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor qr__fleet__hello__descriptor =
 {
@@ -1062,7 +1088,7 @@
   "Qr__Fleet__Hello",
   "qr.fleet",
   sizeof(Qr__Fleet__Hello),
-  14,
+  16,
   qr__fleet__hello__field_descriptors,
   qr__fleet__hello__field_indices_by_name,
   1,  qr__fleet__hello__number_ranges,
@@ -1171,7 +1197,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[15] =
 {
   {
     "engines",
@@ -1293,23 +1319,88 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "policy_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, policy_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weights_revision",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, weights_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_era",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines_changed_era",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, engines_changed_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines_since_era",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, engines_since_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
   0,   /* field[0] = engines */
   5,   /* field[5] = engines_age_ms */
   6,   /* field[6] = engines_changed */
+  13,   /* field[13] = engines_changed_era */
   7,   /* field[7] = engines_since */
+  14,   /* field[14] = engines_since_era */
   8,   /* field[8] = gateways */
   2,   /* field[2] = leaving */
   9,   /* field[9] = operator_age_ms */
+  10,   /* field[10] = policy_version */
   4,   /* field[4] = reads_engines */
+  12,   /* field[12] = store_era */
+  11,   /* field[11] = weights_revision */
   1,   /* field[1] = whole */
 };
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -1319,7 +1410,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  10,
+  15,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
@@ -1494,7 +1585,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__earlier_version__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qr__fleet__earlier_version__field_descriptors[4] =
 {
   {
     "version",
@@ -1520,15 +1611,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EarlierVersion, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EarlierVersion, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__earlier_version__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = era */
+  3,   /* field[3] = offset */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange qr__fleet__earlier_version__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor qr__fleet__earlier_version__descriptor =
 {
@@ -1538,14 +1655,14 @@
   "Qr__Fleet__EarlierVersion",
   "qr.fleet",
   sizeof(Qr__Fleet__EarlierVersion),
-  2,
+  4,
   qr__fleet__earlier_version__field_descriptors,
   qr__fleet__earlier_version__field_indices_by_name,
   1,  qr__fleet__earlier_version__number_ranges,
   (ProtobufCMessageInit) qr__fleet__earlier_version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qr__fleet__record__field_descriptors[9] =
 {
   {
     "key",
@@ -1643,11 +1760,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Record, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__record__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   7,   /* field[7] = confirmed */
   6,   /* field[6] = earlier */
+  8,   /* field[8] = era */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
   4,   /* field[4] = packed */
@@ -1657,7 +1787,7 @@
 static const ProtobufCIntRange qr__fleet__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qr__fleet__record__descriptor =
 {
@@ -1667,14 +1797,14 @@
   "Qr__Fleet__Record",
   "qr.fleet",
   sizeof(Qr__Fleet__Record),
-  8,
+  9,
   qr__fleet__record__field_descriptors,
   qr__fleet__record__field_indices_by_name,
   1,  qr__fleet__record__number_ranges,
   (ProtobufCMessageInit) qr__fleet__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__records__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qr__fleet__records__field_descriptors[4] =
 {
   {
     "records",
@@ -1712,16 +1842,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Records, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__records__field_indices_by_name[] = {
   1,   /* field[1] = end */
   2,   /* field[2] = engines */
+  3,   /* field[3] = era */
   0,   /* field[0] = records */
 };
 static const ProtobufCIntRange qr__fleet__records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor qr__fleet__records__descriptor =
 {
@@ -1731,14 +1874,14 @@
   "Qr__Fleet__Records",
   "qr.fleet",
   sizeof(Qr__Fleet__Records),
-  3,
+  4,
   qr__fleet__records__field_descriptors,
   qr__fleet__records__field_indices_by_name,
   1,  qr__fleet__records__number_ranges,
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[6] =
 {
   {
     "offset",
@@ -1776,16 +1919,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "policy_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, policy_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weights_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, weights_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
   1,   /* field[1] = engines */
+  3,   /* field[3] = era */
   2,   /* field[2] = gateways */
   0,   /* field[0] = offset */
+  4,   /* field[4] = policy_version */
+  5,   /* field[5] = weights_revision */
 };
 static const ProtobufCIntRange qr__fleet__fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor =
 {
@@ -1795,7 +1977,7 @@
   "Qr__Fleet__Fetch",
   "qr.fleet",
   sizeof(Qr__Fleet__Fetch),
-  3,
+  6,
   qr__fleet__fetch__field_descriptors,
   qr__fleet__fetch__field_indices_by_name,
   1,  qr__fleet__fetch__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -130,10 +130,18 @@
    * it understands SlotRequest and SlotReply
    */
   protobuf_c_boolean reserves_slots;
+  /*
+   * of the configuration in force there
+   */
+  uint64_t policy_version;
+  /*
+   * sum of the newest version named of each model
+   */
+  uint64_t weights_revision;
 };
 #define QR__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -209,10 +217,25 @@
    * 1 + since its own reading knew all operator's records; 0: it does not read
    */
   uint32_t operator_age_ms;
+  /*
+   * as in Hello
+   */
+  uint64_t policy_version;
+  /*
+   * as in Hello
+   */
+  uint64_t weights_revision;
+  /*
+   * The newest history of the store's records that it has heard of. Offsets are
+   * of that which stands beside them; 0: of a build that does not know of eras.
+   */
+  uint64_t store_era;
+  uint64_t engines_changed_era;
+  uint64_t engines_since_era;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -270,10 +293,15 @@
    * as in Record
    */
   uint64_t age_ms;
+  /*
+   * as in Record, of the record that named it
+   */
+  uint64_t era;
+  uint64_t offset;
 };
 #define QR__FLEET__EARLIER_VERSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__earlier_version__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -306,10 +334,14 @@
    * an engine's: heard of since the sender listed all
    */
   protobuf_c_boolean confirmed;
+  /*
+   * of the offset; 0: as in Load
+   */
+  uint64_t era;
 };
 #define QR__FLEET__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, {0,NULL}, 0, 0,NULL, 0, 0 }
 
 
 struct  Qr__Fleet__Records
@@ -325,10 +357,14 @@
    * engines' records in place of the operator's
    */
   protobuf_c_boolean engines;
+  /*
+   * of the end
+   */
+  uint64_t era;
 };
 #define QR__FLEET__RECORDS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__records__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -346,10 +382,20 @@
    * no records: which gateways there are
    */
   protobuf_c_boolean gateways;
+  /*
+   * of the offset
+   */
+  uint64_t era;
+  /*
+   * What it knows of the operator's records: only what is newer is told. Not
+   * set by builds that go by the offset.
+   */
+  uint64_t policy_version;
+  uint64_t weights_revision;
 };
 #define QR__FLEET__FETCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__fetch__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
