Requests that are held back are written again once the store has gone back

The one thing that the system itself keeps in the store was not written again: a gateway that started later would have let such a request crash engines again. Each suspect now knows the era in which it was stored; when the era rises, the gateway that saw the deciding end writes at once, the others by their turns unless they are told.

Tests: stored again once; a gateway that starts from the copy is told what the store has lost; an engine that left before stays so, and one that is back is used at last; gateways killed, frozen or without the store meanwhile; answers without an era, with one that is no number, or of an earlier era.

--- a/src/gateway/qr_gateway_era.c
+++ b/src/gateway/qr_gateway_era.c
@@ -40,6 +40,7 @@
         kept_log(g, era);
         /* engines whose records the copy lacks write them again */
         g->engines_regained_ms = now;
+        qr_requests_store_again(g, era);
         g->went_back = true;
     }
     g->store_era = era;
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -49,6 +49,17 @@
     return qr_json_text(o);
 }
 
+static void note_answer_era(QRGateway *g, const QRWholeAnswer *a)
+{
+    g_auto(QRFindings) f = {0};
+
+    qr_findings_init(&f, g->set->store);
+    qr_gateway_note_era(g, g->platform->parse_era(a->headers, &f));
+    if (qr_findings_count(&f) > 0)
+        qr_logf(QR_LEVEL_WARN, "store", "answer to a record finding=%s",
+                (const char *)f.lines->pdata[0]);
+}
+
 static void write_done(void *owner, unsigned ref, const QRWholeAnswer *a)
 {
     QRGateway *g = owner;
@@ -61,6 +72,7 @@
 
     (void)ref;
     q->write = NULL;
+    note_answer_era(g, a);
     q->write_ms = done ? 0 : now + WRITE_AGAIN_MS;
     qr_fingerprint_text(&q->writing, text);
     qr_logf(done ? QR_LEVEL_INFO : QR_LEVEL_WARN, "requests",
@@ -71,6 +83,7 @@
         return; /* what is to be stored has changed meanwhile */
     s->store_due_ms = done ? 0 : q->write_ms;
     s->stored = done && q->writing_mark > 0;
+    s->stored_era = g->store_era;
     if (s->stored) {
         qr_request_word_all(words, s, now);
         qr_requests_tell(g, words);
@@ -163,6 +176,27 @@
     }
 }
 
+void qr_requests_store_again(QRGateway *g, uint64_t era)
+{
+    GHashTableIter it;
+    void *value;
+    unsigned n = 0;
+
+    g_hash_table_iter_init(&it, g->requests.suspects.rows);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QRSuspect *s = value;
+
+        /* who wrote it in this era may have told us before we heard of it */
+        if (!s->stored || s->stored_era >= era)
+            continue;
+        s->stored = false;
+        qr_requests_store_due(g, s);
+        n++;
+    }
+    if (n > 0)
+        qr_logf(QR_LEVEL_INFO, "requests", "to be stored again count=%u", n);
+}
+
 static void held_record(void *owner, const QRStoreRecord *r)
 {
     QRGateway *g = owner;
@@ -199,6 +233,7 @@
     else
         s = qr_suspects_tried(t, &f, TRIES_STORED, now);
     s->stored = true;
+    s->stored_era = r->position.era;
     s->store_due_ms = 0;
     qr_logf(
         QR_LEVEL_WARN, "requests",
--- a/src/gateway/qr_requests_words.c
+++ b/src/gateway/qr_requests_words.c
@@ -122,6 +122,7 @@
         s->held_until_ms > now_ms ? (uint32_t)(s->held_until_ms - now_ms) : 0;
     w->holds = s->holds;
     w->stored = s->stored;
+    w->stored_era = s->stored_era;
 }
 
 void qr_requests_report(QRGateway *g)
@@ -211,6 +212,16 @@
     }
 }
 
+/* What was stored in an earlier era may be lost. */
+static void hear_stored(QRSuspect *s, uint64_t era, uint64_t own_era)
+{
+    if (era < own_era)
+        return;
+    s->stored = true;
+    s->stored_era = era;
+    s->store_due_ms = 0;
+}
+
 /* 'base_ms': when the word was sent, at the earliest. */
 static void hear(QRGateway *g, const Qr__Fleet__RequestWord *w,
                  uint64_t base_ms)
@@ -228,10 +239,9 @@
     if (w->answered_ago_ms > 0)
         qr_suspects_answered(t, &f, base_ms - MIN(base_ms, w->answered_ago_ms));
     s = qr_suspects_get(t, &f);
-    if (s && w->stored && s->holds == w->holds) {
-        s->stored = true;
-        s->store_due_ms = 0;
-    }
+    if (s && w->stored && s->holds == w->holds)
+        hear_stored(s, w->stored_era ? w->stored_era : g->store_era,
+                    g->store_era);
     if (s && w->under_way_ms > 0)
         s->others_until_ms = MAX(s->others_until_ms, base_ms + w->under_way_ms);
     if (s && w->over)
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2358,7 +2358,7 @@
   (ProtobufCMessageInit) qr__fleet__request_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__request_word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qr__fleet__request_word__field_descriptors[9] =
 {
   {
     "fingerprint",
@@ -2456,6 +2456,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stored_era",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__RequestWord, stored_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__request_word__field_indices_by_name[] = {
   2,   /* field[2] = answered_ago_ms */
@@ -2465,12 +2477,13 @@
   6,   /* field[6] = holds */
   4,   /* field[4] = over */
   7,   /* field[7] = stored */
+  8,   /* field[8] = stored_era */
   3,   /* field[3] = under_way_ms */
 };
 static const ProtobufCIntRange qr__fleet__request_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qr__fleet__request_word__descriptor =
 {
@@ -2480,7 +2493,7 @@
   "Qr__Fleet__RequestWord",
   "qr.fleet",
   sizeof(Qr__Fleet__RequestWord),
-  8,
+  9,
   qr__fleet__request_word__field_descriptors,
   qr__fleet__request_word__field_indices_by_name,
   1,  qr__fleet__request_word__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -508,10 +508,14 @@
    * the store knows that it is held back
    */
   protobuf_c_boolean stored;
+  /*
+   * ... in that era; 0: as in Load
+   */
+  uint64_t stored_era;
 };
 #define QR__FLEET__REQUEST_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__request_word__descriptor) \
-    , {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Qr__Fleet__Requests
--- a/tests/test_store_goes_back.py
+++ b/tests/test_store_goes_back.py
@@ -1,10 +1,12 @@
 """A store that comes back without its last records and gives their offsets out
 again: what is written there since is in force, and nothing older comes back."""
+import signal
 import time
 
 import pytest
 
 from bench import wait_for
+from crashing import CRASHES, CrashingFleet
 from fleet import ROUTES, Fleet, policy
 
 AWAY_S = 0.5
@@ -32,11 +34,11 @@
         put_engine(f, f.plain[1], "ready" if i % 2 else "draining")
 
 
-def drill(f, lost=LOST):
+def drill(f, lost=None):
     """The store is away for a moment and comes back without its last."""
     f.store.take_down()
     time.sleep(AWAY_S)
-    f.store.go_back({"keyed.op": lost, "keyed.servers": lost})
+    f.store.go_back(lost or {"keyed.op": LOST, "keyed.servers": LOST})
     f.store.bring_up()
 
 
@@ -154,3 +156,167 @@
         # two readers: a read each second, one that waits, and some to spare
         assert f.store.calls - before <= 20
         assert f.store.gone == gone
+
+
+def revoke_and_add(f, version):
+    """Another key, and one more route: what the store is about to lose."""
+    config = policy(version, f.origin.address, ROUTES + [ROUTE])
+    config["tenants"][0]["api-keys"] = ["key-2"]
+    f.store.put("keyed.op", "config", config)
+
+
+def start_again(f, gateways):
+    for g in gateways:
+        f.start("g%d" % g, "gateway", "%s/g%d.json" % (f.dir, g))
+
+
+# A gateway that starts reads the copy: it went by it, and took back a route and
+# a key, though the others knew of newer ones.
+def test_one_that_starts_is_told_what_the_store_has_lost():
+    with Fleet(gateways=3, plain=3) as f:
+        f.wait_ready()
+        wait_readers(f)
+        revoke_and_add(f, 5)
+        wait_in_force(f, 5)
+        drill(f, {"keyed.op": 1})
+        f.procs["g0"].kill()
+        f.procs["g0"].wait(10)
+        start_again(f, [0])
+        wait_for("it to start", f.ready)
+        wait_for("it to be told", lambda: "in force version=5 " in
+                 f.log("g0").split("started")[-1], APPLY_S)
+        for g in range(3):
+            assert f.call("/added/x", "a%d" % g, gateway=g,
+                          key="key-2")[0] == 200
+            assert f.call("/safe/x", "o%d" % g, gateway=g)[0] == 401
+        # what is written again is no news, and what is new is
+        revoke_and_add(f, 5)
+        put_config(f, 6)
+        wait_in_force(f, 6)
+
+
+# The copy is of before an engine left: its record there brought it back.
+def test_an_engine_that_left_before_stays_so():
+    with Fleet(gateways=5, plain=3) as f:
+        f.wait_ready()
+        wait_readers(f)
+        put_engine(f, f.plain[0], "draining")
+        f.store.put("keyed.servers", f.plain[1].id, None)
+        for g in range(5):
+            wait_for("all to know", lambda g=g: (
+                "gone engine=p1" in f.log("g%d" % g) and
+                "draining engine=p0" in f.log("g%d" % g)), 4)
+        drill(f, {"keyed.servers": 2})
+        for engine in f.plain:
+            engine.seen.clear()
+        end, n = time.monotonic() + WATCH_S, 0
+        while time.monotonic() < end:
+            for g in range(5):
+                n += 1
+                assert f.call("/safe/x", "c%d" % n, gateway=g)[0] == 200
+        assert not f.plain[0].seen and not f.plain[1].seen
+
+
+# Once a new era has settled the store is right: an engine that was known to
+# have gone, and stands there still, is used, also by those that do not read.
+def test_an_engine_that_is_back_is_used_at_last():
+    with Fleet(gateways=4, plain=2) as f:
+        f.wait_ready()
+        wait_readers(f)
+        f.store.put("keyed.servers", f.plain[0].id, None)
+        for g in range(4):
+            wait_for("all to know", lambda g=g: (
+                "gone engine=p0" in f.log("g%d" % g)), 4)
+        drill(f, {"keyed.servers": 1})
+        wait_for("all to use it", lambda: all(
+            " back engine=p0" in f.log("g%d" % g) or
+            f.log("g%d" % g).count(" new engine=p0") > 1
+            for g in range(4)), 9)
+
+
+def freeze(f, gateways, on):
+    for g in gateways:
+        f.procs["g%d" % g].send_signal(signal.SIGSTOP if on
+                                       else signal.SIGCONT)
+
+
+# Gateways that were not there, stood still or do not reach the store.
+@pytest.mark.parametrize("course", ["killed", "frozen", "no_store"])
+def test_gateways_in_trouble_meanwhile_know_as_well(course):
+    few = [0, 1]
+    with Fleet(gateways=5, plain=3,
+               dark_stores=few if course == "no_store" else ()) as f:
+        f.wait_ready()
+        wait_readers(f)
+        write_what_will_be_lost(f)
+        wait_in_force(f, 1 + LOST)
+        time.sleep(2)
+        if course == "killed":
+            for g in few:
+                f.procs["g%d" % g].kill()
+                f.procs["g%d" % g].wait(10)
+        if course == "frozen":
+            freeze(f, few, True)
+        drill(f)
+        if course == "killed":
+            start_again(f, few)
+        if course == "frozen":
+            freeze(f, few, False)
+        time.sleep(1.0)  # for those in trouble to be in touch
+        new = write_again(f, LOST)
+        callers = Callers(f, new, WATCH_S)
+        assert not callers.late and not callers.bad and callers.at_new
+        wait_served(f, "/added/x", 0.5)
+
+
+# Requests that are held back were known to the store before: gateways that start
+# later would let them crash engines again.
+def test_requests_that_are_held_back_are_stored_again():
+    topic = "keyed.quayring-held"
+    with CrashingFleet(3, 8) as f:
+        def stored():
+            return f.metrics(0) is not None and "\n".join(
+                f.log("g%d" % g) for g in range(3)).count("requests: stored")
+
+        def refused():
+            f.call("/safe/x", "again-%f" % time.monotonic(), body=CRASHES)
+            return " read held" in f.log("g0") or stored()
+        wait_for("it to be held back", refused, 8)
+        time.sleep(1.0)
+        rows = len(f.store.records(topic))
+        assert rows > 0
+        drill(f, {topic: rows})
+        wait_for("it to be stored again", lambda: f.store.records(topic), 6)
+        time.sleep(6.5)  # the turns of the gateways that did not see the end
+        assert len(f.store.records(topic)) == 1
+
+
+# An answer that names no era, or none that can be read, is of the era before it.
+@pytest.mark.parametrize("era", [None, "x"])
+def test_answers_without_an_era_are_taken(era):
+    with Fleet(gateways=2, plain=1) as f:
+        f.wait_ready()
+        f.store.era = era
+        put_config(f, 2)
+        wait_in_force(f, 2)
+        assert not any("went back" in f.log("g%d" % g) for g in range(2))
+
+
+# An answer of an earlier era than is known is passed over, and asked for again.
+def test_an_answer_of_an_earlier_era_is_passed_over():
+    with Fleet(gateways=2, plain=1) as f:
+        f.wait_ready()
+        f.store.era = 2
+        f.store.put("keyed.servers", "p9", f.plain[0].record("draining"))
+        wait_for("both to know", lambda: all(
+            "store: era=2 before=1" in f.log("g%d" % g) for g in range(2)))
+        f.store.era = 1
+        put_config(f, 2)
+        time.sleep(1.5)
+        calls = f.store.calls
+        time.sleep(1.0)
+        assert f.store.calls - calls <= 20
+        assert not any("in force version=2 " in f.log("g%d" % g)
+                       for g in range(2))
+        f.store.era = 2
+        wait_in_force(f, 2)
