Soak: a store that goes back, as a fault, and what its oracle asks of it

Course "back": the store comes back without its last records, up to three times and also twice in a row, while configurations, versions and leaving engines are written and processes are killed, stopped or stand still around it; the operator and the engines write theirs again within a second or two. The oracle's new promise (kept): what was known of a leaving engine counts through that; configurations never go back, and are in force, by the checks that there were. Mutant forgets-who-left.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,16 +3,17 @@
 
     soak.py [--seeds N | --seed N] [--first N] [--mutant NAME]
             [--gateways N] [--plain N] [--models N] [--callers N]
-            [--course faults|notices|work|last|upgrade] [--before PROGRAM]
+            [--course faults|notices|back|work|last|upgrade]
+            [--before PROGRAM]
 
 A seed and a size fix the schedule and what callers send; both are printed with
 each failure, and --seed plays it again. Courses: "faults", then planned work in
 calm times; "notices", the faults, and engines that say in their answers what
-they take; "work", planned work only, in series that overlap, without links of
-ours between the processes, so that dozens of them fit, on engines that pause;
-"last", as that, and at
-its end all processes are killed right after a configuration; "upgrade", all
-begin with the build --before, go on to this one in turn, and back. --mutant breaks
+they take; "back", a store that goes back to an older copy; "work", planned work
+only, in series that overlap, without links of ours between the processes, so
+that dozens of them fit, on engines that pause; "last", as that, and at its end
+all processes are killed right after a configuration; "upgrade", all begin with
+the build --before, go on to this one in turn, and back. --mutant breaks
 what was seen before it is checked, which must then be reported; with "all" it
 is checked as it is, and then once with each mutant. Exits 1 if anything was
 found.
@@ -22,6 +23,7 @@
 import hashlib
 import json
 import os
+import random
 import re
 import resource
 import shutil
@@ -39,7 +41,7 @@
 from soak_ends import ROUTES, Callers, SoakEngine
 from soak_oracle import History
 from soak_schedule import LIMITS, PLANNED, PLANNED_S, RESTS, Size, \
-    last_fault, notices, planned, schedule, upgrade, work
+    back, last_fault, notices, planned, schedule, upgrade, work
 from standin_platform import CHUNKS, chunk_of
 
 QUIET_S = 1.5    # before the first fault
@@ -65,11 +67,21 @@
         self.engine.address = self.engine.link.address
         fleet.history.engine_links[name] = "engines/%d" % len(fleet.engines)
         fleet.engines.append(self.engine)
+        self.writing = threading.Lock()
         self.put("ready")
 
     def put(self, state):
-        record = self.engine.record(state) if state else None
-        self.fleet.store.put("keyed.servers", self.engine.id, record)
+        with self.writing:
+            self.state = state
+            record = self.engine.record(state) if state else None
+            self.fleet.store.put("keyed.servers", self.engine.id, record)
+
+    def put_again(self):
+        """Its own heartbeat finds that the store has lost what it wrote."""
+        with self.writing:
+            if self.state:
+                self.fleet.store.put("keyed.servers", self.engine.id,
+                                     self.engine.record(self.state))
 
     def join(self):
         self.starts += 1
@@ -125,6 +137,7 @@
         self.history, self.loop = history, Loop()
         self.size, self.direct = size, direct
         self.config_lock = threading.Lock()  # versions rise
+        self.written = {}  # the operator's newest
         self.names = {}  # a process's own address -> its link's
         self.locks = {}  # of processes: one fault at a time
         super().__init__(gateways=0, plain=0, grace_s=int(history.grace_s),
@@ -234,6 +247,7 @@
             value["limits"]["idle-timeout-ms"] = 1000 + version % 5 * 1000
         if change == "body":
             value["limits"]["max-body-bytes"] = 10000 + version % 5 * 4000
+        self.written["config"] = value
         self.store.put("keyed.op", "config", value)
         self.history.configs.append({"version": version,
                                      "at": self.history.now()})
@@ -242,8 +256,10 @@
         digests = [hashlib.sha256(chunk_of(version, i)).hexdigest()
                    for i in range(CHUNKS)]
         self.history.digests[version] = digests
+        self.written["version/" + MODEL] = {"model": MODEL,
+                                            "version": version}
         self.store.put("keyed.op", "version/" + MODEL,
-                       {"model": MODEL, "version": version})
+                       self.written["version/" + MODEL])
         self.history.versions.append({"version": version,
                                       "at": self.history.now()})
 
@@ -354,6 +370,23 @@
         time.sleep(seconds)
         server.bring_up()
 
+    def go_back(self, target, seconds):
+        """The store comes back from a copy without the last records; what was
+        written by the operator and by engines is written again."""
+        store, rng = self.fleet.store, random.Random(target + str(seconds))
+        store.take_down()
+        time.sleep(seconds)
+        store.go_back({"keyed.op": int(target), "keyed.servers": int(target),
+                       "keyed.quayring-held": int(target)})
+        store.bring_up()
+        time.sleep(rng.uniform(0, 1.0))
+        for place in self.fleet.places:
+            time.sleep(rng.uniform(0, 1.0 / len(self.fleet.places)))
+            place.put_again()
+        with self.fleet.config_lock:
+            for key, value in self.fleet.written.items():
+                store.put("keyed.op", key, value)
+
     def spoil(self, target, seconds):
         self.fleet.origin.spoil += 3  # pieces
 
@@ -429,7 +462,8 @@
             self.fleet.config(self.history.configs[-1]["version"] + 1, target)
 
     def weights(self, target, seconds):
-        self.fleet.weights(self.history.versions[-1]["version"] + 1)
+        with self.fleet.config_lock:
+            self.fleet.weights(self.history.versions[-1]["version"] + 1)
 
 
 def inject(fleet, faults, rows):
@@ -509,6 +543,10 @@
     play_faults(fleet, faults, seed, notices)
 
 
+def play_back(fleet, faults, seed):
+    play_faults(fleet, faults, seed, back)
+
+
 def play_work(fleet, faults, seed):
     inject(fleet, faults, work(seed, fleet.size))
     settle(fleet)
@@ -531,8 +569,8 @@
     settle(fleet)
 
 
-COURSES = {"faults": play_faults, "notices": play_notices, "work": play_work, "last": play_last,
-           "upgrade": play_upgrade}
+COURSES = {"faults": play_faults, "notices": play_notices, "back": play_back,
+           "work": play_work, "last": play_last, "upgrade": play_upgrade}
 
 
 def play_course(fleet, seed, course):
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -65,10 +65,11 @@
     def now(self):
         return time.monotonic() - self.start
 
-    def calm_since(self, at):
-        """Since when nothing has been in trouble; after 'at' if not yet."""
+    def calm_since(self, at, besides=""):
+        """Since when nothing has been in trouble, 'besides' one kind; after
+        'at' if not yet."""
         return max([t["until"] + CONTACT_S for t in self.troubles
-                    if t["at"] <= at], default=0.0)
+                    if t["at"] <= at and t["kind"] != besides], default=0.0)
 
     def touch_since(self, gateway, at):
         """Since when a gateway has been in touch: nothing was in trouble, and
@@ -182,6 +183,26 @@
                     a["id"], a["at"], a["engine"], e["at"])
 
 
+def check_kept(h):
+    """What was known of a leaving engine before the store went back counts
+    through that, though the store has lost it."""
+    sent = sent_by(h)
+    for t in h.troubles:
+        for e in h.leaving:
+            known = e["at"] + DRAIN_S + SLACK_S
+            if t["kind"] != "go_back" or t["at"] < known:
+                continue
+            for a in h.arrivals:
+                if a["engine"] == e["engine"] and a["id"] in sent and \
+                        a["at"] > t["at"] and \
+                        h.calm_since(a["at"], "go_back") <= e["at"] and \
+                        not restarted(h, sent[a["id"]][0],
+                                      e["at"] - CONTACT_S, a["at"]):
+                    yield "%s arrived at %.3f at %s, which left at %.3f; the " \
+                        "store went back at %.3f" % (
+                            a["id"], a["at"], a["engine"], e["at"], t["at"])
+
+
 def sent_by(h):
     """id -> (gateway, when its caller sent it)"""
     return {c["id"]: (c["gateway"], c["at"]) for c in h.calls + h.probes}
@@ -569,6 +590,16 @@
                            at=leaving["at"] + DRAIN_S + 0.5))
 
 
+def forgets_who_left(h):
+    leaving = h.leaving[-1]
+    at = leaving["at"] + DRAIN_S + SLACK_S + 0.1
+    call, run = served(h, "safe", where=lambda c: not restarted(
+        h, c["gateway"], leaving["at"] - CONTACT_S, at + 1))
+    h.troubles.append({"kind": "go_back", "target": "", "at": at,
+                       "until": at + 0.1})
+    h.arrivals.append(dict(run, engine=leaving["engine"], at=at + 0.2))
+
+
 def calls_after(h, seconds, told, n):
     """'n' more calls that arrive where a call did in calm, each after its
     answer, which says what 'told' says."""
@@ -683,6 +714,7 @@
     "old-weights": ("version", old_weights),
     "a-piece-missing": ("weights", a_piece_missing),
     "call-to-a-leaving-engine": ("draining", call_to_a_leaving_engine),
+    "forgets-who-left": ("kept", forgets_who_left),
     "over-a-limit": ("limit", over_a_limit),
     "call-to-one-that-told": ("told_leaving", call_to_one_that_told),
     "calls-in-a-rest": ("rest", calls_in_a_rest),
--- a/tests/soak_schedule.py
+++ b/tests/soak_schedule.py
@@ -145,6 +145,34 @@
     return sorted(rows)
 
 
+def back(seed, size=Size()):
+    """The store goes back to an older copy, a few times and also twice in a
+    row, while configurations, versions and leaving engines are written, and
+    processes are killed, stopped or stand still around it."""
+    rng = random.Random(f"{seed}/back")
+    plain = ["p%d" % i for i in range(size.plain)]
+    processes = ["g%d" % i for i in range(size.gateways)] + \
+        ["s%d" % i for i in range(size.models)]
+    rows, at = [], rng.uniform(2.5, 3.5)
+    for _ in range(rng.randint(1, 3)):
+        rows.append((at, "go_back", str(rng.randint(0, 6)),
+                     rng.uniform(0.1, 1.5)))
+        # known by then, and still serving when the store is back
+        rows.append((at - 2.4, "leave", rng.choice(plain), 0.3))
+        rows += [(at + rng.uniform(-2, 3), "config",
+                  rng.choice(("", "routes", "idle")), 0)
+                 for _ in range(rng.randint(1, 5))]
+        rows += [(at + rng.uniform(-2, 2), "weights", "", 0)
+                 for _ in range(rng.randint(0, 1))]
+        if rng.random() < 0.5:  # else nothing else is in trouble
+            rows += [(at + rng.uniform(-1, 2),
+                      rng.choice(("kill", "stop", "pause")),
+                      rng.choice(processes), rng.uniform(0.2, 2.0))
+                     for _ in range(rng.randint(1, 3))]
+        at += rng.uniform(1.0, 5.0)
+    return sorted(rows)
+
+
 def last_fault(seed):
     """So long after a configuration all processes are killed."""
     return random.Random(f"{seed}/last").uniform(*LAST_FAULT_S)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -165,7 +165,7 @@
         with self.changed:
             for topic, n in lost.items():
                 rows = self.records(topic)
-                del rows[len(rows) - n:]
+                del rows[max(len(rows) - n, 0):]
             if self.era is not None:
                 self.era += 1
             self.changed.notify_all()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 
 SEEDS = (4, 12, 16)
 NOTICES = (2, 3)  # of the course in which engines say what they take
+BACK = (1, 2, 4)  # of that in which the store goes back to an older copy
 SIDE_BY_SIDE = 5  # seven processes each
 
 # Seeds that failed once -> the cause; they are played with the others.
@@ -75,6 +76,13 @@
             assert status == 0, output
 
 
+# Routes, versions and leaving engines of after a store's return were passed over.
+def test_promises_hold_while_the_store_goes_back():
+    with ThreadPoolExecutor(len(BACK)) as pool:
+        for status, output in pool.map(lambda s: play(s, "back"), BACK):
+            assert status == 0, output
+
+
 def test_a_seed_fixes_the_schedule():
     for seed in SEEDS:
         assert schedule(seed) == schedule(seed)
