The store and an origin of weights get the rest that they ask for

The platform decodes the field for both; it is kept up to 2 s, beyond which what is written there once it is well would be known late, and a field that cannot be read changes nothing.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -60,13 +60,14 @@
     f->outage.last_ms = f->sent_ms;
 }
 
-static void follower_failed(QRFollower *f, const char *why)
+/* 'rest_ms': what the store wants at least. */
+static void follower_failed(QRFollower *f, const char *why, uint64_t rest_ms)
 {
     if (f->reached || f->answered_ms == 0)
         f->handlers->reached(f->owner, false, why);
     f->reached = false;
     f->answered_ms = f->answered_ms ? f->answered_ms : 1;
-    f->next_ms = f->now_ms + f->backoff_ms;
+    f->next_ms = f->now_ms + MAX(f->backoff_ms, rest_ms);
     f->backoff_ms = MIN(f->backoff_ms * 2, BACKOFF_MOST_MS);
 }
 
@@ -316,7 +317,7 @@
                                            f->asked.offset, &page);
     if (rc != 0) {
         note_outage(f, a->status != 0);
-        follower_failed(f, why);
+        follower_failed(f, why, f->platform->parse_rest(a->status, a->headers));
     } else {
         take_page(f, answer_era(f, a), &page);
     }
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -52,6 +52,10 @@
 
 void qr_store_page_clear(QRStorePage *page);
 
+/* What the store or an origin asks for is kept up to here, in ms: longer, and
+   what is written there once it is well would be known late. */
+#define QR_REST_MOST_MS 2000
+
 /* What an operator's record says. */
 typedef enum QROperatorKind {
     QR_OPERATOR_OTHER,
@@ -108,6 +112,10 @@
      */
     uint64_t (*parse_era)(const QRHeaders *headers, QRFindings *f);
 
+    /* For how long an answer of the store or of an origin of weights wants no
+       more from us, in ms; 0: it does not say. */
+    uint64_t (*parse_rest)(unsigned status, const QRHeaders *headers);
+
     QROperatorKind (*operator_kind)(const char *key);
     /* NULL if the record is not a configuration. */
     QRPolicy *(*parse_policy)(const char *data, size_t len, QRFindings *f);
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -69,11 +69,12 @@
     uint64_t now = qr_gateway_now(g);
     char text[QR_FINGERPRINT_HEX];
     bool done = a->status == 200;
+    uint64_t rest = g->platform->parse_rest(a->status, a->headers);
 
     (void)ref;
     q->write = NULL;
     note_answer_era(g, a);
-    q->write_ms = done ? 0 : now + WRITE_AGAIN_MS;
+    q->write_ms = done ? 0 : now + MAX(WRITE_AGAIN_MS, rest);
     qr_fingerprint_text(&q->writing, text);
     qr_logf(done ? QR_LEVEL_INFO : QR_LEVEL_WARN, "requests",
             "%s request=%s mark=%u status=%u why=%s",
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -106,6 +106,7 @@
 {
     QRTarget *t = owner;
     QRPiece *p = qr_piece(t, index);
+    uint64_t rest = t->sidecar->platform->parse_rest(a->status, a->headers);
 
     p->fetch = NULL;
     t->sidecar->origin_bytes += a->len;
@@ -114,13 +115,13 @@
        before its last bytes were looked at */
     if (a->status == 200 && piece_take(t, index, a->data, a->len, "origin"))
         return;
-    qr_logf(
-        QR_LEVEL_WARN, "weights",
-        "origin failed index=%d status=%u why=%s version=%" G_GUINT64_FORMAT,
-        (int)index, a->status, a->why ? a->why : "-", t->version);
+    qr_logf(QR_LEVEL_WARN, "weights",
+            "origin failed index=%d status=%u why=%s version=%" G_GUINT64_FORMAT
+            " rest_ms=%" G_GUINT64_FORMAT,
+            (int)index, a->status, a->why ? a->why : "-", t->version, rest);
     p->asked = false;
     p->asked_ms = qr_sidecar_now(t->sidecar);
-    t->sidecar->origin_next_ms = p->asked_ms + ORIGIN_AGAIN_MS;
+    t->sidecar->origin_next_ms = p->asked_ms + MAX(ORIGIN_AGAIN_MS, rest);
 }
 
 unsigned qr_pieces_from_origin(const QRSidecar *s)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -143,6 +143,8 @@
         self.calls = 0
         self.appends = 0  # records that processes wrote
         self.gone = 0     # reads from offsets that it does not have
+        self.rest = None  # turns all away, and asks for so long a rest (s)
+        self.turned_away = 0
         self.reads = {}  # topic -> calls
         self.listings = {}  # topic -> those of them that list it
         self.page = 500  # records a page of a listing
@@ -175,6 +177,10 @@
 
     def handle(self, conn, request):
         self.calls += 1
+        if self.rest is not None:
+            self.turned_away += 1
+            answer(conn, 503, b"", [("Retry-After", self.rest)])
+            return
         topic = request.query.get("topic")
         self.reads[topic] = self.reads.get(topic, 0) + 1
         if request.path == "/log-newest":
@@ -252,9 +258,15 @@
         self.open_most = 0  # connections at once
         self.answered = set()  # (version, index) of good pieces sent in full
         self.spoil = 0  # so many pieces to come are bad
+        self.rest = None  # as of the store
+        self.turned_away = 0
         super().__init__()
 
     def handle(self, conn, request):
+        if self.rest is not None:
+            self.turned_away += 1
+            answer(conn, 503, b"", [("Retry-After", self.rest)])
+            return
         version = int(request.query["version"])
         self.open_most = max(self.open_most, len(self.open))
         if request.path.startswith("/manifest/"):
