--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -111,6 +111,7 @@
     qr_policy_free(o->policy);
     o->policy = p;
     o->policy_since_ms = writing->since_ms;
+    o->policy_position = writing->position;
     return true;
 }
 
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -37,6 +37,7 @@
     GHashTable *versions; /* model -> GArray of QRNamedVersion, rising */
     QRPolicy *policy;     /* NULL: none is known yet */
     uint64_t policy_since_ms;
+    QRPosition policy_position; /* of its record */
     QRPosition end; /* behind the newest record of the store that was seen */
 } QROperator;
 
