--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -171,7 +171,10 @@
  */
 static void confirm(QREngine *e, QRPosition position, bool was_unconfirmed)
 {
-    if (position.era == e->position.era && position.offset > e->position.offset)
+    bool is_known = !qr_position_is_none(e->position);
+
+    if (is_known && position.era == e->position.era &&
+        position.offset > e->position.offset)
         e->ended = false;
     else
         e->unconfirmed = was_unconfirmed;
