--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -155,6 +155,12 @@
  * nothing to ask on.
  */
 bool qr_gateway_is_untold(const QRGateway *g, uint64_t now_ms);
+/* Whether a gateway is of our region. */
+bool qr_gateway_is_near(const QRGateway *g, const QRFleetMember *m);
+/* How gladly a gateway is asked, the least first: one of our region, then any,
+   by what 'dice' makes of its name. */
+uint64_t qr_gateway_preference(const QRGateway *g, const QRFleetMember *m,
+                               uint64_t dice);
 /* Gateways of our region that ask other regions for 'what' before we do. */
 unsigned qr_gateway_near_before(const QRGateway *g, uint64_t what,
                                 uint64_t now_ms);
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -43,11 +43,19 @@
         g->behind_ms = MAX(qr_gateway_now(g), 1);
 }
 
-static bool is_near(const QRGateway *g, const QRFleetMember *m)
+bool qr_gateway_is_near(const QRGateway *g, const QRFleetMember *m)
 {
     return g_strcmp0(m->region, g->set->region) == 0;
 }
 
+uint64_t qr_gateway_preference(const QRGateway *g, const QRFleetMember *m,
+                               uint64_t dice)
+{
+    uint64_t any = qr_hash_str(m->name, dice) >> 1;
+
+    return qr_gateway_is_near(g, m) ? any : any | UINT64_C(1) << 63;
+}
+
 unsigned qr_gateway_near_before(const QRGateway *g, uint64_t what,
                                 uint64_t now_ms)
 {
@@ -59,7 +67,7 @@
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        n += is_near(g, m) &&
+        n += qr_gateway_is_near(g, m) &&
              qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms) &&
              qr_hash_str(m->name, what) < own;
     }
@@ -78,14 +86,6 @@
            now_ms >= g->behind_ms + UNTOLD_MOST_MS + far_turn_ms(g, now_ms);
 }
 
-/* How gladly a gateway is asked: the nearer, then any, by turns. */
-static uint64_t preference(const QRGateway *g, const QRFleetMember *m)
-{
-    uint64_t dice = qr_hash_str(m->name, g->fetches) >> 1;
-
-    return is_near(g, m) ? dice : dice | UINT64_C(1) << 63;
-}
-
 /* The connection of a gateway that knows more than we do, or NULL. */
 static QRPeerConn *choose_teller(const QRGateway *g)
 {
@@ -98,9 +98,9 @@
 
         if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 || !knows_more(g, m))
             continue;
-        if (!best || preference(g, m) < least) {
+        if (!best || qr_gateway_preference(g, m, g->fetches) < least) {
             best = peer;
-            least = preference(g, m);
+            least = qr_gateway_preference(g, m, g->fetches);
         }
     }
     return best;
@@ -172,7 +172,7 @@
                 g->followers->len);
         return;
     }
-    if (is_near(g, qr_peer_data(teller)) ||
+    if (qr_gateway_is_near(g, qr_peer_data(teller)) ||
         now_ms >= due + far_turn_ms(g, now_ms))
         ask_teller(g, teller, now_ms);
 }
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -108,36 +108,22 @@
            qr_share_is_alive(g, m, now_ms);
 }
 
-static bool is_near(const QRGateway *g, const QRFleetMember *m)
-{
-    return g_strcmp0(m->region, g->set->region) == 0;
-}
-
-/* How gladly a gateway is asked: one of our region, then one that not all the
-   others ask as well. */
-static uint64_t preference(const QRGateway *g, const QRFleetMember *m)
-{
-    uint64_t dice = qr_hash_str(m->name, qr_hash_str(g->set->host, 0)) >> 1;
-
-    return is_near(g, m) ? dice : dice | UINT64_C(1) << 63;
-}
-
 /* The connection of a gateway that passes 'test', of our region if any does. */
 static QRPeerConn *choose_teller(const QRGateway *g, QRMemberTest test,
                                  uint64_t now_ms)
 {
     QRPeerConn *best = NULL;
-    uint64_t least = 0;
+    uint64_t least = 0, dice = qr_hash_str(g->set->host, 0);
 
     for (unsigned i = 0; i < g->followers->len; i++) {
         const QRFleetMember *m = qr_peer_data(g->followers->pdata[i]);
 
         if (!m || strcmp(m->role, QR_ROLE_GATEWAY) != 0 || !test(g, m, now_ms))
             continue;
-        if (best && preference(g, m) >= least)
+        if (best && qr_gateway_preference(g, m, dice) >= least)
             continue;
         best = g->followers->pdata[i];
-        least = preference(g, m);
+        least = qr_gateway_preference(g, m, dice);
     }
     return best;
 }
@@ -179,7 +165,7 @@
 
     if (!teller || now_ms < g->engines_asked_ms + ASK_ALL_AGAIN_MS)
         return;
-    if (is_near(g, qr_peer_data(teller)) ||
+    if (qr_gateway_is_near(g, qr_peer_data(teller)) ||
         now_ms >= g->started_ms + turn * ASK_ALL_TURN_MS)
         ask_from(g, teller, (QRPosition){0}, now_ms);
 }
