Configurations and versions go by their own order also within one era

The version that a record names decides alone now; the place counts for records of other kinds only.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -218,8 +218,9 @@
  * of positions does not: the store may have come back from a copy that lacks
  * what is in force.
  */
-static bool record_counts(QROperator *o, const QRStoreRecord *r,
-                          const Writing *writing, uint64_t now_ms)
+static bool record_counts(QROperator *o, const QRHeldRecord *held,
+                          const QRStoreRecord *r, const Writing *writing,
+                          uint64_t now_ms)
 {
     switch (o->platform->operator_kind(r->key)) {
     case QR_OPERATOR_POLICY:
@@ -229,13 +230,7 @@
     case QR_OPERATOR_OTHER:
         break;
     }
-    return true;
-}
-
-static bool is_outdated(const QRHeldRecord *held, QRPosition position)
-{
-    return held && held->record->position.era == position.era &&
-           held->record->position.offset >= position.offset;
+    return !held || qr_position_cmp(held->record->position, r->position) < 0;
 }
 
 bool qr_operator_take(QROperator *o, const QRStoreRecord *r, uint64_t age_ms,
@@ -251,8 +246,7 @@
         held_again(o, held, &writing, now_ms);
         return false;
     }
-    if (is_outdated(held, r->position) ||
-        !record_counts(o, r, &writing, now_ms))
+    if (!record_counts(o, held, r, &writing, now_ms))
         return false;
     held = g_new0(QRHeldRecord, 1);
     held->record = g_new0(QRStoreRecord, 1);
