--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -196,6 +196,7 @@
  * lists may be older than what was known before.
  */
 bool qr_gateway_eras_settle(const QRGateway *g);
+/* Ends that when it is due. */
 void qr_gateway_era_tick(QRGateway *g, uint64_t now_ms);
 /* Decides who reads the store, and asks for what readers know. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -191,10 +191,10 @@
 static bool is_replaced(const QRGateway *g, const QREngineRecord *record,
                         QRPosition position)
 {
-    const QREngine *now = qr_engines_at(&g->engines, record->address);
+    const QREngine *next = qr_engines_at(&g->engines, record->address);
 
-    return !record->draining && now &&
-           strcmp(now->record->id, record->id) != 0 &&
+    return !record->draining && next &&
+           strcmp(next->record->id, record->id) != 0 &&
            qr_gateway_engine_left_before(g, record->id, position.era);
 }
 
