--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -211,7 +211,7 @@
 }
 
 unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed,
-                                bool eras_settle)
+                                bool epochs_settle)
 {
     GHashTableIter it;
     void *value;
@@ -226,7 +226,7 @@
         if (e == changed || e->gone || e->ended || changed->ended ||
             strcmp(e->record->address, changed->record->address) != 0)
             continue;
-        if (eras_settle && e->position.era != changed->position.era)
+        if (epochs_settle && e->position.epoch != changed->position.epoch)
             continue;
         earlier->ended = true;
         n++;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -111,11 +111,12 @@
 /*
  * Of all records with the address of 'changed' only the one that was written
  * last is of an engine that runs: the others stand in the store until their
- * leases run out. Returns how many engines have ended. While 'eras_settle' a
- * record of a later era may be the older one, and ends none of an earlier era.
+ * leases run out. Returns how many engines have ended. While 'epochs_settle' a
+ * record of a later epoch may be the older one, and ends none of an earlier
+ * epoch.
  */
 unsigned qr_engines_end_earlier(QREngines *t, QREngine *changed,
-                                bool eras_settle);
+                                bool epochs_settle);
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
 /* Whether an engine that is not gone was not heard of since our first listing.
  */
--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -138,16 +138,17 @@
  * The store came back without its last records: nothing that follows on from
  * what we had read can be told by offsets, so all is listed anew.
  */
-static void went_back(QRFollower *f, uint64_t era, const QRStorePage *page)
+static void went_back(QRFollower *f, uint64_t epoch, const QRStorePage *page)
 {
-    qr_logf(
-        QR_LEVEL_WARN, "store",
-        "went back topic=%s era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
-        " read_to=%" G_GUINT64_FORMAT " end=%" G_GUINT64_FORMAT " lost=%d",
-        topic_name(f), era, f->next.era, f->next.offset, page->end, page->lost);
+    qr_logf(QR_LEVEL_WARN, "store",
+            "went back topic=%s epoch=%" G_GUINT64_FORMAT
+            " before=%" G_GUINT64_FORMAT " read_to=%" G_GUINT64_FORMAT
+            " end=%" G_GUINT64_FORMAT " lost=%d",
+            topic_name(f), epoch, f->next.epoch, f->next.offset, page->end,
+            page->lost);
     qr_follower_restart(f);
-    f->next = (QRPosition){era, 0};
-    f->handlers->went_back(f->owner, era);
+    f->next = (QRPosition){epoch, 0};
+    f->handlers->went_back(f->owner, epoch);
 }
 
 /* Hands a whole listing on: of half a one nobody could say what it lacks. */
@@ -172,10 +173,10 @@
     f->handlers->listed(f->owner, keys);
 }
 
-static void take_listing(QRFollower *f, uint64_t era, QRStorePage *page)
+static void take_listing(QRFollower *f, uint64_t epoch, QRStorePage *page)
 {
     if (!f->after)
-        f->list_end = (QRPosition){era, page->end};
+        f->list_end = (QRPosition){epoch, page->end};
     g_ptr_array_extend_and_steal(f->pages, g_steal_pointer(&page->records));
     f->next_ms = f->now_ms;
     if (page->more && f->pages->len > 0) {
@@ -201,7 +202,7 @@
     f->lost = true;
 }
 
-static void take_read(QRFollower *f, uint64_t era, const QRStorePage *page)
+static void take_read(QRFollower *f, uint64_t epoch, const QRStorePage *page)
 {
     if (page->lost) {
         take_lost(f);
@@ -210,73 +211,73 @@
     f->lost = false;
     take_records(f, page->records);
     f->next = qr_position_max(
-        f->next, (QRPosition){era, f->asked.offset + page->records->len});
+        f->next, (QRPosition){epoch, f->asked.offset + page->records->len});
     if (!page->more)
         f->current_ms = f->now_ms;
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
-/* The era that an answer names; one that names none is of that before it. */
-static uint64_t answer_era(const QRFollower *f, const QRWholeAnswer *a)
+/* The epoch that an answer names; one that names none is of that before it. */
+static uint64_t answer_epoch(const QRFollower *f, const QRWholeAnswer *a)
 {
     g_auto(QRFindings) findings = {0};
-    uint64_t era;
+    uint64_t epoch;
 
     qr_findings_init(&findings, f->address);
-    era = f->platform->parse_era(a->headers, &findings);
+    epoch = f->platform->parse_epoch(a->headers, &findings);
     if (qr_findings_count(&findings) > 0)
         qr_logf(QR_LEVEL_WARN, "store", "answer topic=%s finding=%s",
                 topic_name(f), (const char *)findings.lines->pdata[0]);
-    if (era > 0)
-        return era;
-    return f->listing && f->after ? f->list_end.era : f->next.era;
+    if (epoch > 0)
+        return epoch;
+    return f->listing && f->after ? f->list_end.epoch : f->next.epoch;
 }
 
 /* An answer from before the store went back, which we know of already. */
-static void answer_outdated(QRFollower *f, uint64_t era)
+static void answer_outdated(QRFollower *f, uint64_t epoch)
 {
     qr_logf(QR_LEVEL_WARN, "store",
-            "answer passed over topic=%s era=%" G_GUINT64_FORMAT
+            "answer passed over topic=%s epoch=%" G_GUINT64_FORMAT
             " known=%" G_GUINT64_FORMAT,
-            topic_name(f), era, f->next.era);
+            topic_name(f), epoch, f->next.epoch);
     f->next_ms = f->now_ms + f->backoff_ms;
     f->backoff_ms = MIN(f->backoff_ms * 2, BACKOFF_MOST_MS);
 }
 
-static void page_stamp(const QRStorePage *page, uint64_t era)
+static void page_stamp(const QRStorePage *page, uint64_t epoch)
 {
     for (unsigned i = 0; i < page->records->len; i++)
-        ((QRStoreRecord *)page->records->pdata[i])->position.era = era;
+        ((QRStoreRecord *)page->records->pdata[i])->position.epoch = epoch;
 }
 
 /*
- * An answer of a later era than what we had read begins anew; of a listing that
- * is so from its first page on.
+ * An answer of a later epoch than what we had read begins anew; of a listing
+ * that is so from its first page on.
  */
-static void take_page(QRFollower *f, uint64_t era, QRStorePage *page)
+static void take_page(QRFollower *f, uint64_t epoch, QRStorePage *page)
 {
     bool is_known = !qr_position_is_none(f->next);
-    bool is_back = is_known && era > f->next.era;
-    bool is_torn = f->listing && f->after && era != f->list_end.era;
+    bool is_back = is_known && epoch > f->next.epoch;
+    bool is_torn = f->listing && f->after && epoch != f->list_end.epoch;
 
-    if (era < f->next.era) {
-        answer_outdated(f, era);
+    if (epoch < f->next.epoch) {
+        answer_outdated(f, epoch);
         return;
     }
     follower_worked(f);
     if (is_back)
-        went_back(f, era, page);
+        went_back(f, epoch, page);
     else if (is_torn)
         qr_follower_restart(f);
     if (is_torn || (is_back && !f->listing))
         return;
-    page_stamp(page, era);
+    page_stamp(page, epoch);
     if (f->listing)
-        take_listing(f, era, page);
-    else if (is_known && era != f->asked.era)
-        f->next_ms = f->now_ms; /* another has told us of the new era since */
+        take_listing(f, epoch, page);
+    else if (is_known && epoch != f->asked.epoch)
+        f->next_ms = f->now_ms; /* another has told us of the new epoch since */
     else
-        take_read(f, era, page);
+        take_read(f, epoch, page);
 }
 
 /* What a call that failed, was slow or brought much has cost. */
@@ -319,7 +320,7 @@
         note_outage(f, a->status != 0);
         follower_failed(f, why, f->platform->parse_rest(a->status, a->headers));
     } else {
-        take_page(f, answer_era(f, a), &page);
+        take_page(f, answer_epoch(f, a), &page);
     }
     qr_store_page_clear(&page);
 }
@@ -428,9 +429,9 @@
     f->call = NULL;
 }
 
-void qr_follower_expect(QRFollower *f, uint64_t era)
+void qr_follower_expect(QRFollower *f, uint64_t epoch)
 {
-    if (f->paused || !f->listed || f->next.era >= era)
+    if (f->paused || !f->listed || f->next.epoch >= epoch)
         return;
     if (f->call)
         call_cancel(f);
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -13,8 +13,8 @@
     /* A record, newest last; an empty value says that its key is gone. */
     void (*record)(void *owner, const QRStoreRecord *record);
     /* The store has come back without its last records; those that follow are
-       of this era. */
-    void (*went_back)(void *owner, uint64_t era);
+       of this epoch. */
+    void (*went_back)(void *owner, uint64_t epoch);
     /* All records of a listing were given: keys that are not in the set 'keys'
        are gone. */
     void (*listed)(void *owner, GHashTable *keys);
@@ -62,9 +62,9 @@
  * nor is the topic listed for them.
  */
 void qr_follower_skip(QRFollower *f, QRPosition end);
-/* The store is known to answer from 'era' by now: one that reads looks at
+/* The store is known to answer from 'epoch' by now: one that reads looks at
    once. */
-void qr_follower_expect(QRFollower *f, uint64_t era);
+void qr_follower_expect(QRFollower *f, uint64_t epoch);
 /* Stops reading, or goes on with a read at once. */
 void qr_follower_pause(QRFollower *f, bool paused);
 /* Between two reads from now on. */
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -385,7 +385,7 @@
     qr__fleet__record__init(out);
     out->key = held->record->key;
     out->offset = held->record->position.offset;
-    out->era = held->record->position.era;
+    out->epoch = held->record->position.epoch;
     out->age_ms = age_of(held->since_ms, now_ms);
     if (packed) {
         out->packed.data = (uint8_t *)g_bytes_get_data(packed, &len);
@@ -430,7 +430,7 @@
             break;
         qr__fleet__earlier_version__init(&rows[i]);
         rows[i].version = v->version;
-        rows[i].era = v->position.era;
+        rows[i].epoch = v->position.epoch;
         rows[i].offset = v->position.offset;
         rows[i].age_ms = age_of(v->since_ms, now_ms);
         out->earlier[out->n_earlier++] = &rows[i];
@@ -502,7 +502,7 @@
     records.records = list;
     records.n_records = t->rows->len;
     records.end = t->o->end.offset;
-    records.era = t->o->end.era;
+    records.epoch = t->o->end.epoch;
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = &records;
     send(to, &frame);
@@ -567,8 +567,9 @@
         return;
     for (size_t i = 0; i < told->n_earlier; i++) {
         const Qr__Fleet__EarlierVersion *row = told->earlier[i];
-        QRNamedVersion named = {
-            row->version, {row->era, row->offset}, since(now_ms, row->age_ms)};
+        QRNamedVersion named = {row->version,
+                                {row->epoch, row->offset},
+                                since(now_ms, row->age_ms)};
 
         versions_add(o, model, &named);
     }
@@ -585,7 +586,7 @@
         g_autoptr(GBytes) value = told_value(told);
         QRStoreRecord r = {
             told->key, value,
-            qr_position_told(told->era, told->offset, o->end.era)};
+            qr_position_told(told->epoch, told->offset, o->end.epoch)};
 
         whole &= value != NULL;
         if (!value)
@@ -595,6 +596,7 @@
     }
     if (whole)
         o->end = qr_position_max(
-            o->end, qr_position_told(records->era, records->end, o->end.era));
+            o->end,
+            qr_position_told(records->epoch, records->end, o->end.epoch));
     return news;
 }
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -44,7 +44,7 @@
 
 /* An answer of the store to a read. */
 typedef struct QRStorePage {
-    GPtrArray *records; /* QRStoreRecord *, era not set */
+    GPtrArray *records; /* QRStoreRecord *, epoch not set */
     uint64_t end;       /* offset behind the newest record of the topic */
     bool more;          /* of a listing: another page follows */
     bool lost;          /* of a read: what was asked for is no longer kept */
@@ -110,7 +110,7 @@
      * back without the last ones. 0: the answer does not say, with a finding if
      * it should.
      */
-    uint64_t (*parse_era)(const QRHeaders *headers, QRFindings *f);
+    uint64_t (*parse_epoch)(const QRHeaders *headers, QRFindings *f);
 
     /* For how long an answer of the store or of an origin of weights wants no
        more from us, in ms; 0: it does not say. */
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -65,13 +65,14 @@
     QRPosition engines_since;  /* all changes from there on are known */
     QRPosition engines_listed; /* all records of before were in our last own
                                   listing, or had gone; none yet */
-    uint64_t store_era;        /* the newest that was heard of; 0: none was */
-    uint64_t store_era_told;   /* the last one that was told to others */
-    uint64_t era_ms;           /* when it was heard of; 0: it has settled */
-    bool went_back;            /* that era began while we ran */
-    uint64_t relist_ms; /* when a reader is asked for all of that era; 0: it was
-                         */
-    bool reading_rests; /* others read the store for us */
+    uint64_t store_epoch;      /* the newest that was heard of; 0: none was */
+    uint64_t store_epoch_told; /* the last one that was told to others */
+    uint64_t epoch_ms;         /* when it was heard of; 0: it has settled */
+    bool went_back;            /* that epoch began while we ran */
+    uint64_t
+        relist_ms; /* when a reader is asked for all of that epoch; 0: it was
+                    */
+    bool reading_rests;        /* others read the store for us */
     QRPosition engines_seen;   /* of the last change heard from them */
     uint64_t engines_asked_ms; /* when a reader was asked last */
     uint64_t confirm_ms;     /* when others are asked next which engines live */
@@ -186,18 +187,18 @@
    'position' that says whether it 'leaves'. */
 bool qr_gateway_engine_is_outdated(const QRGateway *g, const char *id,
                                    QRPosition position, bool leaves);
-/* Whether the engine is known to leave, or to have gone, from another era. */
+/* Whether the engine is known to leave, or to have gone, from another epoch. */
 bool qr_gateway_engine_left_before(const QRGateway *g, const char *id,
-                                   uint64_t era);
-/* The store answers from 'era', as an answer of it said or a gateway told. */
-void qr_gateway_note_era(QRGateway *g, uint64_t era);
+                                   uint64_t epoch);
+/* The store answers from 'epoch', as an answer of it said or a gateway told. */
+void qr_gateway_note_epoch(QRGateway *g, uint64_t epoch);
 /*
  * The store went back a moment ago, or may have before we started: what it
  * lists may be older than what was known before.
  */
-bool qr_gateway_eras_settle(const QRGateway *g);
+bool qr_gateway_epochs_settle(const QRGateway *g);
 /* Ends that when it is due. */
-void qr_gateway_era_tick(QRGateway *g, uint64_t now_ms);
+void qr_gateway_epoch_tick(QRGateway *g, uint64_t now_ms);
 /* Decides who reads the store, and asks for what readers know. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
 /* Engines that have started are not known yet: who reads their records does so
--- a/src/gateway/qr_gateway_beliefs.c
+++ b/src/gateway/qr_gateway_beliefs.c
@@ -64,9 +64,9 @@
     }
 }
 
-static void store_went_back(void *owner, uint64_t era)
+static void store_went_back(void *owner, uint64_t epoch)
 {
-    qr_gateway_note_era(owner, era);
+    qr_gateway_note_epoch(owner, epoch);
 }
 
 static void operator_listed(void *owner, GHashTable *keys)
@@ -74,7 +74,7 @@
     QRGateway *g = owner;
 
     (void)keys; /* nothing of the operator's is ever taken back */
-    qr_gateway_note_era(g, qr_follower_next(g->follow_operator).era);
+    qr_gateway_note_epoch(g, qr_follower_next(g->follow_operator).epoch);
 }
 
 static void operator_reached(void *owner, bool reached, const char *why)
@@ -169,13 +169,13 @@
 
 /*
  * Only a record that was written since our first listing says that the engine
- * lives; one that has a greater position in a later era may be the same.
+ * lives; one that has a greater position in a later epoch may be the same.
  */
 static void confirm(QREngine *e, QRPosition position, bool was_unconfirmed)
 {
     bool is_known = !qr_position_is_none(e->position);
 
-    if (is_known && position.era == e->position.era &&
+    if (is_known && position.epoch == e->position.epoch &&
         position.offset > e->position.offset)
         e->ended = false;
     else
@@ -195,7 +195,7 @@
 
     return !record->draining && next &&
            strcmp(next->record->id, record->id) != 0 &&
-           qr_gateway_engine_left_before(g, record->id, position.era);
+           qr_gateway_engine_left_before(g, record->id, position.epoch);
 }
 
 void qr_gateway_engine_record(QRGateway *g, const QRStoreRecord *r)
@@ -232,7 +232,7 @@
     e = qr_engines_get(&g->engines, record->id);
     confirm(e, r->position, was_unconfirmed);
     if (change &&
-        qr_engines_end_earlier(&g->engines, e, qr_gateway_eras_settle(g)) > 0)
+        qr_engines_end_earlier(&g->engines, e, qr_gateway_epochs_settle(g)) > 0)
         qr_logf(QR_LEVEL_INFO, "engines",
                 "ended earlier ones address=%s seen=%s " QR_POSITION_FORMAT,
                 record->address, record->id, QR_POSITION_ARGS(r->position));
@@ -261,7 +261,7 @@
     QRPosition next = qr_follower_next(g->follow_engines);
     g_autoptr(GPtrArray) gone = qr_engines_missing(&g->engines, keys);
 
-    qr_gateway_note_era(g, next.era);
+    qr_gateway_note_epoch(g, next.epoch);
     /* a record that went did so by the last change that was listed at the
        latest; the next one is still to come, and must not count as seen */
     for (unsigned i = 0; i < gone->len; i++)
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -248,8 +248,8 @@
     qr_operator_heard(&g->operator, records, now);
     g->fetch_ms = g->behind_ms = 0; /* who still knows more says so again */
     /* what a peer told is not read once more from the store */
-    end = qr_position_told(records->era, records->end, g->store_era);
-    qr_gateway_note_era(g, end.era);
+    end = qr_position_told(records->epoch, records->end, g->store_epoch);
+    qr_gateway_note_epoch(g, end.epoch);
     if (qr_position_cmp(g->operator.end, end) >= 0)
         qr_follower_skip(g->follow_operator, end);
 }
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -65,18 +65,18 @@
 
     if (!c)
         return false;
-    if (c->position.era != position.era && c->leaves != leaves &&
-        qr_gateway_eras_settle(g))
+    if (c->position.epoch != position.epoch && c->leaves != leaves &&
+        qr_gateway_epochs_settle(g))
         return c->leaves;
     return qr_position_cmp(c->position, position) > 0;
 }
 
 bool qr_gateway_engine_left_before(const QRGateway *g, const char *id,
-                                   uint64_t era)
+                                   uint64_t epoch)
 {
     const EngineChange *c = g_hash_table_lookup(g->engine_changes, id);
 
-    return c && c->leaves && c->position.era != era;
+    return c && c->leaves && c->position.epoch != epoch;
 }
 
 static gboolean is_forgotten(void *key, void *value, void *now)
@@ -144,7 +144,7 @@
 
     g->engines_asked_ms = now_ms;
     fetch.offset = position.offset;
-    fetch.era = position.era;
+    fetch.epoch = position.epoch;
     fetch.engines = true;
     fetch.unpacks = true;
     frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
@@ -196,7 +196,7 @@
 }
 
 /*
- * What readers of a new era take only once it has settled stands at positions
+ * What readers of a new epoch take only once it has settled stands at positions
  * that others may have passed, so that they ask for all of them.
  */
 static void ask_settled(QRGateway *g, uint64_t now_ms)
@@ -209,7 +209,7 @@
     if (!teller)
         return;
     g->relist_ms = 0;
-    ask_from(g, teller, (QRPosition){g->store_era, 0}, now_ms);
+    ask_from(g, teller, (QRPosition){g->store_epoch, 0}, now_ms);
 }
 
 void qr_share_ask(QRGateway *g, uint64_t now_ms)
@@ -244,7 +244,7 @@
         r->value.data = (uint8_t *)g_bytes_get_data(c->value, &len);
         r->value.len = len;
         r->offset = c->position.offset;
-        r->era = c->position.era;
+        r->epoch = c->position.epoch;
         r->confirmed = e && !e->unconfirmed;
         g_ptr_array_add(list, r);
     }
@@ -257,7 +257,7 @@
     QRFrame frame = QR__FLEET__FRAME__INIT;
 
     records->end = g->engines_changed.offset;
-    records->era = g->engines_changed.era;
+    records->epoch = g->engines_changed.epoch;
     records->engines = true;
     frame.body_case = QR__FLEET__FRAME__BODY_RECORDS;
     frame.records = records;
@@ -301,12 +301,12 @@
 void qr_gateway_share_answer(QRGateway *g, QRPeerConn *peer,
                              const Qr__Fleet__Fetch *fetch)
 {
-    /* all are asked for from no position; builds that name no era ask for
+    /* all are asked for from no position; builds that name no epoch ask for
        changes of that which we tell */
-    QRPosition from = fetch->offset == 0 && fetch->era == 0
+    QRPosition from = fetch->offset == 0 && fetch->epoch == 0
                           ? (QRPosition){0}
-                          : qr_position_told(fetch->era, fetch->offset,
-                                             g->engines_changed.era);
+                          : qr_position_told(fetch->epoch, fetch->offset,
+                                             g->engines_changed.epoch);
     Qr__Fleet__Records records = QR__FLEET__RECORDS__INIT;
     Qr__Fleet__Records packed = QR__FLEET__RECORDS__INIT;
     g_autoptr(GPtrArray) list = NULL;
@@ -333,8 +333,9 @@
 static void take_told(QRGateway *g, const Qr__Fleet__Record *told)
 {
     g_autoptr(GBytes) value = g_bytes_new(told->value.data, told->value.len);
-    QRStoreRecord r = {told->key, value,
-                       qr_position_told(told->era, told->offset, g->store_era)};
+    QRStoreRecord r = {
+        told->key, value,
+        qr_position_told(told->epoch, told->offset, g->store_epoch)};
     QREngine *e = qr_engines_get(&g->engines, told->key);
 
     /* it had gone by our own listing, and nobody will tell us so again */
@@ -370,7 +371,8 @@
 void qr_gateway_share_records(QRGateway *g, const QRFleetMember *from,
                               const Qr__Fleet__Records *records)
 {
-    QRPosition end = qr_position_told(records->era, records->end, g->store_era);
+    QRPosition end =
+        qr_position_told(records->epoch, records->end, g->store_epoch);
     Qr__Fleet__Records *unpacked = NULL;
     const Qr__Fleet__Records *rows = records;
 
@@ -379,14 +381,14 @@
         if (!unpacked)
             return;
     }
-    qr_gateway_note_era(g, end.era);
+    qr_gateway_note_epoch(g, end.epoch);
     for (size_t i = 0; i < rows->n_records; i++)
         take_told(g, rows->records[i]);
     qr_logf(QR_LEVEL_INFO, "engines",
             "told by=%s records=%zu seen=%" G_GUINT64_FORMAT
-            " end=%" G_GUINT64_FORMAT " all=%d era=%" G_GUINT64_FORMAT,
+            " end=%" G_GUINT64_FORMAT " all=%d epoch=%" G_GUINT64_FORMAT,
             from->name, rows->n_records, g->engines_seen.offset, end.offset,
-            !g->engines_known, end.era);
+            !g->engines_known, end.epoch);
     if (unpacked)
         qr__fleet__records__free_unpacked(unpacked, NULL);
     g->engines_seen = qr_position_max(g->engines_seen, end);
--- a/src/gateway/qr_gateway_era.c
+++ b/src/gateway/qr_gateway_epoch.c
@@ -16,50 +16,50 @@
 #define RELIST_MS 1000 /* for readers to list, before others ask them */
 
 /* What was known before the store went back, and stays. */
-static void kept_log(const QRGateway *g, uint64_t era)
+static void kept_log(const QRGateway *g, uint64_t epoch)
 {
     QRKnowledge known = qr_operator_knowledge(&g->operator);
 
     qr_logf(QR_LEVEL_WARN, "store",
-            "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+            "epoch=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
             " kept policy=%" G_GUINT64_FORMAT " weights=%" G_GUINT64_FORMAT
             " operator_end=%" G_GUINT64_FORMAT
             " engines_changed=%" G_GUINT64_FORMAT " engines=%u",
-            era, g->store_era, known.policy, known.weights,
+            epoch, g->store_epoch, known.policy, known.weights,
             g->operator.end.offset, g->engines_changed.offset,
             g_hash_table_size(g->engines.by_id));
 }
 
-void qr_gateway_note_era(QRGateway *g, uint64_t era)
+void qr_gateway_note_epoch(QRGateway *g, uint64_t epoch)
 {
     uint64_t now = MAX(qr_gateway_now(g), 1);
 
-    if (era <= g->store_era)
+    if (epoch <= g->store_epoch)
         return;
-    if (g->store_era > 0) {
-        kept_log(g, era);
+    if (g->store_epoch > 0) {
+        kept_log(g, epoch);
         /* engines whose records the copy lacks write them again */
         g->engines_regained_ms = now;
-        qr_requests_store_again(g, era);
+        qr_requests_store_again(g, epoch);
         g->went_back = true;
     }
-    g->store_era = era;
-    g->era_ms = now;
+    g->store_epoch = epoch;
+    g->epoch_ms = now;
     g->relist_ms = 0;
-    qr_follower_expect(g->follow_operator, era);
-    qr_follower_expect(g->follow_engines, era);
+    qr_follower_expect(g->follow_operator, epoch);
+    qr_follower_expect(g->follow_engines, epoch);
 }
 
-bool qr_gateway_eras_settle(const QRGateway *g)
+bool qr_gateway_epochs_settle(const QRGateway *g)
 {
-    return g->era_ms > 0;
+    return g->epoch_ms > 0;
 }
 
-void qr_gateway_era_tick(QRGateway *g, uint64_t now_ms)
+void qr_gateway_epoch_tick(QRGateway *g, uint64_t now_ms)
 {
-    if (g->era_ms == 0 || now_ms < g->era_ms + SETTLE_MS)
+    if (g->epoch_ms == 0 || now_ms < g->epoch_ms + SETTLE_MS)
         return;
-    g->era_ms = 0;
+    g->epoch_ms = 0;
     if (!g->went_back)
         return;
     g->went_back = false;
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -92,10 +92,10 @@
     g->counters.counts[counter]++;
     qr_logf(QR_LEVEL_INFO, "call",
             "refused id=%s status=%u why=%s policy=%" G_GUINT64_FORMAT
-            " era=%" G_GUINT64_FORMAT " store_era=%" G_GUINT64_FORMAT,
+            " epoch=%" G_GUINT64_FORMAT " store_epoch=%" G_GUINT64_FORMAT,
             id ? id : "-", status, why,
             g->operator.policy ? g->operator.policy->version : 0,
-            g->operator.policy_position.era, g->store_era);
+            g->operator.policy_position.epoch, g->store_epoch);
     qr_relay_own_answer(x, status, retry_ms);
 }
 
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -99,9 +99,9 @@
 {
     qr_logf(QR_LEVEL_INFO, "engines",
             "%s seen=%" G_GUINT64_FORMAT " operator=%" G_GUINT64_FORMAT
-            " era=%" G_GUINT64_FORMAT,
+            " epoch=%" G_GUINT64_FORMAT,
             reads ? "read from the store" : "heard from other gateways",
-            g->engines_seen.offset, g->operator.end.offset, g->store_era);
+            g->engines_seen.offset, g->operator.end.offset, g->store_epoch);
     g->reading_rests = !reads;
     qr_follower_pause(g->follow_engines, !reads);
     qr_follower_pause(g->follow_operator, !reads);
@@ -299,7 +299,7 @@
                                      : (unsigned)g->set->engines_poll_ms);
     choose_reading(g, now_ms);
     note_store(g, now_ms);
-    qr_gateway_era_tick(g, now_ms);
+    qr_gateway_epoch_tick(g, now_ms);
     if (qr_follower_outage(g->follow_operator).first_ms > 0 &&
         is_alone(g, now_ms))
         g->alone_ms = now_ms;
@@ -317,10 +317,10 @@
 /* From where on a gateway knows all changes; none: it knows none yet. */
 static QRPosition told_since(const QRGateway *g, const Qr__Fleet__Load *load)
 {
-    if (load->engines_since == 0 && load->engines_since_era == 0)
+    if (load->engines_since == 0 && load->engines_since_epoch == 0)
         return (QRPosition){0};
-    return qr_position_told(load->engines_since_era, load->engines_since,
-                            g->store_era);
+    return qr_position_told(load->engines_since_epoch, load->engines_since,
+                            g->store_epoch);
 }
 
 void qr_gateway_share_told(QRGateway *g, QRFleetMember *member,
@@ -332,9 +332,9 @@
     member->engines_read_ms = load->reads_engines && now > load->engines_age_ms
                                   ? now - load->engines_age_ms
                                   : 0;
-    qr_gateway_note_era(g, load->store_era);
+    qr_gateway_note_epoch(g, load->store_epoch);
     member->engines_changed = qr_position_told(
-        load->engines_changed_era, load->engines_changed, g->store_era);
+        load->engines_changed_epoch, load->engines_changed, g->store_epoch);
     member->engines_since = told_since(g, load);
     note_others_read(g, member->engines_read_ms);
     /* only what its own reading knew: told on and on, a word would grow younger
@@ -354,7 +354,7 @@
     bool news =
         qr_position_cmp(g->engines_changed, g->engines_changed_told) != 0;
     bool operator_news = qr_knowledge_exceeds(&known, &g->operator_told) ||
-                         g->store_era != g->store_era_told;
+                         g->store_epoch != g->store_epoch_told;
 
     load->reads_engines = !g->reading_rests && g->engines_known &&
                           qr_follower_reached(g->follow_engines);
@@ -363,12 +363,12 @@
     if (!g->reading_rests && current > 0)
         load->operator_age_ms = (uint32_t)(qr_gateway_now(g) - current + 1);
     load->engines_changed = g->engines_changed.offset;
-    load->engines_changed_era = g->engines_changed.era;
+    load->engines_changed_epoch = g->engines_changed.epoch;
     load->engines_since = g->engines_since.offset;
-    load->engines_since_era = g->engines_since.era;
-    load->store_era = g->store_era;
+    load->engines_since_epoch = g->engines_since.epoch;
+    load->store_epoch = g->store_epoch;
     g->engines_changed_told = g->engines_changed;
     g->operator_told = known;
-    g->store_era_told = g->store_era;
+    g->store_epoch_told = g->store_epoch;
     return (load->reads_engines && news) || operator_news;
 }
--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -41,7 +41,7 @@
 /* Begins to read what the store holds. */
 void qr_requests_follow(QRGateway *g);
 /* The store may have lost what was stored there: it is written again. */
-void qr_requests_store_again(QRGateway *g, uint64_t era);
+void qr_requests_store_again(QRGateway *g, uint64_t epoch);
 /* To be called before the connections to the store are closed. */
 void qr_requests_unfollow(QRGateway *g);
 void qr_requests_clear(QRGateway *g);
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -49,12 +49,12 @@
     return qr_json_text(o);
 }
 
-static void note_answer_era(QRGateway *g, const QRWholeAnswer *a)
+static void note_answer_epoch(QRGateway *g, const QRWholeAnswer *a)
 {
     g_auto(QRFindings) f = {0};
 
     qr_findings_init(&f, g->set->store);
-    qr_gateway_note_era(g, g->platform->parse_era(a->headers, &f));
+    qr_gateway_note_epoch(g, g->platform->parse_epoch(a->headers, &f));
     if (qr_findings_count(&f) > 0)
         qr_logf(QR_LEVEL_WARN, "store", "answer to a record finding=%s",
                 (const char *)f.lines->pdata[0]);
@@ -73,7 +73,7 @@
 
     (void)ref;
     q->write = NULL;
-    note_answer_era(g, a);
+    note_answer_epoch(g, a);
     q->write_ms = done ? 0 : now + MAX(WRITE_AGAIN_MS, rest);
     qr_fingerprint_text(&q->writing, text);
     qr_logf(done ? QR_LEVEL_INFO : QR_LEVEL_WARN, "requests",
@@ -84,7 +84,7 @@
         return; /* what is to be stored has changed meanwhile */
     s->store_due_ms = done ? 0 : q->write_ms;
     s->stored = done && q->writing_mark > 0;
-    s->stored_era = g->store_era;
+    s->stored_epoch = g->store_epoch;
     if (s->stored) {
         qr_request_word_all(words, s, now);
         qr_requests_tell(g, words);
@@ -177,7 +177,7 @@
     }
 }
 
-void qr_requests_store_again(QRGateway *g, uint64_t era)
+void qr_requests_store_again(QRGateway *g, uint64_t epoch)
 {
     GHashTableIter it;
     void *value;
@@ -187,8 +187,8 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         QRSuspect *s = value;
 
-        /* who wrote it in this era may have told us before we heard of it */
-        if (!s->stored || s->stored_era >= era)
+        /* who wrote it in this epoch may have told us before we heard of it */
+        if (!s->stored || s->stored_epoch >= epoch)
             continue;
         s->stored = false;
         qr_requests_store_due(g, s);
@@ -234,7 +234,7 @@
     else
         s = qr_suspects_tried(t, &f, TRIES_STORED, now);
     s->stored = true;
-    s->stored_era = r->position.era;
+    s->stored_epoch = r->position.epoch;
     s->store_due_ms = 0;
     qr_logf(
         QR_LEVEL_WARN, "requests",
@@ -260,9 +260,9 @@
             "%s topic=held why=%s", reached ? "reached" : "lost", why);
 }
 
-static void held_went_back(void *owner, uint64_t era)
+static void held_went_back(void *owner, uint64_t epoch)
 {
-    qr_gateway_note_era(owner, era);
+    qr_gateway_note_epoch(owner, epoch);
 }
 
 static const QRFollowerHandlers handlers = {held_record, held_went_back,
--- a/src/gateway/qr_requests_words.c
+++ b/src/gateway/qr_requests_words.c
@@ -122,7 +122,7 @@
         s->held_until_ms > now_ms ? (uint32_t)(s->held_until_ms - now_ms) : 0;
     w->holds = s->holds;
     w->stored = s->stored;
-    w->stored_era = s->stored_era;
+    w->stored_epoch = s->stored_epoch;
 }
 
 void qr_requests_report(QRGateway *g)
@@ -212,13 +212,13 @@
     }
 }
 
-/* What was stored in an earlier era may be lost. */
-static void hear_stored(QRSuspect *s, uint64_t era, uint64_t own_era)
+/* What was stored in an earlier epoch may be lost. */
+static void hear_stored(QRSuspect *s, uint64_t epoch, uint64_t own_epoch)
 {
-    if (era < own_era)
+    if (epoch < own_epoch)
         return;
     s->stored = true;
-    s->stored_era = era;
+    s->stored_epoch = epoch;
     s->store_due_ms = 0;
 }
 
@@ -240,8 +240,8 @@
         qr_suspects_answered(t, &f, base_ms - MIN(base_ms, w->answered_ago_ms));
     s = qr_suspects_get(t, &f);
     if (s && w->stored && s->holds == w->holds)
-        hear_stored(s, w->stored_era ? w->stored_era : g->store_era,
-                    g->store_era);
+        hear_stored(s, w->stored_epoch ? w->stored_epoch : g->store_epoch,
+                    g->store_epoch);
     if (s && w->under_way_ms > 0)
         s->others_until_ms = MAX(s->others_until_ms, base_ms + w->under_way_ms);
     if (s && w->over)
--- a/src/gateway/qr_suspects.h
+++ b/src/gateway/qr_suspects.h
@@ -27,7 +27,7 @@
     bool is_due;              /* an end has come since it was judged last */
     bool held_is_news;        /* judged so here, not reported yet */
     bool stored;              /* the store has it */
-    uint64_t stored_era;      /* ... since it went back last, if it did */
+    uint64_t stored_epoch;    /* ... since it went back last, if it did */
     uint64_t store_due_ms;    /* to be written there then; 0: not by us */
 } QRSuspect;
 
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -169,10 +169,10 @@
     qr_weights_retarget(owner);
 }
 
-static void operator_went_back(void *owner, uint64_t era)
+static void operator_went_back(void *owner, uint64_t epoch)
 {
     (void)owner;
-    (void)era; /* versions that the store has lost stay named */
+    (void)epoch; /* versions that the store has lost stay named */
 }
 
 static void operator_listed(void *owner, GHashTable *keys)
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1344,36 +1344,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "store_era",
+    "store_epoch",
     13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Load, store_era),
+    offsetof(Qr__Fleet__Load, store_epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "engines_changed_era",
+    "engines_changed_epoch",
     14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Load, engines_changed_era),
+    offsetof(Qr__Fleet__Load, engines_changed_epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "engines_since_era",
+    "engines_since_epoch",
     15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Load, engines_since_era),
+    offsetof(Qr__Fleet__Load, engines_since_epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1385,15 +1385,15 @@
   0,   /* field[0] = engines */
   5,   /* field[5] = engines_age_ms */
   6,   /* field[6] = engines_changed */
-  13,   /* field[13] = engines_changed_era */
+  13,   /* field[13] = engines_changed_epoch */
   7,   /* field[7] = engines_since */
-  14,   /* field[14] = engines_since_era */
+  14,   /* field[14] = engines_since_epoch */
   8,   /* field[8] = gateways */
   2,   /* field[2] = leaving */
   9,   /* field[9] = operator_age_ms */
   10,   /* field[10] = policy_version */
   4,   /* field[4] = reads_engines */
-  12,   /* field[12] = store_era */
+  12,   /* field[12] = store_epoch */
   11,   /* field[11] = weights_revision */
   1,   /* field[1] = whole */
 };
@@ -1612,12 +1612,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "era",
+    "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__EarlierVersion, era),
+    offsetof(Qr__Fleet__EarlierVersion, epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1638,7 +1638,7 @@
 };
 static const unsigned qr__fleet__earlier_version__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
-  2,   /* field[2] = era */
+  2,   /* field[2] = epoch */
   3,   /* field[3] = offset */
   0,   /* field[0] = version */
 };
@@ -1761,12 +1761,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "era",
+    "epoch",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Record, era),
+    offsetof(Qr__Fleet__Record, epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1777,7 +1777,7 @@
   3,   /* field[3] = age_ms */
   7,   /* field[7] = confirmed */
   6,   /* field[6] = earlier */
-  8,   /* field[8] = era */
+  8,   /* field[8] = epoch */
   0,   /* field[0] = key */
   2,   /* field[2] = offset */
   4,   /* field[4] = packed */
@@ -1843,12 +1843,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "era",
+    "epoch",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Records, era),
+    offsetof(Qr__Fleet__Records, epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1882,7 +1882,7 @@
 static const unsigned qr__fleet__records__field_indices_by_name[] = {
   1,   /* field[1] = end */
   2,   /* field[2] = engines */
-  3,   /* field[3] = era */
+  3,   /* field[3] = epoch */
   4,   /* field[4] = packed */
   0,   /* field[0] = records */
   5,   /* field[5] = size */
@@ -1946,12 +1946,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "era",
+    "epoch",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__Fetch, era),
+    offsetof(Qr__Fleet__Fetch, epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1996,7 +1996,7 @@
 };
 static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
   1,   /* field[1] = engines */
-  3,   /* field[3] = era */
+  3,   /* field[3] = epoch */
   2,   /* field[2] = gateways */
   0,   /* field[0] = offset */
   4,   /* field[4] = policy_version */
@@ -2496,12 +2496,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stored_era",
+    "stored_epoch",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Qr__Fleet__RequestWord, stored_era),
+    offsetof(Qr__Fleet__RequestWord, stored_epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -2516,7 +2516,7 @@
   6,   /* field[6] = holds */
   4,   /* field[4] = over */
   7,   /* field[7] = stored */
-  8,   /* field[8] = stored_era */
+  8,   /* field[8] = stored_epoch */
   3,   /* field[3] = under_way_ms */
 };
 static const ProtobufCIntRange qr__fleet__request_word__number_ranges[1 + 1] =
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -227,11 +227,11 @@
   uint64_t weights_revision;
   /*
    * The newest history of the store's records that it has heard of. Offsets are
-   * of that which stands beside them; 0: of a build that does not know of eras.
+   * of that which stands beside them; 0: of a build that does not know of epochs.
    */
-  uint64_t store_era;
-  uint64_t engines_changed_era;
-  uint64_t engines_since_era;
+  uint64_t store_epoch;
+  uint64_t engines_changed_epoch;
+  uint64_t engines_since_epoch;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
@@ -296,7 +296,7 @@
   /*
    * as in Record, of the record that named it
    */
-  uint64_t era;
+  uint64_t epoch;
   uint64_t offset;
 };
 #define QR__FLEET__EARLIER_VERSION__INIT \
@@ -337,7 +337,7 @@
   /*
    * of the offset; 0: as in Load
    */
-  uint64_t era;
+  uint64_t epoch;
 };
 #define QR__FLEET__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__record__descriptor) \
@@ -360,7 +360,7 @@
   /*
    * of the end
    */
-  uint64_t era;
+  uint64_t epoch;
   /*
    * in place of the records: Records, compressed by zlib
    */
@@ -393,7 +393,7 @@
   /*
    * of the offset
    */
-  uint64_t era;
+  uint64_t epoch;
   /*
    * What it knows of the operator's records: only what is newer is told. Not
    * set by builds that go by the offset.
@@ -521,9 +521,9 @@
    */
   protobuf_c_boolean stored;
   /*
-   * ... in that era; 0: as in Load
+   * ... in that epoch; 0: as in Load
    */
-  uint64_t stored_era;
+  uint64_t stored_epoch;
 };
 #define QR__FLEET__REQUEST_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__request_word__descriptor) \
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -135,11 +135,11 @@
 
 class Store(Server):
     """Topics that keep the newest record of each key. It may go back to an
-    older copy of them; then its era rises, which all its answers name."""
+    older copy of them; then its epoch rises, which all its answers name."""
 
     def __init__(self):
         self.topics = {}
-        self.era = 1  # None: answers do not name it
+        self.epoch = 1  # None: answers do not name it
         self.calls = 0
         self.appends = 0  # records that processes wrote
         self.gone = 0     # reads from offsets that it does not have
@@ -168,8 +168,8 @@
             for topic, n in lost.items():
                 rows = self.records(topic)
                 del rows[max(len(rows) - n, 0):]
-            if self.era is not None:
-                self.era += 1
+            if self.epoch is not None:
+                self.epoch += 1
             self.changed.notify_all()
 
     def newest_of(self, topic):
@@ -179,7 +179,7 @@
         return {key for key, data in last.items() if data}
 
     def headers(self):
-        return [] if self.era is None else [("Store-Era", str(self.era))]
+        return [] if self.epoch is None else [("Store-Era", str(self.epoch))]
 
     def handle(self, conn, request):
         self.calls += 1
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -440,18 +440,18 @@
             "version": "v1", "slots": 4, "state": "ready",
             "cold-remaining-ms": 0, "sequence": 1}).encode()
         plain = fleet_pb2.Records(records=[fleet_pb2.Record(
-            key="p0", value=record, offset=3, era=1)]).SerializeToString()
+            key="p0", value=record, offset=3, epoch=1)]).SerializeToString()
         load = fleet_pb2.Load(reads_engines=True, engines_changed=3,
-                              engines_since=1, store_era=1,
-                              engines_changed_era=1, engines_since_era=1)
+                              engines_since=1, store_epoch=1,
+                              engines_changed_epoch=1, engines_since_epoch=1)
         teller.send(load=load)
         for packed, size in ((b"no zlib", 7), (zlib.compress(plain), 3),
                              (zlib.compress(b"\xff" * 9), 9)):
             teller.send(records=fleet_pb2.Records(
-                engines=True, end=3, era=1, packed=packed, size=size))
+                engines=True, end=3, epoch=1, packed=packed, size=size))
         wait_for("them to be passed over", lambda: f.log("g0").count(
             "told records cannot be unpacked") == 3)
         teller.send(records=fleet_pb2.Records(
-            engines=True, end=3, era=1, packed=zlib.compress(plain),
+            engines=True, end=3, epoch=1, packed=zlib.compress(plain),
             size=len(plain)))
         wait_for("the engine", lambda: "new engine=p0" in f.log("g0"))
--- a/tests/test_store_goes_back.py
+++ b/tests/test_store_goes_back.py
@@ -217,7 +217,7 @@
         assert not f.plain[0].seen and not f.plain[1].seen
 
 
-# Once a new era has settled the store is right: an engine that was known to
+# Once a new epoch has settled the store is right: an engine that was known to
 # have gone, and stands there still, is used, also by those that do not read.
 def test_an_engine_that_is_back_is_used_at_last():
     with Fleet(gateways=4, plain=2) as f:
@@ -241,10 +241,10 @@
                                        else signal.SIGCONT)
 
 
-# As above, of a store that names no eras: only a listing can tell.
-def test_a_store_without_eras_that_has_gone_back():
+# As above, of a store that names no epochs: only a listing can tell.
+def test_a_store_without_epochs_that_has_gone_back():
     with Fleet(gateways=5, plain=3) as f:
-        f.store.era = None
+        f.store.epoch = None
         f.wait_ready()
         wait_readers(f)
         write_what_will_be_lost(f)
@@ -310,26 +310,26 @@
         assert len(f.store.records(topic)) == 1
 
 
-# An answer that names no era, or none that can be read, is of the era before it.
-@pytest.mark.parametrize("era", [None, "x"])
-def test_answers_without_an_era_are_taken(era):
+# An answer that names no epoch, or none that can be read, is of the epoch before it.
+@pytest.mark.parametrize("epoch", [None, "x"])
+def test_answers_without_an_epoch_are_taken(epoch):
     with Fleet(gateways=2, plain=1) as f:
         f.wait_ready()
-        f.store.era = era
+        f.store.epoch = epoch
         put_config(f, 2)
         wait_in_force(f, 2)
         assert not any("went back" in f.log("g%d" % g) for g in range(2))
 
 
-# An answer of an earlier era than is known is passed over, and asked for again.
-def test_an_answer_of_an_earlier_era_is_passed_over():
+# An answer of an earlier epoch than is known is passed over, and asked for again.
+def test_an_answer_of_an_earlier_epoch_is_passed_over():
     with Fleet(gateways=2, plain=1) as f:
         f.wait_ready()
-        f.store.era = 2
+        f.store.epoch = 2
         f.store.put("keyed.servers", "p9", f.plain[0].record("draining"))
         wait_for("both to know", lambda: all(
-            "store: era=2 before=1" in f.log("g%d" % g) for g in range(2)))
-        f.store.era = 1
+            "store: epoch=2 before=1" in f.log("g%d" % g) for g in range(2)))
+        f.store.epoch = 1
         put_config(f, 2)
         time.sleep(1.5)
         calls = f.store.calls
@@ -337,12 +337,12 @@
         assert f.store.calls - calls <= 20
         assert not any("in force version=2 " in f.log("g%d" % g)
                        for g in range(2))
-        f.store.era = 2
+        f.store.epoch = 2
         wait_in_force(f, 2)
 
 
 # Soak, 16 gateways, seed 204: the record of an engine that had ended stayed in the
-# copy; once the era had settled it ended the one that had its address since.
+# copy; once the epoch had settled it ended the one that had its address since.
 def test_an_engine_is_not_ended_by_the_one_before_it():
     with Fleet(gateways=4, plain=2) as f:
         f.wait_ready()
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -5,7 +5,7 @@
 #include "unit_entries.h"
 #include "unit_limits.h"
 #include "unit_load.h"
-#include "unit_eras.h"
+#include "unit_epochs.h"
 #include "unit_notices.h"
 #include "unit_sources.h"
 #include "unit_suspects.h"
@@ -414,7 +414,7 @@
     suite_add_tcase(s, unit_fleet_case());
     suite_add_tcase(s, unit_budget_case());
     suite_add_tcase(s, unit_entries_case());
-    suite_add_tcase(s, unit_eras_case());
+    suite_add_tcase(s, unit_epochs_case());
     suite_add_tcase(s, unit_suspects_case());
     suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
--- a/tests/unit_eras.c
+++ b/tests/unit_epochs.c
@@ -1,9 +1,9 @@
 /*
  * A store that comes back without its last records and gives their offsets out
- * again: positions, the era that answers name, and what processes know of the
+ * again: positions, the epoch that answers name, and what processes know of the
  * operator's records, by a model of the store.
  */
-#include "unit_eras.h"
+#include "unit_epochs.h"
 
 #include "fleet/qr_operator.h"
 
@@ -17,7 +17,7 @@
 #define CONFIG "config"
 #define WEIGHTS "version/m"
 
-START_TEST(positions_go_by_the_era_first)
+START_TEST(positions_go_by_the_epoch_first)
 {
     QRPosition before = {1, 30}, copy = {2, 5}, none = {0};
 
@@ -25,20 +25,20 @@
     ck_assert_int_gt(qr_position_cmp(copy, before), 0);
     ck_assert_int_eq(qr_position_cmp(copy, copy), 0);
     ck_assert_int_lt(qr_position_cmp(none, before), 0);
-    ck_assert_uint_eq(qr_position_max(before, copy).era, 2);
+    ck_assert_uint_eq(qr_position_max(before, copy).epoch, 2);
     ck_assert_uint_eq(qr_position_after(copy).offset, 6);
     ck_assert_uint_eq(qr_position_before(copy).offset, 4);
     ck_assert_uint_eq(qr_position_before((QRPosition){2, 0}).offset, 0);
-    ck_assert_uint_eq(qr_position_told(0, 5, 3).era, 3);
-    ck_assert_uint_eq(qr_position_told(2, 5, 3).era, 2);
+    ck_assert_uint_eq(qr_position_told(0, 5, 3).epoch, 3);
+    ck_assert_uint_eq(qr_position_told(2, 5, 3).epoch, 2);
 }
 END_TEST
 
 static const struct {
     const char *value; /* NULL: no such header field */
-    uint64_t era;
+    uint64_t epoch;
     unsigned findings;
-} eras[] = {
+} epochs[] = {
     {NULL, 0, 0},
     {"1", 1, 0},
     {"18446744073709551615", UINT64_MAX, 0},
@@ -49,7 +49,7 @@
     {"18446744073709551616", 0, 1},
 };
 
-START_TEST(eras_are_decoded)
+START_TEST(epochs_are_decoded)
 {
     const QRPlatform *p = qr_platform_find("log-store");
     g_auto(QRFindings) f = {0};
@@ -57,10 +57,10 @@
 
     qr_headers_init(&h);
     qr_findings_init(&f, "store");
-    if (eras[_i].value)
-        qr_headers_add(&h, "store-era", eras[_i].value);
-    ck_assert_uint_eq(p->parse_era(&h, &f), eras[_i].era);
-    ck_assert_uint_eq(qr_findings_count(&f), eras[_i].findings);
+    if (epochs[_i].value)
+        qr_headers_add(&h, "store-era", epochs[_i].value);
+    ck_assert_uint_eq(p->parse_epoch(&h, &f), epochs[_i].epoch);
+    ck_assert_uint_eq(qr_findings_count(&f), epochs[_i].findings);
     qr_headers_clear(&h);
 }
 END_TEST
@@ -171,7 +171,7 @@
 
 typedef struct Model {
     GArray *log; /* Written */
-    uint64_t era, config, weights;
+    uint64_t epoch, config, weights;
     QROperator processes[PROCESSES];
     uint64_t policy_before[PROCESSES];
     GBytes *messages[MESSAGES]; /* of no one in particular, told late */
@@ -196,7 +196,7 @@
 
             if (strcmp(w->key, keys[k]) != 0)
                 continue;
-            take(o, w->key, w->version, (QRPosition){m->era, i - 1});
+            take(o, w->key, w->version, (QRPosition){m->epoch, i - 1});
             break;
         }
     }
@@ -247,7 +247,7 @@
     case 2:
         g_array_set_size(m->log, m->log->len -
                                      (unsigned)rand() % (m->log->len + 1) / 2);
-        m->era++;
+        m->epoch++;
         break;
     case 3: /* written again, in any order */
         model_write(m, rand() % 2 ? CONFIG : WEIGHTS);
@@ -276,7 +276,7 @@
 static void model_init(Model *m, unsigned seed)
 {
     srand(seed);
-    *m = (Model){.era = 1};
+    *m = (Model){.epoch = 1};
     m->log = g_array_new(FALSE, FALSE, sizeof(Written));
     for (unsigned p = 0; p < PROCESSES; p++)
         start(&m->processes[p]);
@@ -319,12 +319,12 @@
 }
 END_TEST
 
-TCase *unit_eras_case(void)
+TCase *unit_epochs_case(void)
 {
-    TCase *t = tcase_create("eras");
+    TCase *t = tcase_create("epochs");
 
-    tcase_add_test(t, positions_go_by_the_era_first);
-    tcase_add_loop_test(t, eras_are_decoded, 0, (int)G_N_ELEMENTS(eras));
+    tcase_add_test(t, positions_go_by_the_epoch_first);
+    tcase_add_loop_test(t, epochs_are_decoded, 0, (int)G_N_ELEMENTS(epochs));
     tcase_add_test(t, operator_takes_what_is_written_after);
     tcase_add_test(t, operator_tells_what_the_store_has_lost);
     tcase_add_test(t, operator_versions_written_again_are_no_younger);
--- a/tests/unit_eras.h
+++ b/tests/unit_epochs.h
@@ -1,9 +1,9 @@
 /* Records of a store that comes back without its last ones. */
-#ifndef UNIT_ERAS_H
-#define UNIT_ERAS_H
+#ifndef UNIT_EPOCHS_H
+#define UNIT_EPOCHS_H
 
 #include <check.h>
 
-TCase *unit_eras_case(void);
+TCase *unit_epochs_case(void);
 
 #endif
