--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -318,7 +318,8 @@
                                            f->asked.offset, &page);
     if (rc != 0) {
         note_outage(f, a->status != 0);
-        follower_failed(f, why, f->platform->parse_rest(a->status, a->headers));
+        follower_failed(f, why,
+                        qr_platform_rest(f->platform, a->status, a->headers));
     } else {
         take_page(f, answer_epoch(f, a), &page);
     }
--- a/src/fleet/qr_platform.c
+++ b/src/fleet/qr_platform.c
@@ -1,8 +1,16 @@
 /*
- * Ownership of what a platform's parsers return.
+ * Ownership of what a platform's parsers return, and how far it is heeded.
  */
 #include "qr_platform.h"
 
+#define REST_MOST_MS 2000
+
+uint64_t qr_platform_rest(const QRPlatform *p, unsigned status,
+                          const QRHeaders *headers)
+{
+    return MIN(p->parse_rest(status, headers), (uint64_t)REST_MOST_MS);
+}
+
 void qr_store_record_free(void *record)
 {
     QRStoreRecord *r = record;
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -52,10 +52,6 @@
 
 void qr_store_page_clear(QRStorePage *page);
 
-/* What the store or an origin asks for is kept up to here, in ms: longer, and
-   what is written there once it is well would be known late. */
-#define QR_REST_MOST_MS 2000
-
 /* What an operator's record says. */
 typedef enum QROperatorKind {
     QR_OPERATOR_OTHER,
@@ -152,6 +148,14 @@
                          bool cut);
 } QRPlatform;
 
+/*
+ * The rest that an answer of the store or of an origin asks for, in ms, as far
+ * as it is kept: longer, and what is written there once it is well would be
+ * known late.
+ */
+uint64_t qr_platform_rest(const QRPlatform *p, unsigned status,
+                          const QRHeaders *headers);
+
 /* The platform that settings name, or NULL. Defined in platform/. */
 const QRPlatform *qr_platform_find(const char *name);
 
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -69,7 +69,7 @@
     uint64_t now = qr_gateway_now(g);
     char text[QR_FINGERPRINT_HEX];
     bool done = a->status == 200;
-    uint64_t rest = g->platform->parse_rest(a->status, a->headers);
+    uint64_t rest = qr_platform_rest(g->platform, a->status, a->headers);
 
     (void)ref;
     q->write = NULL;
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -106,7 +106,8 @@
 {
     QRTarget *t = owner;
     QRPiece *p = qr_piece(t, index);
-    uint64_t rest = t->sidecar->platform->parse_rest(a->status, a->headers);
+    uint64_t rest =
+        qr_platform_rest(t->sidecar->platform, a->status, a->headers);
 
     p->fetch = NULL;
     t->sidecar->origin_bytes += a->len;
