A loss of the store from before a pause of reads is forgotten

Cause: engines_read_failed was set by a failed read and cleared only by a read of our own. A gateway whose reads pause because others read kept it for as long as the pause lasted.

Change: a pause of reads clears the flag. The opposite case, the store away for all while our reads were paused, now counts: check_store() notes the store's return for the records of engines as it does for bounds of versions.

Ruled out: a shorter lapse time (the belief is wrong, not too long).

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -57,7 +57,8 @@
     QROperator operator;
     QREngines engines;
     bool engines_known; /* a whole listing came from the store or a gateway */
-    bool engines_read_failed; /* the store did not answer the last own read */
+    bool engines_read_failed; /* the store did not answer the last own read;
+                                 false while own reads are paused */
     uint64_t store_back_ms;   /* an outage or a rollback of the store ended
                                  then; 0: no check for lapsed records is due */
     /* Records of the store that gateways share: see qr_gateway_share.c. */
@@ -191,6 +192,9 @@
                                       const Qr__Fleet__Records *records);
 /* Takes an engine's record from the store or from a gateway that reads it. */
 void qr_gateway_take_engine_record(QRGateway *g, const QRStoreRecord *r);
+/* Notes that the store has answered again after an outage: for a while, a
+   removed record of an engine counts as lapsed. */
+void qr_gateway_note_store_back(QRGateway *g);
 /* Removes engines whose records lapsed in a store outage and were not written
    again. */
 void qr_gateway_check_lapsed(QRGateway *g);
@@ -236,6 +240,9 @@
 /* Whether the outage that the last read ended was one of the store, rather than
    of our connection to the store. */
 bool qr_gateway_store_was_away(const QRGateway *g);
+/* Whether no gateway that we hear has got an answer from the store for longer
+   than two failed readers or one failed read can explain. */
+bool qr_gateway_store_is_away(const QRGateway *g, uint64_t now_ms);
 /* The time against which bounds of versions are checked: 'now_ms', or the start
    of the store's outage while there is one. */
 uint64_t qr_gateway_bound_clock_ms(const QRGateway *g, uint64_t now_ms);
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -120,6 +120,10 @@
     qr_follower_pause(g->follow_operator, !reads);
     if (reads)
         qr_follower_relist(g->follow_engines);
+    else
+        /* Later reads follow a pause of unknown length. A failure before it
+           does not show that the store was away until then. */
+        g->engines_read_failed = false;
 }
 
 bool qr_share_own_reads_are_fresh(const QRGateway *g, uint64_t now_ms)
@@ -259,9 +263,7 @@
            !answered_others && g->isolated_ms <= out.first_ms;
 }
 
-/* Whether the store has been away for longer than two failed readers or one
-   failed read can explain. */
-static bool is_store_away(const QRGateway *g, uint64_t now_ms)
+bool qr_gateway_store_is_away(const QRGateway *g, uint64_t now_ms)
 {
     return g->store_away_since_ms > 0 &&
            now_ms >= g->store_away_since_ms + AWAY_MIN_MS;
@@ -269,13 +271,15 @@
 
 uint64_t qr_gateway_bound_clock_ms(const QRGateway *g, uint64_t now_ms)
 {
-    return is_store_away(g, now_ms) ? g->store_away_since_ms : now_ms;
+    return qr_gateway_store_is_away(g, now_ms) ? g->store_away_since_ms : now_ms;
 }
 
 /*
  * Checks whether the store answers any gateway that we hear. When it answers
  * again after an outage, bounds of versions that were running restart: no
  * process could learn of a version or fetch its weights before the old bound.
+ * Records of engines may have lapsed, also if our own reads were paused
+ * throughout the outage.
  */
 static void check_store(QRGateway *g, uint64_t now_ms)
 {
@@ -289,12 +293,14 @@
         g->store_away_since_ms = now_ms;
     if (!answers || g->store_away_since_ms == 0)
         return;
-    if (is_store_away(g, now_ms)) {
+    if (qr_gateway_store_is_away(g, now_ms)) {
         qr_operator_restart_bounds(&g->operator,(uint64_t) g->set->version_ms,
                                    g->store_away_since_ms, now_ms);
         qr_logf(QR_LEVEL_INFO, "weights",
                 "version bounds restarted store_away_ms=%" G_GUINT64_FORMAT,
                 now_ms - g->store_away_since_ms);
+        if (g->engines_known && g->store_back_ms == 0)
+            qr_gateway_note_store_back(g);
     }
     g->store_away_since_ms = 0;
 }
--- a/src/gateway/qr_gateway_store.c
+++ b/src/gateway/qr_gateway_store.c
@@ -97,8 +97,16 @@
  */
 static bool may_have_lapsed(const QRGateway *g)
 {
-    return g->store_back_ms > 0 &&
-           qr_gateway_now(g) < g->store_back_ms + LAPSE_MS;
+    uint64_t now = qr_gateway_now(g);
+
+    /* the first answer after an outage arrives before its end is noted */
+    return qr_gateway_store_is_away(g, now) ||
+           (g->store_back_ms > 0 && now < g->store_back_ms + LAPSE_MS);
+}
+
+void qr_gateway_note_store_back(QRGateway *g)
+{
+    g->store_back_ms = MAX(qr_gateway_now(g), 1);
 }
 
 static void remove_engine(QRGateway *g, const QREngine *e)
@@ -322,7 +330,7 @@
 
     /* a first read does not end an outage, if others sent the records before */
     if (reached && g->engines_known && g->engines_read_failed)
-        g->store_back_ms = MAX(qr_gateway_now(g), 1);
+        qr_gateway_note_store_back(g);
     g->engines_read_failed = !reached;
     qr_logf(reached ? QR_LEVEL_INFO : QR_LEVEL_WARN, "store",
             "%s topic=engines why=%s", reached ? "reached" : "lost", why);
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -263,6 +263,68 @@
         assert "new engine=late" in f.log("g0")
 
 
+def store_readers(fleet, count):
+    """Peers that act as gateways which can read the store."""
+    return [Peer(fleet.peers[0], hello(f"reader{i}", "gateway"))
+            for i in range(count)]
+
+
+def test_store_loss_before_paused_reads_is_forgotten():
+    """A gateway loses the store, then pauses its reads because others read.
+    When it reads again, its first answer must not count as the store's
+    return: it took removed records for lapsed ones, and called the engine
+    for 2.2 s after it had left."""
+    with Fleet(plain=2) as f:
+        f.wait_ready()
+        f.store.take_down()
+        wait_for("the store to be lost",
+                 lambda: "lost topic=engines" in f.log("g0"))
+        readers = store_readers(f, 2)
+        load = fleet_pb2.Load(whole=True, reads_engines=True,
+                              engines_age_ms=10)
+        send_load_for(readers, load, 2.5)
+        assert "heard from other gateways" in f.log("g0")
+        f.store.bring_up()
+        send_load_for(readers, load, 0.5)
+        f.store.put("keyed.servers", "p0", None)
+        for r in readers:
+            r.conn.close()
+        wait_for("the removal", lambda: "gone engine=p0" in f.log("g0")
+                 or "lapsed engine=p0" in f.log("g0"), 5)
+        assert "lapsed engine=p0" not in f.log("g0")
+
+
+def test_records_lapse_for_gateway_with_paused_reads():
+    """The store is away for all gateways while records of engines expire. A
+    gateway whose reads were paused all the time, and which hears of the
+    removals from a reader, must keep these engines until they have had time
+    to write their records again."""
+    with Fleet(plain=2) as f:
+        f.wait_ready()
+        # so many gateways before this one in the order start to read first
+        readers = store_readers(f, 60)
+        load = fleet_pb2.Load(whole=True, reads_engines=True,
+                              engines_age_ms=10)
+        send_load_for(readers, load, 2.5)
+        assert "heard from other gateways" in f.log("g0")
+        # the last answers to the readers become too old, and none follows
+        away = fleet_pb2.Load(whole=True, reads_engines=False)
+        send_load_for(readers, away, 3.5)
+        assert f.log("g0").count("engines: read from the store") == 1
+        send_load_for(readers, load, 0.3)
+        for e in f.plain:
+            readers[0].send(records=fleet_pb2.Records(
+                engines=True, end=9, records=[fleet_pb2.Record(
+                    key=e.id, value=b"", offset=8)]))
+        wait_for("the removals", lambda: f.log("g0").count("lapsed") == 2, 1)
+        assert f.call("/unsafe/x", "lapsed")[0] == 200
+        # an engine whose record stays away is gone
+        send_load_for(readers, load, 3)
+        assert f.log("g0").count("gone engine=") == 2
+        for r in readers:
+            r.conn.close()
+
+
 def test_two_gateways_read_engine_records_for_all():
     """Two gateways read engine records from the store and send changes to the
     others, which read for themselves once both are killed. With 42 gateways,
