Gateways of large regions meet through delegates

Change: qr_neighbours (no I/O) decides who is connected to whom: all of a region; between regions only delegates, three a region of more than 24 gateways, by the least hash of their names. In smaller regions all gateways are delegates, as before. Lists name to each peer only its region and the delegates; sidecars follow a delegate of their region and close connections to seeds of others. Readers of the store are thereby chosen in each region. The first live delegate passes on what all must know of requests that crash engines. The number of gateways that share the retry budget is passed on as the greatest count of anyone. Slots of an engine are coordinated by gateways that are all connected to each other; others send nothing beyond its limit.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -176,7 +176,8 @@
     return missing;
 }
 
-bool qr_engines_any_unconfirmed(const QREngines *t)
+bool qr_engines_any_unconfirmed(const QREngines *t, GHashTable *regions,
+                                const char *region)
 {
     GHashTableIter it;
     void *value;
@@ -185,7 +186,9 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QREngine *e = value;
 
-        if (e->unconfirmed && !e->gone)
+        if (e->unconfirmed && !e->gone &&
+            g_strcmp0(g_hash_table_lookup(regions, e->record->zone), region) ==
+                0)
             return true;
     }
     return false;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -133,8 +133,10 @@
                                       bool epochs_unsettled);
 /* Returns the engines of 'service', owned by 't', or NULL if none is known. */
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
-/* Whether any engine that is not gone is known from the first listing only. */
-bool qr_engines_any_unconfirmed(const QREngines *t);
+/* Whether any engine in a zone of 'region' that is not gone is known from the
+   first listing only. 'regions' maps zones to regions. */
+bool qr_engines_any_unconfirmed(const QREngines *t, GHashTable *regions,
+                                const char *region);
 /* Frees engines that are gone and have no open call of this gateway. An engine
    that announced its shutdown is kept for some time longer. */
 void qr_engines_sweep(QREngines *t, uint64_t now_ms);
--- a/src/fleet/qr_members.c
+++ b/src/fleet/qr_members.c
@@ -80,6 +80,7 @@
     member_update(member, hello);
     if (direct) {
         member->reserves_slots = hello->reserves_slots;
+        member->delegate = hello->delegate;
         qr_members_heard(member, now_ms);
     }
     return is_new_run ? member : NULL;
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -28,6 +28,9 @@
     unsigned gateways_asked; /* 'gateways' when the list was last requested */
     bool leaving;
     bool reserves_slots; /* in its own Hello; older builds do not set this */
+    bool delegate;       /* gateways only: connected to all regions */
+    unsigned fleet_gateways; /* most gateways that the member knows to have
+                                been counted; 0: older build */
     /* sidecars only, as reported */
     char *model;
     uint64_t complete_version; /* version of which the member has all pieces */
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -326,6 +326,8 @@
     qr_engines_init(&g->engines);
     g->engine_changes = qr_gateway_engine_changes_new();
     qr_members_init(&g->members);
+    qr_neighbours_init(&g->neighbours);
+    qr_neighbours_add(&g->neighbours, set->host, set->region);
     qr_requests_init(g);
 }
 
@@ -387,6 +389,7 @@
     g_hash_table_unref(g->engine_changes);
     g_clear_pointer(&g->changes_reply.packed, g_bytes_unref);
     qr_members_clear(&g->members);
+    qr_neighbours_clear(&g->neighbours);
     qr_requests_clear(g);
 }
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -9,6 +9,7 @@
 #include "fleet/qr_fleet_settings.h"
 #include "fleet/qr_follower.h"
 #include "fleet/qr_members.h"
+#include "fleet/qr_neighbours.h"
 #include "fleet/qr_operator.h"
 #include "io/qr_log.h"
 #include "net/qr_client.h"
@@ -102,8 +103,11 @@
     uint64_t share_tick_ms; /* last qr_gateway_share_tick() */
     uint64_t suspended_ms, resumed_ms; /* last suspension of this process */
     QRFleetMembers members;
-    GHashTable *regions;  /* zone -> region */
-    GHashTable *services; /* name -> QRServiceStats * */
+    QRNeighbours neighbours; /* of the known gateways, this one included */
+    bool neighbours_changed; /* connections are to be checked against them */
+    unsigned fleet_gateways; /* most gateways that any process has counted */
+    GHashTable *regions;     /* zone -> region */
+    GHashTable *services;    /* name -> QRServiceStats * */
     QRServer *callers, *directory, *readiness, *metrics;
     QRClient *to_engines, *to_store;
     QRFollower *follow_operator, *follow_engines;
@@ -181,11 +185,39 @@
    one does; 'what' seeds their order. */
 unsigned qr_gateway_region_rank(const QRGateway *g, uint64_t what,
                                 uint64_t now_ms);
+/* Whether this process keeps a connection to 'm'. */
+bool qr_gateway_is_neighbour(const QRGateway *g, const QRFleetMember *m);
+/* Whether 'to' may connect to 'about', or has to know of it. */
+bool qr_gateway_concerns_member(const QRGateway *g, const QRFleetMember *to,
+                                const QRFleetMember *about);
+/* Whether a gateway, or this one, is a delegate of its region. */
+bool qr_gateway_is_delegate(const QRGateway *g, const QRFleetMember *m);
+bool qr_gateway_is_own_delegate(const QRGateway *g);
+/* Whether this gateway's region has gateways that are no delegates. */
+bool qr_gateway_region_is_large(const QRGateway *g);
+/* Whether every gateway of our region is connected to every one of 'region'. */
+bool qr_gateway_is_meshed_with(const QRGateway *g, const char *region);
+/* Whether this gateway is the first live delegate of a large region: the one
+   that passes on what all gateways of all regions have to know. */
+bool qr_gateway_relays_between_regions(const QRGateway *g, uint64_t now_ms);
+/* Notes how many gateways of 'region' another process knows. */
+void qr_gateway_note_region_size(QRGateway *g, const char *region,
+                                 unsigned size);
+/* Most gateways of 'region' that are known, here or elsewhere. */
+unsigned qr_gateway_region_size(const QRGateway *g, const char *region);
+/* Notes a gateway that was not known, and dials it if it is a neighbour. */
+void qr_gateway_add_neighbour(QRGateway *g, const QRFleetMember *m);
+/* After delegates have changed: dials new neighbours and closes connections to
+   gateways that are none any more. */
+void qr_gateway_update_neighbours(QRGateway *g, uint64_t now_ms);
+/* Sends the gateways that concern them to the sidecars that follow this one. */
+void qr_gateway_send_gateways(QRGateway *g);
 /* Number of known gateways that are not leaving, including this one. */
 unsigned qr_gateway_count(const QRGateway *g);
 /* Asks a gateway that knows more gateways than we do, when due. */
 void qr_gateway_discover(QRGateway *g, uint64_t now_ms);
-/* Sends the list of gateways to a peer that asked for it. */
+/* Sends a peer that asked for it the list of gateways: those of its region and
+   the delegates of others. */
 void qr_gateway_send_members(const QRGateway *g, QRPeerConn *peer);
 /* Takes operator's records that another gateway sent on request. */
 void qr_gateway_take_operator_records(QRGateway *g,
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -190,7 +190,9 @@
     if (g->confirm_due_ms == 0 || now_ms < g->confirm_due_ms)
         return;
     g->confirm_due_ms = 0;
-    if (!qr_engines_any_unconfirmed(&g->engines))
+    /* sidecars of other regions may not report here, and neither do readers
+       know more of their engines */
+    if (!qr_engines_any_unconfirmed(&g->engines, g->regions, g->set->region))
         return;
     source = choose_source(g, qr_share_is_fresh_reader, now_ms);
     g->confirm_due_ms = now_ms + CONFIRM_MS;
--- a/src/gateway/qr_gateway_discover.c
+++ b/src/gateway/qr_gateway_discover.c
@@ -86,13 +86,16 @@
         g_new(Qr__Fleet__Hello *, list->len + 1);
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Members members = QR__FLEET__MEMBERS__INIT;
+    const QRFleetMember *to = qr_peer_data(peer);
 
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
-        if (m->leaving)
+        if (m->leaving || !qr_gateway_concerns_member(g, to, m))
             continue;
         qr_member_describe(m, &rows[i]);
+        rows[i].delegate = qr_gateway_is_delegate(g, m);
+        rows[i].region_gateways = qr_gateway_region_size(g, m->region);
         hellos[members.n_members++] = &rows[i];
     }
     members.members = hellos;
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -174,14 +174,17 @@
     (void)x; /* answered at once: there is nothing to cancel */
 }
 
-/* Regions whose gateways may receive a caller's calls. */
+/* Regions whose gateways are named to a caller. */
 typedef struct RegionFilter {
     const GPtrArray *allowed; /* by the configuration; NULL: all */
     const char *caller;       /* the caller's own region, always allowed */
+    const char *only;         /* the only region; NULL: any */
 } RegionFilter;
 
 static bool passes(const RegionFilter *f, const char *region)
 {
+    if (f->only && g_strcmp0(f->only, region) != 0)
+        return false;
     return qr_region_is_allowed(f->allowed, region) ||
            g_strcmp0(f->caller, region) == 0;
 }
@@ -238,11 +241,16 @@
         g->operator.policy && q->host
             ? qr_policy_host_regions(g->operator.policy, q->host)
             : NULL;
-    RegionFilter filter = {allowed, q->region};
+    RegionFilter filter = {allowed, q->region, NULL};
     RegionFilter any = {0};
-    GPtrArray *found = list_open_gateways(g, &filter);
-
-    if (found->len == 0 && allowed) {
+    GPtrArray *found;
+
+    /* few gateways of other regions are known, and would get all calls that
+       leave this one */
+    if (qr_gateway_region_is_large(g))
+        filter.only = g->set->region;
+    found = list_open_gateways(g, &filter);
+    if (found->len == 0) {
         g_ptr_array_unref(found);
         found = list_open_gateways(g, &any);
     }
@@ -320,11 +328,12 @@
         "quayring_calls_open %u\n"
         "quayring_engine_connections_opened_total %" G_GUINT64_FORMAT "\n"
         "quayring_engine_requests_mute_total %" G_GUINT64_FORMAT "\n"
+        "quayring_peer_connections %u\n"
         "quayring_peer_connections_replaced_total %" G_GUINT64_FORMAT "\n"
         "quayring_store_calls_total %" G_GUINT64_FORMAT "\n"
         "quayring_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
         g->relays->len, qr_client_connections_opened(g->to_engines),
-        qr_client_unresponsive_requests(g->to_engines),
+        qr_client_unresponsive_requests(g->to_engines), qr_peers_open(g->peers),
         qr_peers_replaced(g->peers),
         qr_follower_requests_sent(g->follow_operator) +
             qr_follower_requests_sent(g->follow_engines),
--- a/src/gateway/qr_gateway_heartbeat.c
+++ b/src/gateway/qr_gateway_heartbeat.c
@@ -28,6 +28,8 @@
 
     qr_gateway_note_peer_knowledge(g, member, &known);
     member->gateways = load->gateways;
+    member->fleet_gateways = load->fleet_gateways;
+    qr_gateway_note_region_size(g, member->region, load->region_gateways);
     qr_gateway_share_take_load(g, member, load);
     member->load_reported_ms = qr_gateway_now(g);
     if (load->whole)
@@ -150,6 +152,8 @@
     load->evacuations_epoch = known.evacuations.epoch;
     load->evacuations_offset = known.evacuations.offset;
     load->gateways = qr_gateway_count(g);
+    load->fleet_gateways = g->fleet_gateways;
+    load->region_gateways = qr_gateway_region_size(g, g->set->region);
     frame.body_case = QR__FLEET__FRAME__BODY_LOAD;
     frame.load = load;
     /* a gateway receives loads on the connection that it dialled */
@@ -174,24 +178,37 @@
 }
 
 /*
- * Returns the highest number of gateways, this one included, that this gateway
- * or a known gateway has counted so far. Returns 0 if other seeds are
- * configured and no gateway is known yet, or fewer than DISCOVERY_LEASES leases
- * have passed since the start.
+ * Updates the highest number of gateways, this one included, that this gateway
+ * or another process has counted so far. Gateways hear of the others' counts
+ * from their neighbours: few gateways know those of all regions.
  */
-static unsigned estimate_gateways(const QRGateway *g, uint64_t now_ms)
+static void count_fleet(QRGateway *g)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+
+    g->fleet_gateways = MAX(g->fleet_gateways, list->len + 1);
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        g->fleet_gateways =
+            MAX(g->fleet_gateways, MAX(m->gateways, m->fleet_gateways));
+    }
+}
+
+/*
+ * Returns the number of gateways that share the retry budget, or 0 if other
+ * seeds are configured and no gateway is known yet, or fewer than
+ * DISCOVERY_LEASES leases have passed since the start.
+ */
+static unsigned estimate_gateways(const QRGateway *g, uint64_t now_ms)
+{
     uint64_t discovery_ms = DISCOVERY_LEASES * (uint64_t)g->set->lease_ms;
-    unsigned known = MAX(g->retry_budget_gateways, list->len + 1);
 
     if (has_other_seeds(g) &&
-        (list->len == 0 || now_ms < g->started_ms + discovery_ms))
+        (g->fleet_gateways <= 1 || now_ms < g->started_ms + discovery_ms))
         return 0;
-    for (unsigned i = 0; i < list->len; i++)
-        known = MAX(known, ((const QRFleetMember *)list->pdata[i])->gateways);
-    return known;
+    return g->fleet_gateways;
 }
 
 void qr_gateway_heartbeat(QRGateway *g, uint64_t now_ms)
@@ -201,10 +218,12 @@
     unsigned beat = ++g->heartbeats;
     bool is_due, is_awaited;
 
+    qr_gateway_update_neighbours(g, now_ms);
     qr_gateway_discover(g, now_ms);
     qr_gateway_catch_up(g, now_ms);
     qr_gateway_share_tick(g, now_ms);
     qr_gateway_slots_heartbeat(g, now_ms);
+    count_fleet(g);
     g->retry_budget_gateways = estimate_gateways(g, now_ms);
     load.whole = beat % FULL_LOAD_HEARTBEATS == 0 || g->peer_lacks_load;
     g->peer_lacks_load = false;
--- /dev/null
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -0,0 +1,137 @@
+/*
+ * Connections to other gateways: dials those that this gateway is to be
+ * connected to, and closes the connections to others. Those arise at a start,
+ * when few gateways are known and the seeds are dialled whatever their region.
+ */
+#include "qr_gateway.h"
+
+#include <string.h>
+
+static QRNeighbour self(const QRGateway *g)
+{
+    return (QRNeighbour){g->set->host, g->set->region, true};
+}
+
+static QRNeighbour neighbour_of(const QRFleetMember *m)
+{
+    return (QRNeighbour){m->name, m->region ? m->region : "",
+                         strcmp(m->role, QR_ROLE_GATEWAY) == 0};
+}
+
+bool qr_gateway_is_neighbour(const QRGateway *g, const QRFleetMember *m)
+{
+    QRNeighbour own = self(g), other = neighbour_of(m);
+
+    return qr_neighbours_connect(&g->neighbours, &own, &other);
+}
+
+bool qr_gateway_concerns_member(const QRGateway *g, const QRFleetMember *to,
+                                const QRFleetMember *about)
+{
+    QRNeighbour row = neighbour_of(about);
+
+    return !row.is_gateway || g_strcmp0(to->region, about->region) == 0 ||
+           qr_neighbours_is_delegate(&g->neighbours, row.name, row.region);
+}
+
+bool qr_gateway_is_delegate(const QRGateway *g, const QRFleetMember *m)
+{
+    return qr_neighbours_is_delegate(&g->neighbours, m->name,
+                                     m->region ? m->region : "");
+}
+
+bool qr_gateway_is_own_delegate(const QRGateway *g)
+{
+    return qr_neighbours_is_delegate(&g->neighbours, g->set->host,
+                                     g->set->region);
+}
+
+bool qr_gateway_region_is_large(const QRGateway *g)
+{
+    return qr_neighbours_is_large(&g->neighbours, g->set->region);
+}
+
+bool qr_gateway_is_meshed_with(const QRGateway *g, const char *region)
+{
+    return qr_neighbours_are_meshed(&g->neighbours, g->set->region,
+                                    region ? region : "");
+}
+
+bool qr_gateway_relays_between_regions(const QRGateway *g, uint64_t now_ms)
+{
+    const char *name;
+
+    if (!qr_gateway_region_is_large(g))
+        return false;
+    for (unsigned i = 0;
+         (name = qr_neighbours_delegate(&g->neighbours, g->set->region, i)) !=
+         NULL;
+         i++) {
+        const QRFleetMember *m = qr_members_get(&g->members, name);
+
+        if (strcmp(name, g->set->host) == 0)
+            return true;
+        if (m && !m->leaving &&
+            qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms))
+            return false;
+    }
+    return false;
+}
+
+void qr_gateway_note_region_size(QRGateway *g, const char *region,
+                                 unsigned size)
+{
+    g->neighbours_changed |=
+        qr_neighbours_note_size(&g->neighbours, region ? region : "", size);
+}
+
+unsigned qr_gateway_region_size(const QRGateway *g, const char *region)
+{
+    return qr_neighbours_size(&g->neighbours, region ? region : "");
+}
+
+void qr_gateway_add_neighbour(QRGateway *g, const QRFleetMember *m)
+{
+    QRNeighbour added = neighbour_of(m);
+
+    g->neighbours_changed |=
+        qr_neighbours_add(&g->neighbours, added.name, added.region);
+    if (qr_gateway_is_neighbour(g, m))
+        qr_peers_dial(g->peers, m->address);
+}
+
+/* Whether a gateway that stays connected is heard: without one, the gateways
+   that are left are the only way to find it. */
+static bool has_live_neighbour(const QRGateway *g, const GPtrArray *gateways,
+                               uint64_t now_ms)
+{
+    for (unsigned i = 0; i < gateways->len; i++) {
+        const QRFleetMember *m = gateways->pdata[i];
+
+        if (qr_gateway_is_neighbour(g, m) &&
+            qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms))
+            return true;
+    }
+    return false;
+}
+
+void qr_gateway_update_neighbours(QRGateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list = NULL;
+
+    if (!g->neighbours_changed)
+        return;
+    list = qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    if (list->len > 0 && !has_live_neighbour(g, list, now_ms))
+        return; /* checked again at the next heartbeat */
+    g->neighbours_changed = false;
+    for (unsigned i = 0; i < list->len; i++) {
+        const QRFleetMember *m = list->pdata[i];
+
+        if (!qr_gateway_is_neighbour(g, m))
+            qr_peers_hang_up(g->peers, m->address);
+        else if (!qr_peers_keeps(g->peers, m->address))
+            qr_peers_dial(g->peers, m->address);
+    }
+    qr_gateway_send_gateways(g);
+}
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -76,11 +76,14 @@
     hello->evacuations_offset = known.evacuations.offset;
     hello->leaving = g->stopping_ms > 0;
     hello->gateways = qr_gateway_count(g);
+    hello->fleet_gateways = g->fleet_gateways;
+    hello->region_gateways = qr_gateway_region_size(g, g->set->region);
+    hello->delegate = qr_gateway_is_own_delegate(g);
     hello->reserves_slots = true;
 }
 
-static void send_member(QRPeerConn *peer, const QRFleetMember *member,
-                        bool gone)
+static void send_member(const QRGateway *g, QRPeerConn *peer,
+                        const QRFleetMember *member, bool gone)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
     Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
@@ -88,6 +91,7 @@
 
     qr_member_describe(member, &hello);
     hello.gone = gone;
+    hello.delegate = !is_sidecar(member) && qr_gateway_is_delegate(g, member);
     list.members = one;
     list.n_members = 1;
     frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
@@ -95,6 +99,20 @@
     qr_peer_send(peer, &frame);
 }
 
+/* Sends a member's state to all sidecars that follow this gateway; 'gone': the
+   member was removed. */
+static void send_to_sidecars(QRGateway *g, const QRFleetMember *member,
+                             bool gone)
+{
+    for (unsigned i = 0; i < g->subscribers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
+
+        if (is_sidecar(to) && (!gone || to != member) &&
+            qr_gateway_concerns_member(g, to, member))
+            send_member(g, g->subscribers->pdata[i], member, gone);
+    }
+}
+
 static void send_held_version(QRPeerConn *peer, const QRFleetMember *member)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
@@ -126,9 +144,10 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QRFleetMember *member = value;
 
-        if (!is_sidecar(member) && member->leaving)
+        if ((!is_sidecar(member) && member->leaving) ||
+            !qr_gateway_concerns_member(g, qr_peer_data(peer), member))
             continue;
-        send_member(peer, value, false);
+        send_member(g, peer, value, false);
         send_held_version(peer, value);
     }
     qr_operator_send_missing(&g->operator, known, QR_FOR_SIDECARS,
@@ -167,13 +186,25 @@
             "x before=%s heard_ago_ms=%" G_GUINT64_FORMAT,
             member->name, member->role, member->address, member->zone,
             member->incarnation, former->end, former->heard_ago_ms);
-    if (strcmp(member->role, QR_ROLE_GATEWAY) == 0)
-        qr_peers_dial(g->peers, member->address);
+    if (!is_sidecar(member))
+        qr_gateway_add_neighbour(g, member);
     for (unsigned i = 0; i < g->subscribers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
 
-        if (is_sidecar(to) && to != member)
-            send_member(g->subscribers->pdata[i], member, false);
+        if (is_sidecar(to) && to != member &&
+            qr_gateway_concerns_member(g, to, member))
+            send_member(g, g->subscribers->pdata[i], member, false);
+    }
+}
+
+void qr_gateway_send_gateways(QRGateway *g)
+{
+    g_autoptr(GPtrArray) list =
+        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+
+    for (unsigned i = 0; i < list->len; i++) {
+        if (!((const QRFleetMember *)list->pdata[i])->leaving)
+            send_to_sidecars(g, list->pdata[i], false);
     }
 }
 
@@ -214,6 +245,9 @@
     if (strcmp(h->role, QR_ROLE_GATEWAY) == 0 && qr_peer_data(peer)) {
         qr_gateway_note_peer_knowledge(g, qr_peer_data(peer), &knows);
         ((QRFleetMember *)qr_peer_data(peer))->gateways = h->gateways;
+        ((QRFleetMember *)qr_peer_data(peer))->fleet_gateways =
+            h->fleet_gateways;
+        qr_gateway_note_region_size(g, h->region, h->region_gateways);
     }
     if (qr_peer_dialled(peer)) { /* the peer sends its load here */
         qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
@@ -253,6 +287,7 @@
         const Qr__Fleet__Hello *hello = list->members[i];
         QRFleetMember *added;
 
+        qr_gateway_note_region_size(g, hello->region, hello->region_gateways);
         if (strcmp(hello->name, g->set->host) == 0 ||
             qr_members_get(&g->members, hello->name))
             continue;
@@ -400,25 +435,13 @@
         break;
     case QR__FLEET__FRAME__BODY_REQUESTS:
         qr_requests_receive(g, frame->requests);
+        qr_requests_relay(g, member, frame->requests);
         break;
     default:
         break;
     }
 }
 
-/* Sends a member's state to all sidecars that follow this gateway; 'gone': the
-   member was removed. */
-static void send_to_sidecars(QRGateway *g, const QRFleetMember *member,
-                             bool gone)
-{
-    for (unsigned i = 0; i < g->subscribers->len; i++) {
-        const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
-
-        if (is_sidecar(to) && (!gone || to != member))
-            send_member(g->subscribers->pdata[i], member, gone);
-    }
-}
-
 void qr_gateway_set_sidecar_leaving(QRGateway *g, const char *engine_address,
                                     bool leaves)
 {
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -265,6 +265,7 @@
         const QRFleetMember *m = list->pdata[i - 1];
 
         if (m->leaving || !m->reserves_slots ||
+            !qr_gateway_is_meshed_with(g, m->region) ||
             !qr_member_alive(m, (uint64_t)g->set->lease_ms, now_ms))
             g_ptr_array_remove_index_fast(list, i - 1);
     }
@@ -297,6 +298,12 @@
     const QRFleetMember *best = NULL;
     QRPeerConn *peer;
 
+    /* gateways near the engine choose among themselves, whom we do not know */
+    if (!qr_gateway_is_meshed_with(
+            g, g_hash_table_lookup(g->regions, e->record->zone))) {
+        set_coordinator(g, e, QR_COORDINATOR_NONE, NULL);
+        return;
+    }
     for (unsigned i = 0; i < list->len; i++) {
         uint64_t weight =
             qr_hash_str(coordinator_name(g, list->pdata[i]), seed);
--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -7,6 +7,7 @@
 #ifndef QR_REQUESTS_H
 #define QR_REQUESTS_H
 
+#include "fleet/qr_members.h"
 #include "fleet/qr_engines.h"
 #include "fleet/qr_follower.h"
 #include "net/qr_peer.h"
@@ -67,6 +68,10 @@
 void qr_requests_engine_ended(QRGateway *g, const char *engine);
 /* Takes in what another gateway reports. */
 void qr_requests_receive(QRGateway *g, const Qr__Fleet__Requests *list);
+/* Passes a report on between our region and others, if that is up to this
+   gateway. */
+void qr_requests_relay(QRGateway *g, const QRFleetMember *from,
+                       const Qr__Fleet__Requests *list);
 /* Sends the known suspects to a gateway that has just connected. */
 void qr_requests_send_known(QRGateway *g, QRPeerConn *peer);
 /* Returns the suspects whose trials are reported to all gateways, with the held
--- a/src/gateway/qr_requests_peers.c
+++ b/src/gateway/qr_requests_peers.c
@@ -85,6 +85,25 @@
     }
 }
 
+void qr_requests_relay(QRGateway *g, const QRFleetMember *from,
+                       const Qr__Fleet__Requests *list)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    bool is_local = qr_gateway_is_same_region(g, from);
+
+    if (!qr_gateway_relays_between_regions(g, qr_gateway_now(g)))
+        return;
+    frame.body_case = QR__FLEET__FRAME__BODY_REQUESTS;
+    frame.requests = (Qr__Fleet__Requests *)list;
+    for (unsigned i = 0; i < g->subscribers->len; i++) {
+        const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
+
+        if (to && strcmp(to->role, QR_ROLE_GATEWAY) == 0 &&
+            qr_gateway_is_same_region(g, to) != is_local)
+            qr_peer_send(g->subscribers->pdata[i], &frame);
+    }
+}
+
 void qr_requests_broadcast_trial(QRGateway *g, const QRSuspect *s, bool over)
 {
     g_autoptr(GPtrArray) messages = qr_request_messages_new();
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -357,6 +357,11 @@
     peer->cross_region = cross_region;
 }
 
+unsigned qr_peers_open(const QRPeerNet *p)
+{
+    return p->open;
+}
+
 uint64_t qr_peers_replaced(const QRPeerNet *p)
 {
     return p->replaced;
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -43,6 +43,10 @@
 /* The process at 'address' has restarted: closes the connection that was
    dialled before and dials again. */
 void qr_peers_redial(QRPeerNet *p, const char *address);
+/* Closes the connection dialled to 'address' and does not dial it again. */
+void qr_peers_hang_up(QRPeerNet *p, const char *address);
+/* Whether a connection to 'address' is kept open or dialled. */
+bool qr_peers_keeps(const QRPeerNet *p, const char *address);
 /* Returns the connection dialled to 'address' if it is open, else NULL. Dials
    an address that has not been dialled before. */
 QRPeerConn *qr_peers_get_open(QRPeerNet *p, const char *address);
@@ -84,6 +88,8 @@
 uint64_t qr_peer_frame_ms(const QRPeerConn *peer);
 /* Sets whether the other side is in another region, for traffic counts. */
 void qr_peer_set_cross_region(QRPeerConn *peer, bool cross_region);
+/* Number of open connections, dialled and accepted. */
+unsigned qr_peers_open(const QRPeerNet *p);
 /* Number of silent connections that were replaced so far. */
 uint64_t qr_peers_replaced(const QRPeerNet *p);
 /* Bytes sent over all connections so far; owned by 'p'. */
--- a/src/net/qr_peer_dial.c
+++ b/src/net/qr_peer_dial.c
@@ -202,6 +202,24 @@
     qr_peers_dial(p, address);
 }
 
+void qr_peers_hang_up(QRPeerNet *p, const char *address)
+{
+    QRPeerTarget *t = g_hash_table_lookup(p->targets, address);
+
+    if (!t)
+        return;
+    if (t->standby)
+        qr_peer_close(t->standby);
+    if (t->peer)
+        qr_peer_close(t->peer);
+    g_hash_table_remove(p->targets, address);
+}
+
+bool qr_peers_keeps(const QRPeerNet *p, const char *address)
+{
+    return g_hash_table_contains(p->targets, address);
+}
+
 QRPeerConn *qr_peers_get_open(QRPeerNet *p, const char *address)
 {
     QRPeerTarget *t;
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -6,6 +6,12 @@
 #include <string.h>
 
 #define STATE_INTERVAL_MS 1000 /* between reports of an unchanged engine */
+/* For so long only a delegate of the own region is followed. Others are asked
+   for the gateways of this region meanwhile. */
+#define DELEGATE_WAIT_MS 1000
+#define GATEWAYS_FETCH_MS                                                      \
+    300 /* for the list and for hellos of gateways on it */
+#define FOLLOW_SEED 17
 
 static void peer_fill_hello(void *owner, QRFrame *frame,
                             Qr__Fleet__Hello *hello)
@@ -50,6 +56,7 @@
     frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
     frame.hello = &hello;
     s->followed_gateway = peer;
+    s->followed_since_ms = qr_sidecar_now(s);
     qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
     mark_all_unlisted(s); /* the gateway will send the list of members */
     qr_peer_send(peer, &frame);
@@ -108,9 +115,19 @@
         send_state(s, s->gateways->pdata[i]);
 }
 
+static bool is_gateway(const QRFleetMember *m)
+{
+    return m && strcmp(m->role, QR_ROLE_GATEWAY) == 0;
+}
+
+static bool is_same_region(const QRSidecar *s, const QRFleetMember *m)
+{
+    return g_strcmp0(m->region, s->set->region) == 0;
+}
+
 static void dial_if_gateway(QRSidecar *s, const QRFleetMember *member)
 {
-    if (strcmp(member->role, QR_ROLE_GATEWAY) == 0)
+    if (is_gateway(member))
         qr_peers_dial(s->peers, member->address);
 }
 
@@ -149,6 +166,7 @@
     if (!m)
         return;
     m->leaving = h->leaving;
+    m->delegate = h->delegate;
     if (strcmp(h->name, s->set->host) == 0)
         return;
     if (m->listed == h->gone)
@@ -162,12 +180,15 @@
 static void peer_members(QRSidecar *s, const Qr__Fleet__Members *list)
 {
     for (size_t i = 0; i < list->n_members; i++) {
-        QRFleetMember *changed = qr_members_hello(&s->members, list->members[i],
-                                                  false, qr_sidecar_now(s));
-
-        if (changed)
-            dial_if_gateway(s, changed);
-        member_listed(s, list->members[i]);
+        const Qr__Fleet__Hello *h = list->members[i];
+        const QRFleetMember *changed =
+            qr_members_hello(&s->members, h, false, qr_sidecar_now(s));
+        const QRFleetMember *known = qr_members_get(&s->members, h->name);
+
+        /* its connection may have been closed while it was not listed */
+        if (changed || (known && !qr_peers_keeps(s->peers, known->address)))
+            dial_if_gateway(s, known);
+        member_listed(s, h);
     }
 }
 
@@ -259,21 +280,113 @@
 const QRPeerHandlers qr_sidecar_peer_handlers = {peer_fill_hello, peer_frame,
                                                  peer_closed};
 
-/* Follows one gateway, preferably in the sidecar's own zone. */
-void qr_sidecar_peers_tick(QRSidecar *s)
+/* How well a gateway serves to be followed, best first: only delegates know the
+   sidecars of all regions. */
+typedef enum FollowClass {
+    FOLLOW_BEST, /* a delegate of the own region */
+    FOLLOW_DELEGATE,
+    FOLLOW_OTHER,
+} FollowClass;
+
+static FollowClass follow_class(const QRSidecar *s, const QRFleetMember *m)
+{
+    if (!m->delegate || m->leaving)
+        return FOLLOW_OTHER;
+    return is_same_region(s, m) ? FOLLOW_BEST : FOLLOW_DELEGATE;
+}
+
+/* Sort key, least first: class, zone, and a hash that spreads the sidecars. */
+static uint64_t follow_rank(const QRSidecar *s, const QRFleetMember *m)
+{
+    uint64_t hash =
+        qr_hash_str(m->name, qr_hash_str(s->set->host, FOLLOW_SEED)) >> 3;
+    uint64_t zone = g_strcmp0(m->zone, s->set->availability_zone) != 0;
+
+    return (uint64_t)follow_class(s, m) << 62 | zone << 61 | hash;
+}
+
+/* Returns the best connected gateway to follow, or NULL. */
+static QRPeerConn *choose_gateway(const QRSidecar *s)
 {
-    QRPeerConn *chosen = NULL;
+    QRPeerConn *best = NULL;
+
+    for (unsigned i = 0; i < s->gateways->len; i++) {
+        const QRFleetMember *m = qr_peer_data(s->gateways->pdata[i]);
+
+        if (!best || follow_rank(s, m) < follow_rank(s, qr_peer_data(best)))
+            best = s->gateways->pdata[i];
+    }
+    return best;
+}
 
-    if (s->followed_gateway)
+/* Asks a gateway for the gateways of this region, when due. */
+static void fetch_gateways(QRSidecar *s, QRPeerConn *from, uint64_t now_ms)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Fetch fetch = QR__FLEET__FETCH__INIT;
+
+    if (now_ms < s->gateways_fetch_ms + GATEWAYS_FETCH_MS)
         return;
+    s->gateways_fetch_ms = now_ms;
+    fetch.gateways = true;
+    frame.body_case = QR__FLEET__FRAME__BODY_FETCH;
+    frame.fetch = &fetch;
+    qr_peer_send(from, &frame);
+}
+
+/* Follows a better gateway than the present one, which then has to be told: a
+   new connection to it starts without following. */
+static void follow_better(QRSidecar *s, QRPeerConn *chosen)
+{
+    const QRFleetMember *now = qr_peer_data(s->followed_gateway);
+    g_autofree char *address = NULL;
+
+    if (now && follow_class(s, qr_peer_data(chosen)) >= follow_class(s, now))
+        return;
+    address = g_strdup(qr_peer_dialled(s->followed_gateway));
+    if (address)
+        qr_peers_redial(s->peers, address);
+    follow_gateway(s, chosen);
+}
+
+/* Closes connections to gateways of other regions that the followed gateway
+   does not list: seeds, and delegates of before. */
+static void hang_up_unlisted(QRSidecar *s)
+{
+    g_autoptr(GPtrArray) unlisted = g_ptr_array_new_with_free_func(g_free);
+
     for (unsigned i = 0; i < s->gateways->len; i++) {
         const QRFleetMember *m = qr_peer_data(s->gateways->pdata[i]);
 
-        if (!chosen || g_strcmp0(m->zone, s->set->availability_zone) == 0)
-            chosen = s->gateways->pdata[i];
+        if (!m->listed && !is_same_region(s, m) &&
+            s->gateways->pdata[i] != s->followed_gateway)
+            g_ptr_array_add(unlisted, g_strdup(m->address));
     }
-    if (chosen)
+    for (unsigned i = 0; i < unlisted->len; i++)
+        qr_peers_hang_up(s->peers, unlisted->pdata[i]);
+}
+
+void qr_sidecar_peers_tick(QRSidecar *s)
+{
+    QRPeerConn *chosen = choose_gateway(s);
+    uint64_t now = qr_sidecar_now(s);
+    const QRFleetMember *followed;
+
+    if (!chosen)
+        return;
+    if (s->followed_gateway) {
+        follow_better(s, chosen);
+    } else if (follow_class(s, qr_peer_data(chosen)) == FOLLOW_BEST ||
+               now >= s->followed_until_ms + DELEGATE_WAIT_MS) {
         follow_gateway(s, chosen);
+    } else {
+        fetch_gateways(s, chosen, now);
+        return;
+    }
+    followed = qr_peer_data(s->followed_gateway);
+    if (followed && follow_class(s, followed) == FOLLOW_BEST &&
+        now >= s->followed_since_ms + DELEGATE_WAIT_MS)
+        hang_up_unlisted(s);
 }
 
 QRPeerConn *qr_sidecar_open_peer(QRSidecar *s, const char *address)
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -862,7 +862,7 @@
   assert(message->base.descriptor == &qr__fleet__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[18] =
+static const ProtobufCFieldDescriptor qr__fleet__hello__field_descriptors[21] =
 {
   {
     "name",
@@ -1080,13 +1080,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "delegate",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, delegate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_gateways",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, fleet_gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_gateways",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Hello, region_gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = availability_zone */
   7,   /* field[7] = control_offset */
+  18,   /* field[18] = delegate */
   16,   /* field[16] = evacuations_epoch */
   17,   /* field[17] = evacuations_offset */
+  19,   /* field[19] = fleet_gateways */
   9,   /* field[9] = follow */
   12,   /* field[12] = gateways */
   11,   /* field[11] = gone */
@@ -1095,6 +1133,7 @@
   0,   /* field[0] = name */
   14,   /* field[14] = policy_version */
   4,   /* field[4] = region */
+  20,   /* field[20] = region_gateways */
   13,   /* field[13] = reserves_slots */
   1,   /* field[1] = role */
   8,   /* field[8] = service */
@@ -1104,7 +1143,7 @@
 static const ProtobufCIntRange qr__fleet__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor qr__fleet__hello__descriptor =
 {
@@ -1114,7 +1153,7 @@
   "Qr__Fleet__Hello",
   "qr.fleet",
   sizeof(Qr__Fleet__Hello),
-  18,
+  21,
   qr__fleet__hello__field_descriptors,
   qr__fleet__hello__field_indices_by_name,
   1,  qr__fleet__hello__number_ranges,
@@ -1223,7 +1262,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[17] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[19] =
 {
   {
     "engines",
@@ -1429,6 +1468,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet_gateways",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, fleet_gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_gateways",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, region_gateways),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
@@ -1440,11 +1503,13 @@
   14,   /* field[14] = engines_since_epoch */
   15,   /* field[15] = evacuations_epoch */
   16,   /* field[16] = evacuations_offset */
+  17,   /* field[17] = fleet_gateways */
   8,   /* field[8] = gateways */
   2,   /* field[2] = leaving */
   9,   /* field[9] = operator_age_ms */
   10,   /* field[10] = policy_version */
   4,   /* field[4] = reads_engines */
+  18,   /* field[18] = region_gateways */
   12,   /* field[12] = store_epoch */
   11,   /* field[11] = weights_revision */
   1,   /* field[1] = whole */
@@ -1452,7 +1517,7 @@
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -1462,7 +1527,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  17,
+  19,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -143,10 +143,22 @@
    */
   uint64_t evacuations_epoch;
   uint64_t evacuations_offset;
+  /*
+   * gateway: connected to processes of all regions
+   */
+  protobuf_c_boolean delegate;
+  /*
+   * most gateways that anyone has counted
+   */
+  uint32_t fleet_gateways;
+  /*
+   * in the region of the gateway described
+   */
+  uint32_t region_gateways;
 };
 #define QR__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -242,10 +254,15 @@
    */
   uint64_t evacuations_epoch;
   uint64_t evacuations_offset;
+  /*
+   * as in Hello
+   */
+  uint32_t fleet_gateways;
+  uint32_t region_gateways;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -106,7 +106,7 @@
         self.gateways[i:i + 1] = [more]
         self.start(name, "gateway", path)
 
-    def start_sidecar(self, i, engine, service="engines"):
+    def start_sidecar(self, i, engine, service="engines", place=None):
         name = "s%d" % i
         peers, metrics = ["127.0.0.1:%d" % p for p in free_ports(2)]
         path = self.settings(name, "sidecar", peers,
@@ -120,7 +120,7 @@
                        "peers": peers, "seeds": self.peers,
                        "metrics": metrics, "engine": engine.address,
                        "service": service,
-                       "version_ms": self.version_ms}, f)
+                       "version_ms": self.version_ms} | (place or {}), f)
         self.start(name, "sidecar", path)
 
     def ready(self, i=0):
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -6,6 +6,7 @@
 #include "unit_limits.h"
 #include "unit_load.h"
 #include "unit_epochs.h"
+#include "unit_neighbours.h"
 #include "unit_notices.h"
 #include "unit_placement.h"
 #include "unit_sources.h"
@@ -421,6 +422,7 @@
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_notices_case());
     suite_add_tcase(s, unit_sources_case());
+    suite_add_tcase(s, unit_neighbours_case());
     suite_add_tcase(s, unit_placement_case());
     r = srunner_create(s);
     srunner_run_all(r, CK_NORMAL);
