Engines of unknown load are the last choice; other regions are served at need

In a large region most gateways have no connection to the sidecars and coordinators of other regions: they know neither the load there nor, for engines with weights, that an engine runs. The former would send calls away from the region to engines that only look idle; the latter would leave a region without engines unserved.

Change: engines of other regions without a connected coordinator are chosen only if no engine of known load can serve; a record that lasts 10 s while the store answers confirms an engine of another region.

Tests: engines_of_unknown_load_are_the_last_choice, engines_are_confirmed_by_lasting_records.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -176,6 +176,13 @@
     return missing;
 }
 
+static bool is_in_region(const QREngine *e, GHashTable *regions,
+                         const char *region)
+{
+    return g_strcmp0(g_hash_table_lookup(regions, e->record->zone), region) ==
+           0;
+}
+
 bool qr_engines_any_unconfirmed(const QREngines *t, GHashTable *regions,
                                 const char *region)
 {
@@ -186,9 +193,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QREngine *e = value;
 
-        if (e->unconfirmed && !e->gone &&
-            g_strcmp0(g_hash_table_lookup(regions, e->record->zone), region) ==
-                0)
+        if (e->unconfirmed && !e->gone && is_in_region(e, regions, region))
             return true;
     }
     return false;
@@ -255,6 +260,26 @@
                           now_ms < e->record_changed_ms + LEAVING_RETENTION_MS);
 }
 
+unsigned qr_engines_confirm_lasting(QREngines *t, GHashTable *regions,
+                                    const char *region, uint64_t since_ms)
+{
+    unsigned n = 0;
+    GHashTableIter it;
+    void *value;
+
+    g_hash_table_iter_init(&it, t->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QREngine *e = value;
+
+        if (!e->unconfirmed || e->gone || e->record_expired_ms > 0 ||
+            e->record_changed_ms > since_ms || is_in_region(e, regions, region))
+            continue;
+        e->unconfirmed = false;
+        n++;
+    }
+    return n;
+}
+
 void qr_engines_sweep(QREngines *t, uint64_t now_ms)
 {
     GHashTableIter it;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -139,6 +139,13 @@
    first listing only. 'regions' maps zones to regions. */
 bool qr_engines_any_unconfirmed(const QREngines *t, GHashTable *regions,
                                 const char *region);
+/*
+ * Confirms engines outside 'region' whose record has not changed since
+ * 'since_ms': their sidecars may not report to this process, and the record of
+ * an ended engine does not last. Returns the number of engines confirmed.
+ */
+unsigned qr_engines_confirm_lasting(QREngines *t, GHashTable *regions,
+                                    const char *region, uint64_t since_ms);
 /* Frees engines that are gone and have no open call of this gateway. An engine
    that announced its shutdown is kept for some time longer. */
 void qr_engines_sweep(QREngines *t, uint64_t now_ms);
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -372,6 +372,15 @@
                : may_send_directly(&x->forecast, in);
 }
 
+/* Whether the load at the engine is unknown: it may be full, though this
+   gateway has few calls there. */
+static bool is_load_unknown(const QREngine *e, const QRBalanceInput *in)
+{
+    return in->knows_region_only && !qr_engine_has_coordinator(e, in->now_ms) &&
+           g_strcmp0(g_hash_table_lookup(in->regions, e->record->zone),
+                     in->region) != 0;
+}
+
 /* Whether the call may run at the engine; counts it in 'c' if not. */
 static bool is_allowed_there(const QREngine *e, const QRBalanceInput *in,
                              QRBalanceChoice *c)
@@ -403,6 +412,9 @@
     Samples preferred = {{.max = ZONE_SAMPLES}, {.max = REMOTE_SAMPLES}};
     /* engines that rejected calls lately: used only if there is no other */
     Samples overloaded = preferred;
+    /* used only if no engine of known load can serve */
+    Samples unknown = preferred;
+    unsigned known = 0;
     const Candidate *best;
     QRBalanceChoice c = {0};
     Backoff backoff = {0};
@@ -425,6 +437,10 @@
             continue;
         }
         x.forecast = forecast(x.engine, in);
+        if (is_load_unknown(x.engine, in))
+            samples = &unknown;
+        else
+            known++;
         c.usable++;
         c.total_open += MIN(x.forecast.open, x.forecast.slots);
         c.total_slots += x.forecast.slots;
@@ -440,6 +456,8 @@
         best = samples_best(&overloaded, in);
         c.ignores_backoff = best != NULL;
     }
+    if (!best && known == 0)
+        best = samples_best(&unknown, in);
     if (best)
         fill_choice(&c, best, in);
     else if (backoff.paused == backoff.able)
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -22,7 +22,10 @@
     uint32_t first_byte_objective_ms; /* 0: none */
     uint32_t gap_objective_ms;        /* for pauses between events; 0: none */
     uint32_t waited_ms;               /* by the caller so far */
-    bool spare_only;        /* use only slots beyond those kept in reserve */
+    bool spare_only; /* use only slots beyond those kept in reserve */
+    /* loads at engines of other regions are unknown, unless a coordinator of
+       their slots is connected */
+    bool knows_region_only;
     bool limits_cold;       /* cold engines bear a limited rate */
     bool unreserved;        /* sent without a request for a slot */
     const GPtrArray *tried; /* ids of engines to leave out, or NULL */
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -13,6 +13,9 @@
    this process was suspended. */
 #define SUSPENDED_MIN_MS 150
 #define SWEEP_MS 2000
+/* The record of an engine that has ended goes after three of its heartbeats,
+   which are a few seconds apart at most. */
+#define RECORD_LASTS_MS 10000
 /* Time for the last seeds to start and for sidecars to connect. */
 #define STARTING_MS 3000
 /* Part of the grace time kept for the exit itself. */
@@ -113,6 +116,21 @@
         gateway_stop_now(g);
 }
 
+/* Engines of other regions that are still recorded after a while do run. While
+   the store is away, records last whatever becomes of their engines. */
+static void confirm_lasting_engines(QRGateway *g, uint64_t now)
+{
+    unsigned n;
+
+    if (qr_gateway_store_is_away(g, now) || now < RECORD_LASTS_MS)
+        return;
+    n = qr_engines_confirm_lasting(&g->engines, g->regions, g->set->region,
+                                   now - RECORD_LASTS_MS);
+    if (n > 0)
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "confirmed as their records last count=%u", n);
+}
+
 static void gateway_slow_tick(QRGateway *g, uint64_t now)
 {
     qr_server_tick(g->callers, now);
@@ -129,6 +147,7 @@
         qr_engines_sweep(&g->engines, now);
         qr_gateway_slots_sweep(g);
         qr_gateway_expire_engine_changes(g, now);
+        confirm_lasting_engines(g, now);
     }
     if (g->stopping_ms > 0)
         gateway_stopping(g, now);
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -194,6 +194,7 @@
     in.min_version = qr_relay_min_version(
         r, r->answer_started ? REMAINDER_MARGIN_MS : SEND_MARGIN_MS);
     in.min_version_soon = qr_relay_min_version(r, UNHEARD_MARGIN_MS);
+    in.knows_region_only = qr_gateway_region_is_large(g);
     in.limits_cold = service && service->cold_per_s > 0;
     in.prompt_tokens = r->prompt_tokens;
     in.first_byte_objective_ms =
--- a/tests/unit_placement.c
+++ b/tests/unit_placement.c
@@ -7,6 +7,7 @@
 #include "fleet/qr_operator.h"
 #include "fleet/qr_placement.h"
 #include "fleet/qr_slots.h"
+#include "gateway/qr_balance.h"
 
 #include <math.h>
 #include <string.h>
@@ -158,6 +159,76 @@
 }
 END_TEST
 
+static QREngine *add_engine(QREngines *t, const char *id, const char *zone)
+{
+    QREngineRecord *r = g_new0(QREngineRecord, 1);
+
+    r->id = g_strdup(id);
+    r->service = g_strdup("s");
+    r->address = g_strdup_printf("127.0.0.1:%u", 1000 + id[0]);
+    r->zone = g_strdup(zone);
+    r->slots = 4;
+    qr_engines_update(t, r, 1000);
+    return qr_engines_get(t, id);
+}
+
+/* Guards against calls that leave a large region for engines whose load is not
+   known there, and against a region without engines that is not served. */
+START_TEST(engines_of_unknown_load_are_the_last_choice)
+{
+    g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+    QRBalanceInput in = {.service = "s",
+                         .zone = "z1",
+                         .region = "r1",
+                         .regions = regions,
+                         .placement = {.regions = regions},
+                         .knows_region_only = true,
+                         .now_ms = 2000};
+    QREngines t;
+    QREngine *near, *far;
+
+    g_hash_table_insert(regions, (void *)"z1", (void *)"r1");
+    g_hash_table_insert(regions, (void *)"z2", (void *)"r2");
+    qr_engines_init(&t);
+    near = add_engine(&t, "near", "z1");
+    far = add_engine(&t, "far", "z2");
+    ck_assert_ptr_eq(qr_balance_choose(&t, &in).engine, near);
+    near->own = 4; /* full: the call waits */
+    ck_assert_ptr_null(qr_balance_choose(&t, &in).engine);
+    far->slots.coordinator_kind = QR_COORDINATOR_SIDECAR;
+    ck_assert_ptr_eq(qr_balance_choose(&t, &in).engine, far);
+    far->slots.coordinator_kind = QR_COORDINATOR_NONE;
+    near->gone = true;
+    ck_assert_ptr_eq(qr_balance_choose(&t, &in).engine, far);
+    qr_engines_clear(&t);
+}
+END_TEST
+
+/* Guards against engines of other regions that are never used, because their
+   sidecars report elsewhere. */
+START_TEST(engines_are_confirmed_by_lasting_records)
+{
+    g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+    QREngines t;
+    QREngine *near, *far;
+
+    g_hash_table_insert(regions, (void *)"z1", (void *)"r1");
+    g_hash_table_insert(regions, (void *)"z2", (void *)"r2");
+    qr_engines_init(&t);
+    near = add_engine(&t, "near", "z1");
+    far = add_engine(&t, "far", "z2");
+    near->unconfirmed = far->unconfirmed = true;
+    ck_assert_uint_eq(qr_engines_confirm_lasting(&t, regions, "r1", 999), 0);
+    ck_assert_uint_eq(qr_engines_confirm_lasting(&t, regions, "r1", 1000), 1);
+    ck_assert(near->unconfirmed && !far->unconfirmed);
+    ck_assert(qr_engines_any_unconfirmed(&t, regions, "r1"));
+    near->unconfirmed = false;
+    far->unconfirmed = true;
+    ck_assert(!qr_engines_any_unconfirmed(&t, regions, "r1"));
+    qr_engines_clear(&t);
+}
+END_TEST
+
 /* Guards against a cold engine that gets more than it bears: the grants of all
    gateways together count, whichever of them knows that it is cold. */
 START_TEST(cold_engine_is_granted_its_rate)
@@ -198,6 +269,8 @@
 {
     TCase *t = tcase_create("placement");
 
+    tcase_add_test(t, engines_of_unknown_load_are_the_last_choice);
+    tcase_add_test(t, engines_are_confirmed_by_lasting_records);
     tcase_add_test(t, cold_engine_is_granted_its_rate);
     tcase_add_test(t, placement_needs_both_lists);
     tcase_add_test(t, evacuation_follows_the_latest_record);
