Other regions are met once most gateways are known

Cause, by reading: while a starting process knows few gateways of a region, all of these look like delegates. Each process dialled up to 24 gateways of each other region at a start of all, and hung up a moment later.

Change: with more than 24 gateways known, those of other regions are named and dialled only once no gateway has become known for 150 ms; then others are asked once more.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -105,6 +105,8 @@
     QRFleetMembers members;
     QRNeighbours neighbours; /* of the known gateways, this one included */
     bool neighbours_changed; /* connections are to be checked against them */
+    bool neighbours_settled; /* most gateways are known since the start */
+    uint64_t neighbour_added_ms; /* when the last gateway became known */
     unsigned fleet_gateways; /* most gateways that any process has counted */
     GHashTable *regions;     /* zone -> region */
     GHashTable *services;    /* name -> QRServiceStats * */
--- a/src/gateway/qr_gateway_neighbours.c
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -7,6 +7,11 @@
 
 #include <string.h>
 
+/* With more gateways, those of other regions are met only once no new gateway
+   has become known for SETTLE_MS: until then most look like delegates. */
+#define UNSETTLED_MAX 24
+#define SETTLE_MS 150
+
 static QRNeighbour self(const QRGateway *g)
 {
     return (QRNeighbour){g->set->host, g->set->region, true};
@@ -25,12 +30,22 @@
     return qr_neighbours_connect(&g->neighbours, &own, &other);
 }
 
+/* Whether it is known well enough which gateways of other regions are
+   delegates. */
+static bool may_meet_regions(const QRGateway *g)
+{
+    return g->neighbours_settled ||
+           g_hash_table_size(g->members.by_name) <= UNSETTLED_MAX;
+}
+
 bool qr_gateway_concerns_member(const QRGateway *g, const QRFleetMember *to,
                                 const QRFleetMember *about)
 {
     QRNeighbour row = neighbour_of(about);
 
-    return !row.is_gateway || g_strcmp0(to->region, about->region) == 0 ||
+    if (!row.is_gateway || g_strcmp0(to->region, about->region) == 0)
+        return true;
+    return may_meet_regions(g) &&
            qr_neighbours_is_delegate(&g->neighbours, row.name, row.region);
 }
 
@@ -96,10 +111,28 @@
 
     g->neighbours_changed |=
         qr_neighbours_add(&g->neighbours, added.name, added.region);
-    if (qr_gateway_is_neighbour(g, m))
+    g->neighbour_added_ms = qr_gateway_now(g);
+    if (qr_gateway_is_neighbour(g, m) &&
+        (qr_gateway_is_same_region(g, m) || may_meet_regions(g)))
         qr_peers_dial(g->peers, m->address);
 }
 
+/* Notes that most gateways are known, and asks others once more for the rest:
+   so far they named only those of our region. */
+static void settle(QRGateway *g, const GPtrArray *gateways, uint64_t now_ms)
+{
+    if (g->neighbours_settled || gateways->len == 0 ||
+        now_ms < g->neighbour_added_ms + SETTLE_MS)
+        return;
+    g->neighbours_settled = g->neighbours_changed = true;
+    for (unsigned i = 0; i < gateways->len; i++)
+        ((QRFleetMember *)gateways->pdata[i])->gateways_asked = 0;
+    qr_logf(QR_LEVEL_INFO, "members",
+            "gateways settled known=%u region=%u delegate=%d", gateways->len,
+            qr_gateway_region_size(g, g->set->region),
+            qr_gateway_is_own_delegate(g));
+}
+
 /* Whether a gateway that stays connected is heard: without one, the gateways
    that are left are the only way to find it. */
 static bool has_live_neighbour(const QRGateway *g, const GPtrArray *gateways,
@@ -119,9 +152,13 @@
 {
     g_autoptr(GPtrArray) list = NULL;
 
-    if (!g->neighbours_changed)
+    if (!g->neighbours_changed && g->neighbours_settled)
         return;
     list = qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
+    settle(g, list, now_ms);
+    if (!g->neighbours_changed ||
+        (list->len > UNSETTLED_MAX && !g->neighbours_settled))
+        return;
     if (list->len > 0 && !has_live_neighbour(g, list, now_ms))
         return; /* checked again at the next heartbeat */
     g->neighbours_changed = false;
