Records of a settled epoch are asked of a reader that has listed them

A reader that settled later, or listed late, did not know them then, and nobody asked again.

Change: heartbeats say of which epoch the sender has listed all engines since it settled; only such a reader is asked.

--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -23,9 +23,11 @@
     uint64_t engines_read_ms;   /* last answer of the store; 0: does not read */
     QRPosition engines_changed; /* position of the last change */
     QRPosition engines_since;   /* the member knows all changes from here on */
-    uint64_t load_reported_ms;  /* last load report; 0: no valid report */
-    unsigned gateways;          /* number of gateways that the member knows */
-    unsigned gateways_asked; /* 'gateways' when the list was last requested */
+    uint64_t settled_epoch; /* engines were listed since it settled; 0: unknown
+                             */
+    uint64_t load_reported_ms; /* last load report; 0: no valid report */
+    unsigned gateways;         /* number of gateways that the member knows */
+    unsigned gateways_asked;   /* 'gateways' when the list was last requested */
     bool leaving;
     bool reserves_slots; /* in its own Hello; older builds do not set this */
     bool delegate;       /* gateways only: connected to all regions */
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -73,10 +73,11 @@
     uint64_t store_epoch;       /* newest known epoch; 0: none */
     uint64_t store_epoch_sent;  /* epoch in the last heartbeat */
     uint64_t epoch_settling_since_ms; /* 0: the epoch has settled */
-    bool store_rolled_back;           /* the epoch began while we ran */
-    uint64_t epoch_fetch_due_ms;      /* when to ask a reader for all records of
-                                         the epoch; 0: none is due */
-    bool store_reads_paused;          /* other gateways read the store for us */
+    uint64_t settled_epoch; /* engines were listed since it settled; 0: none */
+    bool store_rolled_back; /* the epoch began while we ran */
+    uint64_t epoch_fetch_due_ms; /* when to ask a reader for all records of
+                                    the epoch; 0: none is due */
+    bool store_reads_paused;     /* other gateways read the store for us */
     QRPosition engines_received; /* last change received from other gateways */
     uint64_t engines_fetch_ms;   /* when changes were last asked for */
     uint64_t confirm_due_ms;     /* when to ask next which engines still run;
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -200,6 +200,15 @@
         send_fetch(g, source, (QRPosition){0}, now_ms);
 }
 
+/* Whether 'm' is a fresh reader that has listed the engines since the epoch
+   settled, or does not say so. */
+static bool has_settled_epoch(const QRGateway *g, const QRFleetMember *m,
+                              uint64_t now_ms)
+{
+    return qr_share_is_fresh_reader(g, m, now_ms) &&
+           (m->settled_epoch == 0 || m->settled_epoch >= g->store_epoch);
+}
+
 /*
  * Fetches all changes of a new epoch once the epoch has settled. Readers accept
  * some records only then, at positions that other gateways may have passed.
@@ -210,7 +219,7 @@
 
     if (g->epoch_fetch_due_ms == 0 || now_ms < g->epoch_fetch_due_ms)
         return;
-    source = choose_source(g, qr_share_is_fresh_reader, now_ms);
+    source = choose_source(g, has_settled_epoch, now_ms);
     if (!source)
         return;
     g->epoch_fetch_due_ms = 0;
--- a/src/gateway/qr_gateway_epoch.c
+++ b/src/gateway/qr_gateway_epoch.c
@@ -63,8 +63,10 @@
         now_ms < g->epoch_settling_since_ms + SETTLE_MS)
         return;
     g->epoch_settling_since_ms = 0;
-    if (!g->store_rolled_back)
+    if (!g->store_rolled_back) {
+        g->settled_epoch = g->store_epoch;
         return;
+    }
     g->store_rolled_back = false;
     if (!g->store_reads_paused)
         qr_follower_relist(g->follow_engines);
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -364,6 +364,7 @@
     member->engines_changed = qr_position_from_peer(
         load->engines_changed_epoch, load->engines_changed, g->store_epoch);
     member->engines_since = parse_engines_since(g, load);
+    member->settled_epoch = load->settled_epoch;
     note_others_answered(g, member->engines_read_ms);
     /* The age comes from the sender's own reads only. If gateways passed it on,
        each hop would make it too small by the transit time. */
@@ -395,6 +396,7 @@
     load->engines_since = g->engines_since.offset;
     load->engines_since_epoch = g->engines_since.epoch;
     load->store_epoch = g->store_epoch;
+    load->settled_epoch = g->settled_epoch;
     g->engines_changed_sent = g->engines_changed;
     g->operator_sent = known;
     g->store_epoch_sent = g->store_epoch;
--- a/src/gateway/qr_gateway_store.c
+++ b/src/gateway/qr_gateway_store.c
@@ -299,6 +299,8 @@
     for (unsigned i = 0; i < gone->len; i++)
         mark_engine_gone(g, gone->pdata[i], qr_position_before(next));
     g->own_listing_end = next;
+    if (!qr_gateway_epoch_is_settling(g))
+        g->settled_epoch = next.epoch;
     if (!g->engines_known)
         g->engines_since = next;
     g->engines_known = true;
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -1262,7 +1262,7 @@
   (ProtobufCMessageInit) qr__fleet__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[19] =
+static const ProtobufCFieldDescriptor qr__fleet__load__field_descriptors[20] =
 {
   {
     "engines",
@@ -1492,6 +1492,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled_epoch",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Load, settled_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__load__field_indices_by_name[] = {
   3,   /* field[3] = control_offset */
@@ -1510,6 +1522,7 @@
   10,   /* field[10] = policy_version */
   4,   /* field[4] = reads_engines */
   18,   /* field[18] = region_gateways */
+  19,   /* field[19] = settled_epoch */
   12,   /* field[12] = store_epoch */
   11,   /* field[11] = weights_revision */
   1,   /* field[1] = whole */
@@ -1517,7 +1530,7 @@
 static const ProtobufCIntRange qr__fleet__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor qr__fleet__load__descriptor =
 {
@@ -1527,7 +1540,7 @@
   "Qr__Fleet__Load",
   "qr.fleet",
   sizeof(Qr__Fleet__Load),
-  19,
+  20,
   qr__fleet__load__field_descriptors,
   qr__fleet__load__field_indices_by_name,
   1,  qr__fleet__load__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -259,10 +259,15 @@
    */
   uint32_t fleet_gateways;
   uint32_t region_gateways;
+  /*
+   * Epoch of which the sender has listed all engines since it settled; 0: none,
+   * or a build that does not say.
+   */
+  uint64_t settled_epoch;
 };
 #define QR__FLEET__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__load__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -325,6 +325,38 @@
             r.conn.close()
 
 
+def test_settled_epoch_is_fetched_from_a_reader_that_has_listed_it():
+    """After a rollback of the store, gateways with paused reads fetch all
+    engines once the epoch has settled. A reader that settles a moment later,
+    as on a busy host, does not know them yet and must not be asked: it is
+    asked only once, and the engines would stay unused."""
+    with Fleet(plain=1) as f:
+        f.wait_ready()
+        readers = store_readers(f, 12)
+        load = fleet_pb2.Load(whole=True, reads_engines=True,
+                              engines_age_ms=10, store_epoch=1,
+                              engines_changed_epoch=1,
+                              settled_epoch=1)
+        send_load_for(readers, load, 2.5)
+        assert "heard from other gateways" in f.log("g0")
+        load.store_epoch = 2
+
+        def fetched():
+            return [x.fetch for r in readers for x in r.frames_for(0.02)
+                    if x.HasField("fetch") and x.fetch.engines
+                    and x.fetch.epoch == 2]
+
+        end = time.monotonic() + 7.5
+        while time.monotonic() < end:
+            send_load_for(readers, load, 0.2)
+            assert not fetched()
+        load.settled_epoch = 2
+        send_load_for(readers, load, 0.5)
+        assert fetched()
+        for r in readers:
+            r.conn.close()
+
+
 def test_two_gateways_read_engine_records_for_all():
     """Two gateways read engine records from the store and send changes to the
     others, which read for themselves once both are killed. With 42 gateways,
