Region without engines is served by sidecars of others; one reader in a large region

A gateway of a large region whose region has no usable engine asks a delegate for four sidecars of each other region and dials them; they report and grant slots as near ones do, up to three quarters of an engine's slots.

Tried and not kept: the same whenever engines were full. In an overload of all regions such calls are late.

--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -31,6 +31,7 @@
     bool leaving;
     bool reserves_slots; /* in its own Hello; older builds do not set this */
     bool delegate;       /* gateways only: connected to all regions */
+    uint8_t told_as;     /* gateways only: how our sidecars know the member */
     unsigned fleet_gateways; /* most gateways that the member knows to have
                                 been counted; 0: older build */
     /* sidecars only, as reported */
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -34,6 +34,9 @@
    of its objective; a pass, a prompt read and the first tokens take a third of
    the objective. Shares of 0.4 to 0.8 were tried on two sites. */
 #define SPARE_SLOTS_DIVISOR 16
+/* A call that leaves a large region finds one slot in REMOTE_SLOTS_DIVISOR
+   free: if all regions are short, their own calls come first. */
+#define REMOTE_SLOTS_DIVISOR 4
 #define SPARE_FIRST_BYTE_SHARE 0.6
 /* Half of the current pass and one whole pass. */
 #define PASSES_TO_FIRST_BYTE 1.5
@@ -179,6 +182,15 @@
     return MIN(first_ms, gap_ms);
 }
 
+/* Whether the call would leave a region whose gateways know only a few engines
+   elsewhere. */
+static bool leaves_region(const QREngine *e, const QRBalanceInput *in)
+{
+    return in->knows_region_only &&
+           g_strcmp0(g_hash_table_lookup(in->regions, e->record->zone),
+                     in->region) != 0;
+}
+
 /*
  * Computes the limits for a request for a slot. Returns false if the call would
  * be too late even with no unread prompt ahead of it.
@@ -192,6 +204,9 @@
 
     l->max_open_calls =
         in->spare_only ? slots - slots / SPARE_SLOTS_DIVISOR : slots;
+    if (leaves_region(e, in))
+        l->max_open_calls =
+            MIN(l->max_open_calls, slots - slots / REMOTE_SLOTS_DIVISOR);
     /* gateways of older builds use slots that no coordinator knows of */
     l->max_open_calls -= MIN(l->max_open_calls, qr_engine_reported_open(e));
     l->max_unread_tokens = UINT32_MAX;
@@ -222,7 +237,8 @@
 
     if (in->now_ms < e->slots.denied_until_ms)
         return false;
-    return (compute_limits(e, in, &l) || f->open == 0) && l.max_open_calls > 0;
+    return (compute_limits(e, in, &l) || f->open == 0) &&
+           l.max_open_calls > (leaves_region(e, in) ? f->open : 0);
 }
 
 static bool may_send_directly(const Forecast *f, const QRBalanceInput *in)
@@ -376,9 +392,7 @@
    gateway has few calls there. */
 static bool is_load_unknown(const QREngine *e, const QRBalanceInput *in)
 {
-    return in->knows_region_only && !qr_engine_has_coordinator(e, in->now_ms) &&
-           g_strcmp0(g_hash_table_lookup(in->regions, e->record->zone),
-                     in->region) != 0;
+    return leaves_region(e, in) && !qr_engine_has_coordinator(e, in->now_ms);
 }
 
 /* Whether the call may run at the engine; counts it in 'c' if not. */
@@ -414,7 +428,7 @@
     Samples overloaded = preferred;
     /* used only if no engine of known load can serve */
     Samples unknown = preferred;
-    unsigned known = 0;
+    unsigned known = 0; /* usable engines of known load */
     const Candidate *best;
     QRBalanceChoice c = {0};
     Backoff backoff = {0};
@@ -442,6 +456,7 @@
         else
             known++;
         c.usable++;
+        c.near += !leaves_region(x.engine, in);
         c.total_open += MIN(x.forecast.open, x.forecast.slots);
         c.total_slots += x.forecast.slots;
         if (!is_candidate(&x, in))
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -43,6 +43,7 @@
 typedef struct QRBalanceChoice {
     QREngine *engine;   /* NULL: none can serve the call in time */
     unsigned usable;    /* engines that may serve now */
+    unsigned near;      /* of these, in the regions that this gateway knows */
     unsigned not_ready; /* other engines that run, and may serve later */
     unsigned switching; /* of these, those that are switching weights */
     /* engines that run but where the call is not allowed */
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -108,6 +108,8 @@
     bool neighbours_changed; /* connections are to be checked against them */
     bool neighbours_settled; /* most gateways are known since the start */
     uint64_t neighbour_added_ms; /* when the last gateway became known */
+    uint64_t shortage_ms;        /* when no engine had room last; 0: never */
+    uint64_t remote_fetch_ms;    /* when remote sidecars were last asked for */
     unsigned fleet_gateways; /* most gateways that any process has counted */
     GHashTable *regions;     /* zone -> region */
     GHashTable *services;    /* name -> QRServiceStats * */
@@ -165,6 +167,9 @@
 extern const QRServerHandlers qr_gateway_readiness_handlers;
 extern const QRServerHandlers qr_gateway_metrics_handlers;
 
+/* Fills in the Hello that introduces this gateway. */
+void qr_gateway_fill_hello(void *owner, QRFrame *frame,
+                           Qr__Fleet__Hello *hello);
 /* Sends an operator's record that is new to this gateway to its subscribers. */
 void qr_gateway_forward_operator_record(void *owner, const QRStoreRecord *r);
 /* Notes which of the operator's records another gateway knows. */
@@ -193,6 +198,9 @@
 /* Whether 'to' may connect to 'about', or has to know of it. */
 bool qr_gateway_concerns_member(const QRGateway *g, const QRFleetMember *to,
                                 const QRFleetMember *about);
+/* Whether it is known well enough which gateways of other regions are
+   delegates. */
+bool qr_gateway_may_meet_regions(const QRGateway *g);
 /* Whether a gateway, or this one, is a delegate of its region. */
 bool qr_gateway_is_delegate(const QRGateway *g, const QRFleetMember *m);
 bool qr_gateway_is_own_delegate(const QRGateway *g);
@@ -213,6 +221,19 @@
 /* After delegates have changed: dials new neighbours and closes connections to
    gateways that are none any more. */
 void qr_gateway_update_neighbours(QRGateway *g, uint64_t now_ms);
+/*
+ * Notes that no engine had room for a call. In a large region, the gateway then
+ * connects to some engines of other regions for a while: qr_gateway_remote.c.
+ */
+void qr_gateway_note_shortage(QRGateway *g);
+void qr_gateway_remote_tick(QRGateway *g, uint64_t now_ms);
+/* Sends a gateway of our region the sidecars of other regions that it may use.
+ */
+void qr_gateway_send_remote_sidecars(const QRGateway *g, QRPeerConn *peer);
+/* Dials a sidecar of another region that a delegate has named. */
+void qr_gateway_dial_remote_sidecar(QRGateway *g, const QRFleetMember *m);
+/* Asks a sidecar that was dialled to report its engine's state. */
+void qr_gateway_follow_sidecar(QRGateway *g, QRPeerConn *peer);
 /* Sends the gateways that concern them to the sidecars that follow this one. */
 void qr_gateway_send_gateways(QRGateway *g);
 /* Number of known gateways that are not leaving, including this one. */
--- a/src/gateway/qr_gateway_heartbeat.c
+++ b/src/gateway/qr_gateway_heartbeat.c
@@ -219,6 +219,7 @@
     bool is_due, is_awaited;
 
     qr_gateway_update_neighbours(g, now_ms);
+    qr_gateway_remote_tick(g, now_ms);
     qr_gateway_discover(g, now_ms);
     qr_gateway_catch_up(g, now_ms);
     qr_gateway_share_tick(g, now_ms);
--- a/src/gateway/qr_gateway_neighbours.c
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -30,9 +30,7 @@
     return qr_neighbours_connect(&g->neighbours, &own, &other);
 }
 
-/* Whether it is known well enough which gateways of other regions are
-   delegates. */
-static bool may_meet_regions(const QRGateway *g)
+bool qr_gateway_may_meet_regions(const QRGateway *g)
 {
     return g->neighbours_settled ||
            g_hash_table_size(g->members.by_name) <= UNSETTLED_MAX;
@@ -45,7 +43,7 @@
 
     if (!row.is_gateway || g_strcmp0(to->region, about->region) == 0)
         return true;
-    return may_meet_regions(g) &&
+    return qr_gateway_may_meet_regions(g) &&
            qr_neighbours_is_delegate(&g->neighbours, row.name, row.region);
 }
 
@@ -113,7 +111,7 @@
         qr_neighbours_add(&g->neighbours, added.name, added.region);
     g->neighbour_added_ms = qr_gateway_now(g);
     if (qr_gateway_is_neighbour(g, m) &&
-        (qr_gateway_is_same_region(g, m) || may_meet_regions(g)))
+        (qr_gateway_is_same_region(g, m) || qr_gateway_may_meet_regions(g)))
         qr_peers_dial(g->peers, m->address);
 }
 
@@ -125,7 +123,8 @@
         now_ms < g->neighbour_added_ms + SETTLE_MS)
         return;
     g->neighbours_settled = g->neighbours_changed = true;
-    for (unsigned i = 0; i < gateways->len; i++)
+    for (unsigned i = 0; gateways->len > UNSETTLED_MAX && i < gateways->len;
+         i++)
         ((QRFleetMember *)gateways->pdata[i])->gateways_asked = 0;
     qr_logf(QR_LEVEL_INFO, "members",
             "gateways settled known=%u region=%u delegate=%d", gateways->len,
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -10,6 +10,14 @@
 #define SIDECAR_TIMEOUT_MS 2500  /* a sidecar sends its state every 1 s */
 #define SIDECAR_RECONNECT_MS 700 /* allowed after a connection is lost */
 
+/* How sidecars know another gateway: not at all, as one of their region, or as
+   a delegate. */
+typedef enum ToldAs {
+    TOLD_NOTHING,
+    TOLD_NEIGHBOUR,
+    TOLD_DELEGATE,
+} ToldAs;
+
 static bool is_sidecar(const QRFleetMember *member)
 {
     return member && strcmp(member->role, QR_ROLE_SIDECAR) == 0;
@@ -56,7 +64,7 @@
     }
 }
 
-static void fill_hello(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
+void qr_gateway_fill_hello(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
 {
     QRGateway *g = owner;
     QRKnownVersions known = qr_operator_known_versions(&g->operator);
@@ -113,6 +121,23 @@
     }
 }
 
+/* Tells the sidecars that follow this gateway of another one, unless they know
+   it as it is. */
+static void tell_of_gateway(QRGateway *g, QRFleetMember *member)
+{
+    ToldAs as = qr_gateway_is_delegate(g, member)      ? TOLD_DELEGATE
+                : qr_gateway_is_same_region(g, member) ? TOLD_NEIGHBOUR
+                                                       : TOLD_NOTHING;
+
+    if (as == TOLD_DELEGATE && !qr_gateway_is_same_region(g, member) &&
+        !qr_gateway_may_meet_regions(g))
+        as = TOLD_NOTHING;
+    if (as == TOLD_NOTHING || as == member->told_as)
+        return;
+    member->told_as = as;
+    send_to_sidecars(g, member, false);
+}
+
 static void send_held_version(QRPeerConn *peer, const QRFleetMember *member)
 {
     QRFrame frame = QR__FLEET__FRAME__INIT;
@@ -177,7 +202,7 @@
  * knows more members and request the list. Sidecars are sent the member,
  * because each sidecar follows only one gateway.
  */
-static void announce_member(QRGateway *g, const QRFleetMember *member,
+static void announce_member(QRGateway *g, QRFleetMember *member,
                             const FormerRun *former)
 {
     qr_logf(QR_LEVEL_INFO, "members",
@@ -186,15 +211,13 @@
             "x before=%s heard_ago_ms=%" G_GUINT64_FORMAT,
             member->name, member->role, member->address, member->zone,
             member->incarnation, former->end, former->heard_ago_ms);
-    if (!is_sidecar(member))
-        qr_gateway_add_neighbour(g, member);
-    for (unsigned i = 0; i < g->subscribers->len; i++) {
-        const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
-
-        if (is_sidecar(to) && to != member &&
-            qr_gateway_concerns_member(g, to, member))
-            send_member(g, g->subscribers->pdata[i], member, false);
+    if (is_sidecar(member)) {
+        send_to_sidecars(g, member, false);
+        return;
     }
+    qr_gateway_add_neighbour(g, member);
+    member->told_as = TOLD_NOTHING;
+    tell_of_gateway(g, member);
 }
 
 void qr_gateway_send_gateways(QRGateway *g)
@@ -204,7 +227,7 @@
 
     for (unsigned i = 0; i < list->len; i++) {
         if (!((const QRFleetMember *)list->pdata[i])->leaving)
-            send_to_sidecars(g, list->pdata[i], false);
+            tell_of_gateway(g, list->pdata[i]);
     }
 }
 
@@ -251,6 +274,8 @@
     }
     if (qr_peer_dialled(peer)) { /* the peer sends its load here */
         qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
+        if (is_sidecar(qr_peer_data(peer)))
+            qr_gateway_follow_sidecar(g, peer);
         return;
     }
     if (qr_peer_data(peer))
@@ -292,8 +317,11 @@
             qr_members_get(&g->members, hello->name))
             continue;
         added = qr_members_hello(&g->members, hello, false, qr_gateway_now(g));
-        if (added)
-            announce_member(g, added, &none);
+        if (!added)
+            continue;
+        announce_member(g, added, &none);
+        if (is_sidecar(added))
+            qr_gateway_dial_remote_sidecar(g, added);
     }
 }
 
@@ -410,6 +438,10 @@
         peer_engine_state(g, peer, member, frame->engine_state);
         break;
     case QR__FLEET__FRAME__BODY_FETCH:
+        if (frame->fetch->sidecars) {
+            qr_gateway_send_remote_sidecars(g, peer);
+            break;
+        }
         if (frame->fetch->gateways) {
             qr_gateway_send_members(g, peer);
             break;
@@ -501,15 +533,15 @@
         return;
     }
     /* a gateway sends its load on the connection that this gateway dialled */
-    if (!member || !qr_peer_dialled(peer))
+    if (!member || is_sidecar(member) || !qr_peer_dialled(peer))
         return;
     qr_logf(QR_LEVEL_INFO, "members", "gateway connection lost name=%s",
             member->name);
     qr_engines_forget_gateway(&g->engines, member->name);
 }
 
-const QRPeerHandlers qr_gateway_peer_handlers = {fill_hello, take_frame,
-                                                 peer_closed};
+const QRPeerHandlers qr_gateway_peer_handlers = {qr_gateway_fill_hello,
+                                                 take_frame, peer_closed};
 
 /* Removes sidecars that did not reconnect in time. */
 static void remove_lost_sidecars(QRGateway *g, uint64_t now_ms)
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -2,9 +2,10 @@
  * Shares the store's records among gateways.
  *
  * Two gateways read the store: the first, in an order that all gateways compute
- * alike, of those whose reads are fresh. The others pause their reads. Readers
- * send the positions that they know in heartbeats. A gateway that knows less
- * asks for engines' changes here, and for the operator's records in
+ * alike, of those whose reads are fresh. The others pause their reads. In a
+ * large region, whose gateways hear few others, one of that region reads.
+ * Readers send the positions that they know in heartbeats. A gateway that knows
+ * less asks for engines' changes here, and for the operator's records in
  * qr_gateway_catchup.c. Long lists thus cross the link to the store's region
  * twice, not once for each gateway.
  *
@@ -18,6 +19,7 @@
 #include <string.h>
 
 #define READERS 2
+#define READERS_IN_LARGE_REGION 1
 /* Reads answered longer ago are not fresh. One read may be lost: reads start
    each second, time out after 800 ms and are retried after 200 ms. */
 #define FRESH_MS 2100
@@ -44,6 +46,11 @@
 #define ISOLATED_LEASES 2
 #define READER_ORDER_SEED 7
 
+static unsigned readers_needed(const QRGateway *g)
+{
+    return qr_gateway_region_is_large(g) ? READERS_IN_LARGE_REGION : READERS;
+}
+
 static uint64_t reader_rank(const char *name)
 {
     return qr_hash_str(name, READER_ORDER_SEED);
@@ -90,11 +97,12 @@
 static bool should_start_reading(const QRGateway *g, uint64_t now_ms)
 {
     unsigned before = count_gateways(g, qr_share_is_alive, false, now_ms);
+    unsigned needed = readers_needed(g);
 
     return now_ms >= g->first_read_ms &&
-           (before < READERS ||
+           (before < needed ||
             now_ms >= g->few_readers_since_ms +
-                          (before - READERS + 1) * READER_STAGGER_MS);
+                          (before - needed + 1) * READER_STAGGER_MS);
 }
 
 QRPosition qr_share_known_position(const QRGateway *g)
@@ -155,7 +163,8 @@
 {
     bool all = !qr_share_own_reads_are_fresh(g, now_ms);
 
-    return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >= READERS;
+    return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >=
+           readers_needed(g);
 }
 
 static void update_reading(QRGateway *g, uint64_t now_ms)
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -221,6 +221,8 @@
     in = balance_input(r);
     in.unreserved = unreserved;
     c = qr_balance_choose(&r->g->engines, &in);
+    if (c.near == 0)
+        qr_gateway_note_shortage(r->g);
     r->held_off_ms = c.backoff_ms;
     return c;
 }
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -144,12 +144,14 @@
         qr_peer_close_older(peer);
     if (changed)
         dial_if_gateway(s, changed);
-    if (!member || strcmp(member->role, QR_ROLE_GATEWAY) != 0 ||
-        !qr_peer_dialled(peer) || g_ptr_array_find(s->gateways, peer, NULL))
+    /* a gateway of another region that has dialled asks for reports */
+    if (!is_gateway(member) || (!qr_peer_dialled(peer) && !h->follow) ||
+        g_ptr_array_find(s->gateways, peer, NULL))
         return;
     qr_logf(QR_LEVEL_INFO, "members", "gateway reached name=%s", member->name);
     g_ptr_array_add(s->gateways, peer);
-    qr_peer_set_liveness(peer, QR_PEER_SENDS);
+    if (qr_peer_dialled(peer))
+        qr_peer_set_liveness(peer, QR_PEER_SENDS);
     if (s->report_ms)
         send_state(s, peer);
 }
@@ -313,6 +315,8 @@
     for (unsigned i = 0; i < s->gateways->len; i++) {
         const QRFleetMember *m = qr_peer_data(s->gateways->pdata[i]);
 
+        if (!qr_peer_dialled(s->gateways->pdata[i]))
+            continue;
         if (!best || follow_rank(s, m) < follow_rank(s, qr_peer_data(best)))
             best = s->gateways->pdata[i];
     }
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2037,7 +2037,7 @@
   (ProtobufCMessageInit) qr__fleet__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor qr__fleet__fetch__field_descriptors[10] =
 {
   {
     "offset",
@@ -2147,6 +2147,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sidecars",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Fetch, sidecars),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__fetch__field_indices_by_name[] = {
   1,   /* field[1] = engines */
@@ -2156,13 +2168,14 @@
   2,   /* field[2] = gateways */
   0,   /* field[0] = offset */
   4,   /* field[4] = policy_version */
+  9,   /* field[9] = sidecars */
   6,   /* field[6] = unpacks */
   5,   /* field[5] = weights_revision */
 };
 static const ProtobufCIntRange qr__fleet__fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor qr__fleet__fetch__descriptor =
 {
@@ -2172,7 +2185,7 @@
   "Qr__Fleet__Fetch",
   "qr.fleet",
   sizeof(Qr__Fleet__Fetch),
-  9,
+  10,
   qr__fleet__fetch__field_descriptors,
   qr__fleet__fetch__field_indices_by_name,
   1,  qr__fleet__fetch__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -441,10 +441,14 @@
    */
   uint64_t evacuations_epoch;
   uint64_t evacuations_offset;
+  /*
+   * no records: some sidecars of other regions
+   */
+  protobuf_c_boolean sidecars;
 };
 #define QR__FLEET__FETCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__fetch__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/unit_placement.c
+++ b/tests/unit_placement.c
@@ -197,6 +197,10 @@
     ck_assert_ptr_null(qr_balance_choose(&t, &in).engine);
     far->slots.coordinator_kind = QR_COORDINATOR_SIDECAR;
     ck_assert_ptr_eq(qr_balance_choose(&t, &in).engine, far);
+    ck_assert_uint_eq(qr_balance_choose(&t, &in).limits.max_open_calls, 3);
+    far->own = 3; /* the last slot is for calls of its own region */
+    ck_assert_ptr_null(qr_balance_choose(&t, &in).engine);
+    far->own = 0;
     far->slots.coordinator_kind = QR_COORDINATOR_NONE;
     near->gone = true;
     ck_assert_ptr_eq(qr_balance_choose(&t, &in).engine, far);
