Gateways of a region list the engines one after the other

Over a region's link all of them draw the same list, 1.2 MB at 3,000 engines, and none gets it.

Change: they begin one after the other, 500 ms apart by their rank in the region; in a large region readers that replace unanswered ones come at growing distances; no gateway but a seed begins before it knows its region.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -108,7 +108,7 @@
     bool neighbours_changed; /* connections are to be checked against them */
     bool neighbours_settled; /* most gateways are known since the start */
     uint64_t neighbour_added_ms; /* when the last gateway became known */
-    uint64_t shortage_ms;        /* when no engine had room last; 0: never */
+    uint64_t shortage_ms;        /* when our region lacked engines; 0: never */
     uint64_t remote_fetch_ms;    /* when remote sidecars were last asked for */
     unsigned fleet_gateways; /* most gateways that any process has counted */
     GHashTable *regions;     /* zone -> region */
@@ -222,8 +222,9 @@
    gateways that are none any more. */
 void qr_gateway_update_neighbours(QRGateway *g, uint64_t now_ms);
 /*
- * Notes that no engine had room for a call. In a large region, the gateway then
- * connects to some engines of other regions for a while: qr_gateway_remote.c.
+ * Notes that the regions known here have no usable engine for a call. In a
+ * large region, the gateway then connects to some engines of other regions for
+ * a while: see qr_gateway_remote.c.
  */
 void qr_gateway_note_shortage(QRGateway *g);
 void qr_gateway_remote_tick(QRGateway *g, uint64_t now_ms);
--- a/src/gateway/qr_gateway_remote.c
+++ b/src/gateway/qr_gateway_remote.c
@@ -3,10 +3,12 @@
  *
  * Sidecars report to the gateways of their own region and to the delegates of
  * others. A gateway that is no delegate therefore knows no load and no slots
- * elsewhere. When the engines of its region have no room for a call, it asks a
+ * elsewhere. When its region has no usable engine for a call, it asks a
  * delegate for some sidecars of each other region, and dials them: they then
  * report to it and grant it slots, as those of its region do. The connections
- * are closed when there has been room for a while.
+ * are closed when the region has had engines for a while. A region whose
+ * engines are merely full keeps its calls: in an overload of all regions, calls
+ * that leave theirs arrive late and take the slots of others.
  */
 #include "qr_gateway.h"
 
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -25,8 +25,14 @@
 #define FRESH_MS 2100
 /* Enough others have read for so long before our reads pause. */
 #define PAUSE_AFTER_MS 1500
-/* For other gateways to send the list of engines, before we read the store. */
+/* For other gateways to send the list of engines, before we read the store; and
+   between gateways of a region that do so. The list is long: if all read it at
+   once over a narrow link, none would get it. */
 #define ENGINES_WAIT_MAX_MS 1500
+#define ENGINES_WAIT_STAGGER_MS 500
+/* Longest time for a starting gateway to learn which gateways read before it.
+ */
+#define DISCOVERY_MAX_MS 1500
 /* Longer than the replacement of two failed readers takes: a lease, and
    READER_STAGGER_MS for each. */
 #define AWAY_MIN_MS 3000
@@ -92,6 +98,26 @@
     return n;
 }
 
+/* Whether this gateway, which is no seed, has just started and still learns
+   which others there are. */
+static bool awaits_discovery(const QRGateway *g, uint64_t now_ms)
+{
+    return g->first_read_ms > g->started_ms &&
+           !qr_gateway_may_meet_regions(g) &&
+           now_ms < g->started_ms + DISCOVERY_MAX_MS;
+}
+
+/*
+ * Delay of the gateway that is the n-th to start reading. In a large region it
+ * grows with the square: reads that fail because the link to the store is full
+ * must not make all gateways read.
+ */
+static uint64_t reader_stagger_ms(const QRGateway *g, unsigned n)
+{
+    return READER_STAGGER_MS * (uint64_t)n *
+           (qr_gateway_region_is_large(g) ? n : 1);
+}
+
 /* Whether it is this gateway's turn to start reading while too few others read.
  */
 static bool should_start_reading(const QRGateway *g, uint64_t now_ms)
@@ -99,10 +125,11 @@
     unsigned before = count_gateways(g, qr_share_is_alive, false, now_ms);
     unsigned needed = readers_needed(g);
 
-    return now_ms >= g->first_read_ms &&
-           (before < needed ||
-            now_ms >= g->few_readers_since_ms +
-                          (before - needed + 1) * READER_STAGGER_MS);
+    if (now_ms < g->first_read_ms || awaits_discovery(g, now_ms))
+        return false;
+    return before < needed ||
+           now_ms >= g->few_readers_since_ms +
+                         reader_stagger_ms(g, before - needed + 1);
 }
 
 QRPosition qr_share_known_position(const QRGateway *g)
@@ -189,7 +216,10 @@
     bool unseen = false;
 
     if (!g->engines_known)
-        return now_ms >= g->first_read_ms + ENGINES_WAIT_MAX_MS;
+        return now_ms >= g->first_read_ms + ENGINES_WAIT_MAX_MS +
+                             (uint64_t)qr_gateway_region_rank(
+                                 g, READER_ORDER_SEED, now_ms) *
+                                 ENGINES_WAIT_STAGGER_MS;
     for (unsigned i = 0; i < list->len; i++) {
         const QRFleetMember *m = list->pdata[i];
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -144,3 +144,17 @@
     wait_for("the seed to be ready", lambda: fleet.ready(0), 5)
     wait_for("its region to be known", lambda: len(fleet.named(0))
              >= SIZE - 1, 5)
+
+
+def test_region_without_engines_uses_those_of_another(fleet):
+    """Gateways that are no delegates have no connection to sidecars of other
+    regions. When the engine of their region is gone, they must ask for some,
+    rather than refuse all calls or send them where the load is unknown."""
+    fleet.store.put("keyed.servers", "m-z1", None)
+    fleet.wait_all("gone engine=m-z1")
+    i = 2 * SIZE - 2
+    wait_for("the engine of the other region to be used", lambda: fleet.call(
+        "/model/x", "far", i)[0] == 200, 14)
+    wait_for("its sidecar to report", lambda: "told engine=m-z2"
+             in fleet.log(f"g{i}"), 3)
+    assert "remote sidecars requested" in fleet.log(f"g{i}")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -118,6 +118,25 @@
             assert status == 200
 
 
+def test_gateways_do_not_all_list_engines_that_come_slowly():
+    """The list of engines takes long, as over a full link. Gateways that have
+    waited for it in vain read it themselves one after the other: all at once,
+    they would fill the link for good."""
+    count = 26  # a large region
+    with Fleet(gateways=0, plain=3) as f:
+        f.store.page = 1
+        f.store.next_page.clear()
+        f.peers += ["127.0.0.1:%d" % p for p in free_ports(count)]
+        for i in range(count):
+            f.start_gateway(i, settings={"seeds": f.peers[:1]})
+        time.sleep(4.0)
+        reading = sum("engines: read from the store" in f.log("g%d" % i)
+                      for i in range(count))
+        assert 1 <= reading <= 10
+        f.store.next_page.set()
+        f.wait_ready()
+
+
 def test_first_read_is_not_treated_as_store_recovery():
     """A gateway that got its records from peers reads the store once the peers
     are gone. An engine whose record is missing in that first read has left;
