--- a/src/fleet/qr_neighbours.c
+++ b/src/fleet/qr_neighbours.c
@@ -28,6 +28,7 @@
 
 void qr_neighbours_init(QRNeighbours *n)
 {
+    n->known = 0;
     n->regions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, region_free);
 }
@@ -78,6 +79,7 @@
         return false;
     copy = g_strdup(name);
     g_hash_table_add(r->names, copy);
+    n->known++;
     ranked = rank_gateway(r, copy);
     r->size = MAX(r->size, g_hash_table_size(r->names));
     return ranked || r->size <= SMALL_REGION_MAX + 1;
--- a/src/fleet/qr_neighbours.h
+++ b/src/fleet/qr_neighbours.h
@@ -23,6 +23,7 @@
 
 typedef struct QRNeighbours {
     GHashTable *regions; /* region -> Region *, private to the module */
+    unsigned known;      /* gateways of all regions */
 } QRNeighbours;
 
 void qr_neighbours_init(QRNeighbours *n);
--- a/src/gateway/qr_gateway_neighbours.c
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -32,8 +32,7 @@
 
 bool qr_gateway_may_meet_regions(const QRGateway *g)
 {
-    return g->neighbours_settled ||
-           g_hash_table_size(g->members.by_name) <= UNSETTLED_MAX;
+    return g->neighbours_settled || g->neighbours.known <= UNSETTLED_MAX;
 }
 
 bool qr_gateway_concerns_member(const QRGateway *g, const QRFleetMember *to,
@@ -123,8 +122,8 @@
         now_ms < g->neighbour_added_ms + SETTLE_MS)
         return;
     g->neighbours_settled = g->neighbours_changed = true;
-    for (unsigned i = 0; gateways->len > UNSETTLED_MAX && i < gateways->len;
-         i++)
+    for (unsigned i = 0;
+         g->neighbours.known > UNSETTLED_MAX && i < gateways->len; i++)
         ((QRFleetMember *)gateways->pdata[i])->gateways_asked = 0;
     qr_logf(QR_LEVEL_INFO, "members",
             "gateways settled known=%u region=%u delegate=%d", gateways->len,
@@ -155,8 +154,7 @@
         return;
     list = qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
     settle(g, list, now_ms);
-    if (!g->neighbours_changed ||
-        (list->len > UNSETTLED_MAX && !g->neighbours_settled))
+    if (!g->neighbours_changed || !qr_gateway_may_meet_regions(g))
         return;
     if (list->len > 0 && !has_live_neighbour(g, list, now_ms))
         return; /* checked again at the next heartbeat */
