A gateway tells its sidecars when it is no delegate any more

Cause: while few gateways of a region are known all are delegates. Sidecars followed one then and stayed: a gateway told them of others, never of itself. They knew the sidecars of their own region only; each region had roots of its own.

Change: a gateway that turns out to be no delegate says so to the sidecars that follow it, and they follow one.

Test: test_sidecar_follows_a_delegate.

--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -347,6 +347,7 @@
     qr_members_init(&g->members);
     qr_neighbours_init(&g->neighbours);
     qr_neighbours_add(&g->neighbours, set->host, set->region);
+    g->told_as_delegate = true;
     qr_requests_init(g);
 }
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -107,6 +107,7 @@
     QRNeighbours neighbours; /* of the known gateways, this one included */
     bool neighbours_changed; /* connections are to be checked against them */
     bool neighbours_settled; /* most gateways are known since the start */
+    bool told_as_delegate;   /* what our sidecars know of this gateway */
     uint64_t neighbour_added_ms; /* when the last gateway became known */
     uint64_t shortage_ms;        /* when our region lacked engines; 0: never */
     uint64_t remote_fetch_ms;    /* when remote sidecars were last asked for */
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -220,11 +220,35 @@
     tell_of_gateway(g, member);
 }
 
+/* Tells the sidecars that follow this gateway whether it is a delegate. They
+   follow another one if it no longer is. */
+static void tell_of_self(QRGateway *g)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
+    Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT, *one[1] = {&hello};
+
+    qr_gateway_fill_hello(g, &frame, &hello);
+    list.members = one;
+    list.n_members = 1;
+    frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
+    frame.members = &list;
+    for (unsigned i = 0; i < g->subscribers->len; i++) {
+        if (is_sidecar(qr_peer_data(g->subscribers->pdata[i])))
+            qr_peer_send(g->subscribers->pdata[i], &frame);
+    }
+}
+
 void qr_gateway_send_gateways(QRGateway *g)
 {
     g_autoptr(GPtrArray) list =
         qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
 
+    if (g->told_as_delegate != qr_gateway_is_own_delegate(g)) {
+        g->told_as_delegate = !g->told_as_delegate;
+        tell_of_self(g);
+    }
+
     for (unsigned i = 0; i < list->len; i++) {
         if (!((const QRFleetMember *)list->pdata[i])->leaving)
             tell_of_gateway(g, list->pdata[i]);
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -57,6 +57,9 @@
     frame.hello = &hello;
     s->followed_gateway = peer;
     s->followed_since_ms = qr_sidecar_now(s);
+    qr_logf(QR_LEVEL_INFO, "members", "follows name=%s delegate=%d",
+            ((const QRFleetMember *)qr_peer_data(peer))->name,
+            ((const QRFleetMember *)qr_peer_data(peer))->delegate);
     qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
     mark_all_unlisted(s); /* the gateway will send the list of members */
     qr_peer_send(peer, &frame);
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -146,6 +146,20 @@
              >= SIZE - 1, 5)
 
 
+def test_sidecar_follows_a_delegate(fleet):
+    """Only delegates know the sidecars of other regions. All gateways look like
+    delegates while few are known, and must tell their sidecars when they turn
+    out to be none: a sidecar that knew its own region only drew each version
+    from the origin."""
+    fleet.procs["s1"].kill()
+    fleet.procs["s1"].wait()
+    wait_for("s0 to miss s1", lambda: "gone name=s1" in fleet.log("s0"), 4)
+    before = fleet.log("s0").count("listed name=s1")
+    fleet.start_sidecar(1, fleet.model_engines[1], place=fleet.place(1))
+    wait_for("s0 to hear of s1", lambda: fleet.log("s0").count(
+        "listed name=s1") > before, 4)
+
+
 def test_region_without_engines_uses_those_of_another(fleet):
     """Gateways that are no delegates have no connection to sidecars of other
     regions. When the engine of their region is gone, they must ask for some,
