Only engines with weights are confirmed after a start

Plain engines have neither, as renewals do not change a record. Every gateway that was told its first list asked for the whole list again every 2.2 s, for good, and read 3,000 records each time.

Change: only engines with weights, which alone need confirming, are asked for again.

Tests: test_plain_engines_are_not_asked_for_again (red before: 4 lists in 7 s), test_gateway_tells_sidecars_that_it_is_no_delegate (red on and after).

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -193,7 +193,8 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const QREngine *e = value;
 
-        if (e->unconfirmed && !e->gone && is_in_region(e, regions, region))
+        if (e->unconfirmed && !e->gone && e->record->model &&
+            is_in_region(e, regions, region))
             return true;
     }
     return false;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -135,8 +135,8 @@
                                       bool epochs_unsettled);
 /* Returns the engines of 'service', owned by 't', or NULL if none is known. */
 const GPtrArray *qr_engines_of(const QREngines *t, const char *service);
-/* Whether any engine in a zone of 'region' that is not gone is known from the
-   first listing only. 'regions' maps zones to regions. */
+/* Whether any engine with weights in a zone of 'region' that is not gone is
+   known from the first listing only. 'regions' maps zones to regions. */
 bool qr_engines_any_unconfirmed(const QREngines *t, GHashTable *regions,
                                 const char *region);
 /*
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -146,6 +146,25 @@
              >= SIZE - 1, 5)
 
 
+def test_gateway_tells_sidecars_that_it_is_no_delegate():
+    """All gateways look like delegates while few are known. A sidecar that
+    follows one goes on if it is not told, and hears of its own region only."""
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        side = Peer(f.peers[0], hello("side", follow=True))
+        teller = Peer(f.peers[0], hello("teller", "gateway"))
+        teller.send(members=fleet_pb2.Members(members=[
+            hello(f"gw{i}", "gateway") for i in range(60)]))
+        rows, end = [], time.monotonic() + 3
+        while time.monotonic() < end and not rows:
+            teller.send(load=fleet_pb2.Load(whole=True))
+            rows = [m for x in side.frames_for(0.1) for m in x.members.members
+                    if m.name == "g0"]
+        assert rows and not rows[-1].delegate
+        for p in (side, teller):
+            p.conn.close()
+
+
 def test_sidecar_follows_a_delegate(fleet):
     """Only delegates know the sidecars of other regions. All gateways look like
     delegates while few are known, and must tell their sidecars when they turn
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -262,3 +262,21 @@
                                     deadline=1500)
         assert status == 503 and float(headers["Retry-After"]) > 0
         assert time.monotonic() - start < 0.75  # half of the caller's time
+
+
+def test_plain_engines_are_not_asked_for_again():
+    """Engines without weights need no sidecar's report, and their records never
+    change. A restarted gateway asked for the whole list of engines every 2 s
+    as long as it knew one from its first list: with thousands of engines, it
+    did nothing else."""
+    with Fleet(gateways=5, plain=3) as f:
+        f.wait_ready()
+        again = [2, 3, 4]  # at least one of these does not read the store
+        for i in again:
+            f.procs[f"g{i}"].kill()
+            f.procs[f"g{i}"].wait()
+            f.start_gateway(i, settings={"seeds": f.peers[:1]})
+        f.wait_ready()
+        time.sleep(7)
+        told = [f.log(f"g{i}").count("engines: told by=") for i in again]
+        assert max(told) <= 2, told
--- a/tests/unit_placement.c
+++ b/tests/unit_placement.c
@@ -225,6 +225,8 @@
     ck_assert_uint_eq(qr_engines_confirm_lasting(&t, regions, "r1", 999), 0);
     ck_assert_uint_eq(qr_engines_confirm_lasting(&t, regions, "r1", 1000), 1);
     ck_assert(near->unconfirmed && !far->unconfirmed);
+    ck_assert(!qr_engines_any_unconfirmed(&t, regions, "r1"));
+    near->record->model = g_strdup("m"); /* plain engines need no confirming */
     ck_assert(qr_engines_any_unconfirmed(&t, regions, "r1"));
     near->unconfirmed = false;
     far->unconfirmed = true;
