Sidecars keep the gateways and the delegate that they have

By reading: a gateway that has just restarted lists few members; sidecars that followed it closed their connections to all gateways of other regions that it did not list, and these told their sidecars that they were gone.

Change: sidecars no longer close connections to gateways that are not listed, and change the followed one only if it is no delegate.

Run on this: tests/test_neighbours.py.

--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -88,7 +88,6 @@
     QRFollower *operator_follower;
     QRPeerNet *peers;
     QRPeerConn *followed_gateway; /* it relays operator records and members */
-    uint64_t followed_since_ms;
     uint64_t gateways_fetch_ms; /* when a list of gateways was last asked for */
     uint64_t followed_until_ms; /* when a gateway was last followed, or start */
     uint64_t gateway_heard_ms;  /* when that gateway last sent a frame */
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -56,7 +56,6 @@
     frame.body_case = QR__FLEET__FRAME__BODY_HELLO;
     frame.hello = &hello;
     s->followed_gateway = peer;
-    s->followed_since_ms = qr_sidecar_now(s);
     qr_logf(QR_LEVEL_INFO, "members", "follows name=%s delegate=%d",
             ((const QRFleetMember *)qr_peer_data(peer))->name,
             ((const QRFleetMember *)qr_peer_data(peer))->delegate);
@@ -348,7 +347,9 @@
     const QRFleetMember *now = qr_peer_data(s->followed_gateway);
     g_autofree char *address = NULL;
 
-    if (now && follow_class(s, qr_peer_data(chosen)) >= follow_class(s, now))
+    /* a delegate is kept: each change lists all members anew */
+    if (now && (now->delegate ||
+                follow_class(s, qr_peer_data(chosen)) >= follow_class(s, now)))
         return;
     address = g_strdup(qr_peer_dialled(s->followed_gateway));
     if (address)
@@ -356,28 +357,10 @@
     follow_gateway(s, chosen);
 }
 
-/* Closes connections to gateways of other regions that the followed gateway
-   does not list: seeds, and delegates of before. */
-static void hang_up_unlisted(QRSidecar *s)
-{
-    g_autoptr(GPtrArray) unlisted = g_ptr_array_new_with_free_func(g_free);
-
-    for (unsigned i = 0; i < s->gateways->len; i++) {
-        const QRFleetMember *m = qr_peer_data(s->gateways->pdata[i]);
-
-        if (!m->listed && !is_same_region(s, m) &&
-            s->gateways->pdata[i] != s->followed_gateway)
-            g_ptr_array_add(unlisted, g_strdup(m->address));
-    }
-    for (unsigned i = 0; i < unlisted->len; i++)
-        qr_peers_hang_up(s->peers, unlisted->pdata[i]);
-}
-
 void qr_sidecar_peers_tick(QRSidecar *s)
 {
     QRPeerConn *chosen = choose_gateway(s);
     uint64_t now = qr_sidecar_now(s);
-    const QRFleetMember *followed;
 
     if (!chosen)
         return;
@@ -388,12 +371,7 @@
         follow_gateway(s, chosen);
     } else {
         fetch_gateways(s, chosen, now);
-        return;
     }
-    followed = qr_peer_data(s->followed_gateway);
-    if (followed && follow_class(s, followed) == FOLLOW_BEST &&
-        now >= s->followed_since_ms + DELEGATE_WAIT_MS)
-        hang_up_unlisted(s);
 }
 
 QRPeerConn *qr_sidecar_open_peer(QRSidecar *s, const char *address)
