Followers in a file of their own; large regions name gateways that calls may use

Cause (2), by reading: a gateway of a large region named its own region's gateways to a caller of a third region also where the host's routes allow other regions only, through which such calls may not pass. It now names gateways of the allowed regions then. Ruled out: naming them always beside its own; a few would get all calls. Test: test_large_region_names_gateways_of_allowed_regions. It was written with the change and not run on the code before.

--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -32,7 +32,7 @@
         "of these, resumed because the other engine did not answer")           \
     DEF(rests_waited,                                                          \
         "streams whose remainder waited for an engine with a free slot")       \
-    DEF(stood_still, "times that this process did not run for a moment")       \
+    DEF(suspensions, "times that this process did not run for a moment")       \
     DEF(unreadable, "engine records of the store that could not be parsed")    \
     DEF(engine_ends, "ends of engine runs that broke calls of this gateway")   \
     DEF(trials, "retries of requests during which an engine had ended")        \
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -166,9 +166,9 @@
 
     if (gap == 0)
         return false;
-    g->counters.counts[QR_COUNTER_stood_still]++;
+    g->counters.counts[QR_COUNTER_suspensions]++;
     qr_logf(QR_LEVEL_WARN, "gateway",
-            "stood still ms=%" G_GUINT64_FORMAT " calls_open=%u", gap,
+            "was suspended ms=%" G_GUINT64_FORMAT " calls_open=%u", gap,
             g->relays->len);
     return true;
 }
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -250,6 +250,11 @@
     if (qr_gateway_region_is_large(g))
         filter.only = g->set->region;
     found = list_open_gateways(g, &filter);
+    if (found->len == 0 && filter.only) {
+        filter.only = NULL;
+        g_ptr_array_unref(found);
+        found = list_open_gateways(g, &filter);
+    }
     if (found->len == 0) {
         g_ptr_array_unref(found);
         found = list_open_gateways(g, &any);
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -1,69 +1,15 @@
 /*
  * Messages between a gateway and its peers: other gateways and sidecars.
- * Handles hellos, member lists and engine states, and forwards changes to the
- * sidecars that follow this gateway.
+ * Handles hellos, member lists and engine states. What sidecars are told stands
+ * in qr_gateway_followers.c.
  */
-#include "qr_gateway.h"
+#include "qr_gateway_peers_parts.h"
 
 #include <string.h>
 
 #define SIDECAR_TIMEOUT_MS 2500  /* a sidecar sends its state every 1 s */
 #define SIDECAR_RECONNECT_MS 700 /* allowed after a connection is lost */
 
-/* How sidecars know another gateway: not at all, as one of their region, or as
-   a delegate. */
-typedef enum ToldAs {
-    TOLD_NOTHING,
-    TOLD_NEIGHBOUR,
-    TOLD_DELEGATE,
-} ToldAs;
-
-static bool is_sidecar(const QRFleetMember *member)
-{
-    return member && strcmp(member->role, QR_ROLE_SIDECAR) == 0;
-}
-
-static void send_record(void *to, const QRFrame *frame)
-{
-    qr_peer_send(to, frame);
-}
-
-/*
- * Returns whether sidecars need the record. Sidecars do not use routes, teams
- * or limits, which can be long; a policy counts only if its services changed.
- * Weights are staged in evacuated zones too.
- */
-static bool concerns_sidecars(QRGateway *g, const QRStoreRecord *r)
-{
-    const QRPolicy *policy = g->operator.policy;
-    QROperatorKind kind = g->platform->operator_kind(r->key);
-
-    if (kind != QR_OPERATOR_POLICY)
-        return kind != QR_OPERATOR_EVACUATION;
-    if (!policy || policy->services_hash == g->services_sent_hash)
-        return false;
-    g->services_sent_hash = policy->services_hash;
-    return true;
-}
-
-void qr_gateway_forward_operator_record(void *owner, const QRStoreRecord *r)
-{
-    QRGateway *g = owner;
-
-    qr_gateway_apply_limits(g);
-    /* other gateways read the record from the store or request it: see
-       qr_gateway_catchup.c */
-    if (!concerns_sidecars(g, r))
-        return;
-    for (unsigned i = 0; i < g->subscribers->len; i++) {
-        QRPeerConn *peer = g->subscribers->pdata[i];
-
-        if (is_sidecar(qr_peer_data(peer)))
-            qr_operator_send_record(&g->operator, r->key, QR_FOR_SIDECARS,
-                                    qr_gateway_now(g), send_record, peer);
-    }
-}
-
 void qr_gateway_fill_hello(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
 {
     QRGateway *g = owner;
@@ -90,95 +36,6 @@
     hello->reserves_slots = true;
 }
 
-static void send_member(const QRGateway *g, QRPeerConn *peer,
-                        const QRFleetMember *member, bool gone)
-{
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
-    Qr__Fleet__Hello hello, *one[1] = {&hello};
-
-    qr_member_describe(member, &hello);
-    hello.gone = gone;
-    hello.delegate = !is_sidecar(member) && qr_gateway_is_delegate(g, member);
-    list.members = one;
-    list.n_members = 1;
-    frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
-    frame.members = &list;
-    qr_peer_send(peer, &frame);
-}
-
-/* Sends a member's state to all sidecars that follow this gateway; 'gone': the
-   member was removed. */
-static void send_to_sidecars(QRGateway *g, const QRFleetMember *member,
-                             bool gone)
-{
-    for (unsigned i = 0; i < g->subscribers->len; i++) {
-        const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
-
-        if (is_sidecar(to) && (!gone || to != member) &&
-            qr_gateway_concerns_member(g, to, member))
-            send_member(g, g->subscribers->pdata[i], member, gone);
-    }
-}
-
-/* Tells the sidecars that follow this gateway of another one, unless they know
-   it as it is. */
-static void tell_of_gateway(QRGateway *g, QRFleetMember *member)
-{
-    ToldAs as = qr_gateway_is_delegate(g, member)      ? TOLD_DELEGATE
-                : qr_gateway_is_same_region(g, member) ? TOLD_NEIGHBOUR
-                                                       : TOLD_NOTHING;
-
-    if (as == TOLD_DELEGATE && !qr_gateway_is_same_region(g, member) &&
-        !qr_gateway_may_meet_regions(g))
-        as = TOLD_NOTHING;
-    if (as == TOLD_NOTHING || as == member->told_as)
-        return;
-    member->told_as = as;
-    send_to_sidecars(g, member, false);
-}
-
-static void send_held_version(QRPeerConn *peer, const QRFleetMember *member)
-{
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__EngineState state = QR__FLEET__ENGINE_STATE__INIT;
-
-    if (member->complete_version == 0)
-        return;
-    state.name = member->name;
-    state.model = member->model;
-    state.held = member->complete_version;
-    state.engine_address = member->service_address;
-    frame.body_case = QR__FLEET__FRAME__BODY_ENGINE_STATE;
-    frame.engine_state = &state;
-    qr_peer_send(peer, &frame);
-}
-
-/*
- * Sends a newly connected sidecar all members, held weight versions and
- * operator records that it needs. Gateways request what they lack instead: see
- * qr_gateway_discover.c and qr_gateway_catchup.c.
- */
-static void send_initial_state(QRGateway *g, QRPeerConn *peer,
-                               const QRKnownVersions *known)
-{
-    GHashTableIter it;
-    void *value;
-
-    g_hash_table_iter_init(&it, g->members.by_name);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const QRFleetMember *member = value;
-
-        if ((!is_sidecar(member) && member->leaving) ||
-            !qr_gateway_concerns_member(g, qr_peer_data(peer), member))
-            continue;
-        send_member(g, peer, value, false);
-        send_held_version(peer, value);
-    }
-    qr_operator_send_missing(&g->operator, known, QR_FOR_SIDECARS,
-                             qr_gateway_now(g), send_record, peer);
-}
-
 /* Last known state of the previous run of a restarted process. A killed process
    cannot report how its run ended. */
 typedef struct FormerRun {
@@ -211,48 +68,13 @@
             "x before=%s heard_ago_ms=%" G_GUINT64_FORMAT,
             member->name, member->role, member->address, member->zone,
             member->incarnation, former->end, former->heard_ago_ms);
-    if (is_sidecar(member)) {
-        send_to_sidecars(g, member, false);
+    if (qr_member_is_sidecar(member)) {
+        qr_gateway_tell_sidecars(g, member, false);
         return;
     }
     qr_gateway_add_neighbour(g, member);
     member->told_as = TOLD_NOTHING;
-    tell_of_gateway(g, member);
-}
-
-/* Tells the sidecars that follow this gateway whether it is a delegate. They
-   follow another one if it no longer is. */
-static void tell_of_self(QRGateway *g)
-{
-    QRFrame frame = QR__FLEET__FRAME__INIT;
-    Qr__Fleet__Members list = QR__FLEET__MEMBERS__INIT;
-    Qr__Fleet__Hello hello = QR__FLEET__HELLO__INIT, *one[1] = {&hello};
-
-    qr_gateway_fill_hello(g, &frame, &hello);
-    list.members = one;
-    list.n_members = 1;
-    frame.body_case = QR__FLEET__FRAME__BODY_MEMBERS;
-    frame.members = &list;
-    for (unsigned i = 0; i < g->subscribers->len; i++) {
-        if (is_sidecar(qr_peer_data(g->subscribers->pdata[i])))
-            qr_peer_send(g->subscribers->pdata[i], &frame);
-    }
-}
-
-void qr_gateway_send_gateways(QRGateway *g)
-{
-    g_autoptr(GPtrArray) list =
-        qr_members_of(&g->members, QR_ROLE_GATEWAY, NULL);
-
-    if (g->told_as_delegate != qr_gateway_is_own_delegate(g)) {
-        g->told_as_delegate = !g->told_as_delegate;
-        tell_of_self(g);
-    }
-
-    for (unsigned i = 0; i < list->len; i++) {
-        if (!((const QRFleetMember *)list->pdata[i])->leaving)
-            tell_of_gateway(g, list->pdata[i]);
-    }
+    qr_gateway_tell_of_gateway(g, member);
 }
 
 /* Marks a sidecar as leaving if the engine's record is draining. The sidecar
@@ -298,13 +120,13 @@
     }
     if (qr_peer_dialled(peer)) { /* the peer sends its load here */
         qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
-        if (is_sidecar(qr_peer_data(peer)))
+        if (qr_member_is_sidecar(qr_peer_data(peer)))
             qr_gateway_follow_sidecar(g, peer);
         return;
     }
     if (qr_peer_data(peer))
         qr_peer_close_older(peer);
-    if (is_sidecar(qr_peer_data(peer)))
+    if (qr_member_is_sidecar(qr_peer_data(peer)))
         set_leaving_from_engine(g, qr_peer_data(peer));
     if (strcmp(h->role, QR_ROLE_SIDECAR) == 0 && qr_peer_data(peer)) {
         ((QRFleetMember *)qr_peer_data(peer))->conn = peer;
@@ -315,9 +137,9 @@
     if (!g_ptr_array_find(g->subscribers, peer, NULL) &&
         (h->follow || strcmp(h->role, QR_ROLE_GATEWAY) == 0)) {
         g_ptr_array_add(g->subscribers, peer);
-        g->peer_lacks_load |= !is_sidecar(qr_peer_data(peer));
-        if (is_sidecar(qr_peer_data(peer)))
-            send_initial_state(g, peer, &knows);
+        g->peer_lacks_load |= !qr_member_is_sidecar(qr_peer_data(peer));
+        if (qr_member_is_sidecar(qr_peer_data(peer)))
+            qr_gateway_send_initial_state(g, peer, &knows);
         else
             qr_requests_send_known(g, peer);
     }
@@ -344,7 +166,7 @@
         if (!added)
             continue;
         announce_member(g, added, &none);
-        if (is_sidecar(added))
+        if (qr_member_is_sidecar(added))
             qr_gateway_dial_remote_sidecar(g, added);
     }
 }
@@ -421,8 +243,8 @@
     for (unsigned i = 0; i < g->subscribers->len; i++) {
         const QRFleetMember *to = qr_peer_data(g->subscribers->pdata[i]);
 
-        if (is_sidecar(to))
-            send_held_version(g->subscribers->pdata[i], member);
+        if (qr_member_is_sidecar(to))
+            qr_gateway_send_held_version(g->subscribers->pdata[i], member);
     }
 }
 
@@ -436,7 +258,7 @@
         {fetch->evacuations_epoch, fetch->evacuations_offset}};
 
     qr_operator_send_missing(&g->operator, & known, QR_FOR_GATEWAYS,
-                             qr_gateway_now(g), send_record, peer);
+                             qr_gateway_now(g), qr_gateway_send_record, peer);
 }
 
 static void take_frame(void *owner, QRPeerConn *peer, const QRFrame *frame)
@@ -498,26 +320,6 @@
     }
 }
 
-void qr_gateway_set_sidecar_leaving(QRGateway *g, const char *engine_address,
-                                    bool leaves)
-{
-    GHashTableIter it;
-    void *value;
-
-    g_hash_table_iter_init(&it, g->members.by_name);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        QRFleetMember *m = value;
-
-        if (!is_sidecar(m) || m->leaving == leaves ||
-            strcmp(m->service_address, engine_address) != 0)
-            continue;
-        m->leaving = leaves;
-        qr_logf(QR_LEVEL_INFO, "members", "sidecar %s name=%s",
-                leaves ? "leaving" : "staying", m->name);
-        send_to_sidecars(g, m, false);
-    }
-}
-
 /* Removes a lost sidecar and tells the others, which must not wait for weight
    pieces from the lost one. */
 static void remove_sidecar(QRGateway *g, QRFleetMember *member)
@@ -525,7 +327,7 @@
     qr_logf(QR_LEVEL_INFO, "members",
             "sidecar lost name=%s heard_ms=%" G_GUINT64_FORMAT, member->name,
             qr_gateway_now(g) - MIN(member->heard_ms, qr_gateway_now(g)));
-    send_to_sidecars(g, member, true);
+    qr_gateway_tell_sidecars(g, member, true);
     qr_peers_clear_data(g->peers, member);
     qr_members_remove(&g->members, member->name);
 }
@@ -550,7 +352,7 @@
     g_ptr_array_remove_fast(g->subscribers, peer);
     g_ptr_array_remove_fast(g->sidecars, peer);
     qr_gateway_coordinator_lost(g, peer);
-    if (is_sidecar(member) && member->conn == peer) {
+    if (qr_member_is_sidecar(member) && member->conn == peer) {
         member->conn = find_sidecar_conn(g, member);
         /* the sidecar may reconnect; see qr_gateway_expire_sidecars() */
         if (!member->conn)
@@ -558,7 +360,7 @@
         return;
     }
     /* a gateway sends its load on the connection that this gateway dialled */
-    if (!member || is_sidecar(member) || !qr_peer_dialled(peer))
+    if (!member || qr_member_is_sidecar(member) || !qr_peer_dialled(peer))
         return;
     qr_logf(QR_LEVEL_INFO, "members", "gateway connection lost name=%s",
             member->name);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -229,7 +229,7 @@
     uint64_t gap = qr_ticks_stall_ms(&s->ticks, now, PROCESS_STALL_MS);
 
     if (gap > 0) {
-        qr_logf(QR_LEVEL_WARN, "sidecar", "stood still ms=%" G_GUINT64_FORMAT,
+        qr_logf(QR_LEVEL_WARN, "sidecar", "was suspended ms=%" G_GUINT64_FORMAT,
                 gap);
         return; /* input that arrived meanwhile is handled before any timeout */
     }
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -213,7 +213,7 @@
     fleet.procs["g0"].send_signal(signal.SIGCONT)
     caller.join()
     assert got == [WHOLE] and streams.asked == []
-    assert "stood still" in fleet.log("g0")
+    assert "was suspended" in fleet.log("g0")
     assert not any(" again " in line for line in lines(fleet, "still"))
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -185,3 +185,30 @@
         f.wait_logged("evacuation lifted zone=z1")
         assert f.statuses("lifted") == [200] * 10
         assert f.near.seen
+
+
+def test_large_region_names_gateways_of_allowed_regions():
+    """A gateway of a large region names that region only, but not to callers
+    whose calls may run and pass elsewhere only."""
+    with Regions() as f:
+        f.configure(route=["r2"])
+        near = Peer(f.peers[0], hello("near-gw", "gateway", region="r1",
+                                      service_address="127.0.0.1:20001"))
+        far = Peer(f.peers[0], hello("far-gw", "gateway", region="r2",
+                                     service_address="127.0.0.1:20002"))
+        near.send(members=fleet_pb2.Members(members=[
+            hello(f"gw{i}", "gateway", region="r1") for i in range(30)]))
+
+        def named(region):
+            for p in (near, far):
+                p.send(load=fleet_pb2.Load(whole=True))
+            time.sleep(0.1)
+            _, _, body = ask(f.gateways[0]["directory"], "GET",
+                             f"/resolution?name=calls.example&region={region}")
+            return set(json.loads(body)["addresses"])
+
+        own = f.gateways[0]["callers"]
+        assert named("r1") == {own, "127.0.0.1:20001"}
+        assert named("r3") == {"127.0.0.1:20002"}
+        for p in (near, far):
+            p.conn.close()
--- a/tests/test_suspended_host.py
+++ b/tests/test_suspended_host.py
@@ -45,12 +45,12 @@
             p.send_signal(signal.SIGSTOP)
         self.suspended_ms += int(seconds * 1000)
         self.write_suspended_ms(os.path.join(self.dir, "suspended"))
-        before = {n: self.log(n).count("stood still") for n in self.procs}
+        before = {n: self.log(n).count("was suspended") for n in self.procs}
         for p in self.procs.values():
             p.send_signal(signal.SIGCONT)
         for name, n in before.items():
             wait_for("%s to resume" % name, lambda name=name, n=n:
-                     self.log(name).count("stood still") > n)
+                     self.log(name).count("was suspended") > n)
 
 
 @pytest.fixture(scope="module")
--- a/tests/unit_fleet.c
+++ b/tests/unit_fleet.c
@@ -365,7 +365,7 @@
 }
 
 /* Guards against lists of engines that are taken in quadratic time: with 3,000
-   engines a gateway stood still for longer than its lease, and its neighbours
+   engines a gateway read nothing for longer than its lease, and its neighbours
    took it for dead. Quadratic time would give a factor of 16. */
 START_TEST(list_of_engines_is_taken_in_linear_time)
 {
