--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -31,7 +31,8 @@
     bool leaving;
     bool reserves_slots; /* in its own Hello; older builds do not set this */
     bool delegate;       /* gateways only: connected to all regions */
-    uint8_t told_as;     /* gateways only: how our sidecars know the member */
+    uint8_t told_as; /* gateways only: what this gateway last told its sidecars
+                        of the member, see ToldAs in qr_gateway_peers_parts.h */
     unsigned fleet_gateways; /* most gateways that the member knows to have
                                 been counted; 0: older build */
     /* sidecars only, as reported */
--- a/src/fleet/qr_neighbours.c
+++ b/src/fleet/qr_neighbours.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 #define SMALL_REGION_MAX 24 /* gateways */
-/* Two may be down or restarting at the same time. */
+/* Of a large region. The region stays connected to others while one of them
+   runs. */
 #define DELEGATES 3
 #define DELEGATE_SEED 13
 
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -34,8 +34,9 @@
    of its objective; a pass, a prompt read and the first tokens take a third of
    the objective. Shares of 0.4 to 0.8 were tried on two sites. */
 #define SPARE_SLOTS_DIVISOR 16
-/* A call that leaves a large region finds one slot in REMOTE_SLOTS_DIVISOR
-   free: if all regions are short, their own calls come first. */
+/* Calls from other regions leave one slot in REMOTE_SLOTS_DIVISOR free, if the
+   caller's region is large: when all regions are full, each one's own calls
+   come first. */
 #define REMOTE_SLOTS_DIVISOR 4
 #define SPARE_FIRST_BYTE_SHARE 0.6
 /* Half of the current pass and one whole pass. */
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -73,7 +73,8 @@
     uint64_t store_epoch;       /* newest known epoch; 0: none */
     uint64_t store_epoch_sent;  /* epoch in the last heartbeat */
     uint64_t epoch_settling_since_ms; /* 0: the epoch has settled */
-    uint64_t settled_epoch; /* engines were listed since it settled; 0: none */
+    uint64_t settled_epoch; /* of which this gateway knows all engines, listed
+                               after the epoch had settled; 0: none */
     bool store_rolled_back; /* the epoch began while we ran */
     uint64_t epoch_fetch_due_ms; /* when to ask a reader for all records of
                                     the epoch; 0: none is due */
--- a/src/gateway/qr_gateway_neighbours.c
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -1,7 +1,8 @@
 /*
- * Connections to other gateways: dials those that this gateway is to be
- * connected to, and closes the connections to others. Those arise at a start,
- * when few gateways are known and the seeds are dialled whatever their region.
+ * Connections to other gateways: dials the neighbours of this gateway (see
+ * fleet/qr_neighbours.h) and closes connections to other gateways. A starting
+ * gateway has some of these, because it dials the seeds in any region, and
+ * because it cannot tell the delegates while it knows few gateways.
  */
 #include "qr_gateway.h"
 
@@ -131,8 +132,8 @@
             qr_gateway_is_own_delegate(g));
 }
 
-/* Whether a gateway that stays connected is heard: without one, the gateways
-   that are left are the only way to find it. */
+/* Whether any neighbour was heard lately. Until then, connections to other
+   gateways are kept: only they can name the neighbours. */
 static bool has_live_neighbour(const QRGateway *g, const GPtrArray *gateways,
                                uint64_t now_ms)
 {
--- a/src/gateway/qr_gateway_remote.c
+++ b/src/gateway/qr_gateway_remote.c
@@ -15,8 +15,10 @@
 #include <string.h>
 
 #define SIDECARS_PER_REGION 4
-#define SIDECAR_SEED 19 /* of the hash by which a gateway gets its own */
-#define KEEP_MS 10000   /* after the last shortage */
+#define SIDECAR_SEED                                                           \
+    19                /* of the hash that gives gateways different sidecars    \
+                       */
+#define KEEP_MS 10000 /* after the last shortage */
 #define FETCH_RETRY_MS 500
 
 static bool is_remote_sidecar(const QRGateway *g, const QRFleetMember *m)
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -98,8 +98,8 @@
     return n;
 }
 
-/* Whether this gateway, which is no seed, has just started and still learns
-   which others there are. */
+/* Whether this gateway has just started and does not know its region yet. Seeds
+   do not wait: nobody else may be reading. */
 static bool awaits_discovery(const QRGateway *g, uint64_t now_ms)
 {
     return g->first_read_ms > g->started_ms &&
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -317,7 +317,8 @@
     const QRFleetMember *best = NULL;
     QRPeerConn *peer;
 
-    /* gateways near the engine choose among themselves, whom we do not know */
+    /* the coordinator is a gateway near the engine, to which we have no
+       connection */
     if (!qr_gateway_is_meshed_with(
             g, g_hash_table_lookup(g->regions, e->record->zone))) {
         set_coordinator(g, e, QR_COORDINATOR_NONE, NULL);
