Two readers in a large region too, and the first replacements at even distances

With one reader a region, and delays of 250 ms times n squared before the n-th gateway begins to read, a region whose first four in the order are turned away learns nothing for 6.1 s (2.1 s until the reader counts as lost, 4.0 s for the fourth); the bound is 5 s.

Change: two readers, as in small regions; 250 ms apart up to the fourth, then with the square. The eighth begins after 4 s instead of 16.

Ruled out: a longer bound on freshness (the reader was lost at once); distances even for all (26 of 26 read a store that answers slowly: test_gateways_do_not_all_list_engines_that_come_slowly, bound unchanged).

--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -2,10 +2,10 @@
  * Shares the store's records among gateways.
  *
  * Two gateways read the store: the first, in an order that all gateways compute
- * alike, of those whose reads are fresh. The others pause their reads. In a
- * large region, whose gateways hear few others, one of that region reads.
- * Readers send the positions that they know in heartbeats. A gateway that knows
- * less asks for engines' changes here, and for the operator's records in
+ * alike, of those whose reads are fresh. The others pause their reads. Gateways
+ * of a large region hear few others, and choose two of their region. Readers
+ * send the positions that they know in heartbeats. A gateway that knows less
+ * asks for engines' changes here, and for the operator's records in
  * qr_gateway_catchup.c. Long lists thus cross the link to the store's region
  * twice, not once for each gateway.
  *
@@ -19,7 +19,6 @@
 #include <string.h>
 
 #define READERS 2
-#define READERS_IN_LARGE_REGION 1
 /* Reads answered longer ago are not fresh. One read may be lost: reads start
    each second, time out after 800 ms and are retried after 200 ms. */
 #define FRESH_MS 2100
@@ -41,6 +40,7 @@
 #define FAST_POLL_FOR_MS 2500
 /* Between gateways that start to read in place of missing readers. */
 #define READER_STAGGER_MS 250
+#define EVEN_STAGGERS 4
 /* For a reader to send a change that it knows, before we read the store. */
 #define BEHIND_MAX_MS 500
 /* Delay of a heartbeat on a saturated link. */
@@ -52,11 +52,6 @@
 #define ISOLATED_LEASES 2
 #define READER_ORDER_SEED 7
 
-static unsigned readers_needed(const QRGateway *g)
-{
-    return qr_gateway_region_is_large(g) ? READERS_IN_LARGE_REGION : READERS;
-}
-
 static uint64_t reader_rank(const char *name)
 {
     return qr_hash_str(name, READER_ORDER_SEED);
@@ -108,14 +103,18 @@
 }
 
 /*
- * Delay of the gateway that is the n-th to start reading. In a large region it
- * grows with the square: reads that fail because the link to the store is full
- * must not make all gateways read.
+ * Delay of the gateway that is the n-th to start reading. The first ones come
+ * at even distances: the store may turn several gateways away. Then the delay
+ * grows with the square in a large region: reads that fail because the link to
+ * the store is full must not make all gateways read.
  */
 static uint64_t reader_stagger_ms(const QRGateway *g, unsigned n)
 {
-    return READER_STAGGER_MS * (uint64_t)n *
-           (qr_gateway_region_is_large(g) ? n : 1);
+    uint64_t even_ms = READER_STAGGER_MS * (uint64_t)n;
+
+    return qr_gateway_region_is_large(g) && n > EVEN_STAGGERS
+               ? even_ms * n / EVEN_STAGGERS
+               : even_ms;
 }
 
 /* Whether it is this gateway's turn to start reading while too few others read.
@@ -123,13 +122,12 @@
 static bool should_start_reading(const QRGateway *g, uint64_t now_ms)
 {
     unsigned before = count_gateways(g, qr_share_is_alive, false, now_ms);
-    unsigned needed = readers_needed(g);
 
     if (now_ms < g->first_read_ms || awaits_discovery(g, now_ms))
         return false;
-    return before < needed ||
+    return before < READERS ||
            now_ms >= g->few_readers_since_ms +
-                         reader_stagger_ms(g, before - needed + 1);
+                         reader_stagger_ms(g, before - READERS + 1);
 }
 
 QRPosition qr_share_known_position(const QRGateway *g)
@@ -190,8 +188,7 @@
 {
     bool all = !qr_share_own_reads_are_fresh(g, now_ms);
 
-    return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >=
-           readers_needed(g);
+    return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >= READERS;
 }
 
 static void update_reading(QRGateway *g, uint64_t now_ms)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench import ask, free_ports, wait_for
-from fleet import Fleet, MODEL
+from fleet import Fleet, MODEL, policy
 from gen import fleet_pb2
 from peer import Peer, hello
 from standin_platform import Engine, answer
@@ -280,3 +280,27 @@
         time.sleep(7)
         told = [f.log(f"g{i}").count("engines: told by=") for i in again]
         assert max(told) <= 2, told
+
+
+def test_region_finds_a_reader_that_the_store_answers():
+    """The store answers few gateways of a large region, and the ones that read
+    it are killed. Gateways that it does not answer try before those that it
+    does; the others must still learn of a new configuration in time."""
+    count, answered = 26, 4
+    with Fleet(gateways=0, plain=1) as f:
+        f.peers += ["127.0.0.1:%d" % p for p in free_ports(count)]
+        for i in range(count):
+            f.start_gateway(i, i % answered != 0, {"seeds": f.peers[:1]})
+        f.wait_ready()
+        time.sleep(3)
+        names = ["g%d" % i for i in range(count)]
+        for n in names[::answered]:
+            log = f.log(n)
+            if (log.count("engines: read from the store")
+                    > log.count("engines: heard from other")):
+                f.procs[n].kill()
+                f.procs[n].wait()
+        f.store.put("keyed.op", "config", policy(2, f.origin.address))
+        wait_for("all to have the configuration", lambda: all(
+            "in force version=2 " in f.log(n) for n in names
+            if f.procs[n].poll() is None), 5)
