--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -191,6 +191,20 @@
     return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >= READERS;
 }
 
+/* Starts the wait for gateways before us to read in place of missing readers.
+ */
+static void note_few_readers(QRGateway *g, uint64_t now_ms)
+{
+    g->few_readers_since_ms = now_ms;
+    if (g->store_reads_paused)
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "too few readers fresh=%u before=%u operator_confirmed_ago_ms="
+                "%" G_GUINT64_FORMAT,
+                count_gateways(g, qr_share_is_fresh_reader, true, now_ms),
+                count_gateways(g, qr_share_is_alive, false, now_ms),
+                now_ms - qr_gateway_operator_current_ms(g));
+}
+
 static void update_reading(QRGateway *g, uint64_t now_ms)
 {
     if (others_read_for_us(g, now_ms)) {
@@ -200,7 +214,7 @@
     }
     g->enough_readers_since_ms = 0;
     if (g->few_readers_since_ms == 0)
-        g->few_readers_since_ms = now_ms;
+        note_few_readers(g, now_ms);
     if (g->store_reads_paused && should_start_reading(g, now_ms))
         set_reading(g, true);
 }
