Readers that lose the store are replaced within the bound of a record

Cause: two gateways read the store for all, and both lost it at once, just before the configuration was written. The others notice by the age of the readers' last answer. 2.1 s were allowed for it on every site, then 250 ms for each gateway that comes before in the order, the two lost readers among them. Class: a timeout for a dependency's silence, set by what that dependency may miss, without regard to the bound of those who wait behind it.

Change: interval of reads, age of an answer and the turns of those who begin follow from the bound, the lesser of config_apply_ms and drain_ms, which are settings now: a fifth, 0.45 and a twentieth of it, 1 s, 2.1 s and 250 ms at most (so at 5 s all is as before). Readers send a heartbeat after each answer.

Ruled out: silent connections (the record: new ones time out as well); a reader that says that its read is late, at 1 s an interval (0.1 s would be left, none for a third gateway without the store); shorter held reads of the operator's records in place of reads of engines (the leaving of an engine is late too).

test_gateways_do_not_all_list_engines_that_come_slowly was red with turns of 100 ms in a large region (15 of 26 read, 10 allowed): there the turns after the fourth stay as they were, and the test is as it was.

--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -237,6 +237,8 @@
     g->set->address_valid_s = new->address_valid_s;
     g->set->grace_s = new->grace_s;
     g->set->version_ms = new->version_ms;
+    g->set->config_apply_ms = new->config_apply_ms;
+    g->set->drain_ms = new->drain_ms;
     g->set->retry_ratio = new->retry_ratio;
     g->set->retry_allowance = new->retry_allowance;
     qr_logf(QR_LEVEL_INFO, "gateway", "reloaded file=%s", g->settings_file);
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -84,6 +84,8 @@
     uint64_t confirm_due_ms;     /* when to ask next which engines still run;
                                     0: never */
     uint64_t fast_poll_until_ms; /* see qr_gateway_poll_engines_faster() */
+    uint64_t engines_answered_sent_ms; /* store's last answer to our reads of
+                                          engines' records, as last sent */
     uint64_t engines_behind_since_ms; /* a reader knows more changes since then;
                                          0: none does */
     uint64_t enough_readers_since_ms; /* enough others read since then; 0: too
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -19,9 +19,21 @@
 #include <string.h>
 
 #define READERS 2
-/* Reads answered longer ago are not fresh. One read may be lost: reads start
-   each second, time out after 800 ms and are retried after 200 ms. */
-#define FRESH_MS 2100
+/*
+ * Shares of the record bound. If both readers lose the store right after an
+ * answer, the other gateways need FRESH_SHARE to notice, and a
+ * READER_STAGGER_SHARE for each gateway that has lost the store as well and
+ * precedes them in the order. The rest is for one read and for sending the
+ * record on, between regions too.
+ */
+#define POLL_SHARE 0.2
+#define FRESH_SHARE 0.45
+#define READER_STAGGER_SHARE 0.05
+/* With a shorter bound, late heartbeats would make readers look unanswered. */
+#define RECORD_BOUND_MIN_MS 1000
+/* Reads answered longer ago are never fresh. One of those that start each
+   second may be lost: it times out after 800 ms and is retried after 200 ms. */
+#define FRESH_MAX_MS 2100
 /* Enough others have read for so long before our reads pause. */
 #define PAUSE_AFTER_MS 1500
 /* For other gateways to send the list of engines, before we read the store; and
@@ -33,13 +45,13 @@
  */
 #define DISCOVERY_MAX_MS 1500
 /* Longer than the replacement of two failed readers takes: a lease, and
-   READER_STAGGER_MS for each. */
+   READER_STAGGER_MAX_MS for each. */
 #define AWAY_MIN_MS 3000
 /* A starting engine writes its record within about two heartbeats. */
 #define FAST_POLL_MS 250
 #define FAST_POLL_FOR_MS 2500
 /* Between gateways that start to read in place of missing readers. */
-#define READER_STAGGER_MS 250
+#define READER_STAGGER_MAX_MS 250
 #define EVEN_STAGGERS 4
 /* For a reader to send a change that it knows, before we read the store. */
 #define BEHIND_MAX_MS 500
@@ -52,6 +64,26 @@
 #define ISOLATED_LEASES 2
 #define READER_ORDER_SEED 7
 
+/* Time in which every gateway has to act on a record of the store. */
+static uint64_t record_bound_ms(const QRGateway *g)
+{
+    int64_t bound_ms = MIN(g->set->config_apply_ms, g->set->drain_ms);
+
+    return MAX((uint64_t)bound_ms, RECORD_BOUND_MIN_MS);
+}
+
+static uint64_t share_of_bound_ms(const QRGateway *g, double share,
+                                  uint64_t max_ms)
+{
+    return MIN(max_ms, (uint64_t)(share * (double)record_bound_ms(g)));
+}
+
+/* Reads answered longer ago are not fresh. */
+static uint64_t fresh_ms(const QRGateway *g)
+{
+    return share_of_bound_ms(g, FRESH_SHARE, FRESH_MAX_MS);
+}
+
 static uint64_t reader_rank(const char *name)
 {
     return qr_hash_str(name, READER_ORDER_SEED);
@@ -67,7 +99,8 @@
 bool qr_share_is_fresh_reader(const QRGateway *g, const QRFleetMember *m,
                               uint64_t now_ms)
 {
-    return m->engines_read_ms > 0 && now_ms < m->engines_read_ms + FRESH_MS &&
+    return m->engines_read_ms > 0 &&
+           now_ms < m->engines_read_ms + fresh_ms(g) &&
            qr_share_is_alive(g, m, now_ms);
 }
 
@@ -110,11 +143,10 @@
  */
 static uint64_t reader_stagger_ms(const QRGateway *g, unsigned n)
 {
-    uint64_t even_ms = READER_STAGGER_MS * (uint64_t)n;
-
-    return qr_gateway_region_is_large(g) && n > EVEN_STAGGERS
-               ? even_ms * n / EVEN_STAGGERS
-               : even_ms;
+    if (qr_gateway_region_is_large(g) && n > EVEN_STAGGERS)
+        return (uint64_t)READER_STAGGER_MAX_MS * n * n / EVEN_STAGGERS;
+    return n *
+           share_of_bound_ms(g, READER_STAGGER_SHARE, READER_STAGGER_MAX_MS);
 }
 
 /* Whether it is this gateway's turn to start reading while too few others read.
@@ -163,7 +195,7 @@
 {
     return !g->store_reads_paused &&
            qr_follower_is_reachable(g->follow_engines) &&
-           now_ms < qr_follower_answered_ms(g->follow_engines) + FRESH_MS;
+           now_ms < qr_follower_answered_ms(g->follow_engines) + fresh_ms(g);
 }
 
 /* Pauses our reads once enough other gateways have read for a while. */
@@ -365,15 +397,17 @@
 {
     bool hurries = now_ms < g->fast_poll_until_ms ||
                    now_ms < g->started_ms + FAST_POLL_FOR_MS;
+    uint64_t poll_ms =
+        share_of_bound_ms(g, POLL_SHARE, (uint64_t)g->set->engines_poll_ms);
 
     if (tick_is_late(g, now_ms)) {
         g->suspended_ms = g->share_tick_ms;
         g->resumed_ms = now_ms;
     }
     g->share_tick_ms = now_ms;
-    qr_follower_set_interval(g->follow_engines,
-                             hurries ? FAST_POLL_MS
-                                     : (unsigned)g->set->engines_poll_ms);
+    qr_follower_set_interval(
+        g->follow_engines,
+        (unsigned)(hurries ? MIN(FAST_POLL_MS, poll_ms) : poll_ms));
     update_reading(g, now_ms);
     check_store(g, now_ms);
     qr_gateway_epoch_tick(g, now_ms);
@@ -432,6 +466,8 @@
     QRKnownVersions known = qr_operator_known_versions(&g->operator);
     bool news =
         qr_position_cmp(g->engines_changed, g->engines_changed_sent) != 0;
+    /* others replace a reader when its last answer is old */
+    bool answer_news = answered != g->engines_answered_sent_ms;
     bool operator_news = qr_known_versions_exceed(&known, &g->operator_sent) ||
                          g->store_epoch != g->store_epoch_sent;
 
@@ -448,7 +484,8 @@
     load->store_epoch = g->store_epoch;
     load->settled_epoch = g->settled_epoch;
     g->engines_changed_sent = g->engines_changed;
+    g->engines_answered_sent_ms = answered;
     g->operator_sent = known;
     g->store_epoch_sent = g->store_epoch;
-    return (load->reads_engines && news) || operator_news;
+    return (load->reads_engines && (news || answer_news)) || operator_news;
 }
