--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -215,6 +215,7 @@
  */
 static void fetch_settled_epoch(QRGateway *g, uint64_t now_ms)
 {
+    const QRFleetMember *reader;
     QRPeerConn *source;
 
     if (g->epoch_fetch_due_ms == 0 || now_ms < g->epoch_fetch_due_ms)
@@ -222,7 +223,12 @@
     source = choose_source(g, has_settled_epoch, now_ms);
     if (!source)
         return;
+    reader = qr_peer_data(source);
     g->epoch_fetch_due_ms = 0;
+    qr_logf(QR_LEVEL_INFO, "engines",
+            "asked for settled epoch=%" G_GUINT64_FORMAT
+            " reader=%s settled_epoch=%" G_GUINT64_FORMAT,
+            g->store_epoch, reader->name, reader->settled_epoch);
     send_fetch(g, source, (QRPosition){g->store_epoch, 0}, now_ms);
 }
 
--- a/src/gateway/qr_gateway_epoch.c
+++ b/src/gateway/qr_gateway_epoch.c
@@ -63,6 +63,9 @@
         now_ms < g->epoch_settling_since_ms + SETTLE_MS)
         return;
     g->epoch_settling_since_ms = 0;
+    qr_logf(QR_LEVEL_INFO, "store",
+            "settled epoch=%" G_GUINT64_FORMAT " restored=%d reads=%d",
+            g->store_epoch, g->store_rolled_back, !g->store_reads_paused);
     if (!g->store_rolled_back) {
         g->settled_epoch = g->store_epoch;
         return;
