--- a/tests/test_store_goes_back.py
+++ b/tests/test_store_goes_back.py
@@ -250,6 +250,38 @@
                                        else signal.SIGCONT)
 
 
+# Gateways took over reading while the epoch settled, listed the store, and
+# paused their reads again. Their listing had ignored the engine, and they then
+# ignored its record from a reader as older than that listing.
+def test_engine_ignored_by_listing_while_settling_is_used_later():
+    with Fleet(gateways=4, plain=2) as f:
+        f.wait_ready()
+        wait_readers(f)
+        readers = [g for g in range(4) if "heard from other gateways" not in
+                   f.log("g%d" % g)]
+        others = [g for g in range(4) if g not in readers]
+        f.store.put("keyed.servers", f.plain[0].id, None)
+        for g in range(4):
+            wait_for("all to know", lambda g=g: (
+                "gone engine=p0" in f.log("g%d" % g)), 4)
+        roll_back(f, {"keyed.servers": 1})
+        # so that p0's record is behind the position that all gateways know
+        put_engine(f, f.plain[1], "draining")
+        freeze(f, readers, True)
+        for g in others:
+            wait_for("others to list", lambda g=g: (
+                "listed count=2 gone=0 epoch=2" in f.log("g%d" % g)), 4)
+        freeze(f, readers, False)
+        for g in others:
+            wait_for("others to pause", lambda g=g: f.log("g%d" % g).rfind(
+                "heard from other") > f.log("g%d" % g).rfind(
+                    "listed count=2 gone=0 epoch=2"), 4)
+        wait_for("all to use it", lambda: all(
+            " back engine=p0" in f.log("g%d" % g) or
+            f.log("g%d" % g).count(" new engine=p0") > 1
+            for g in range(4)), 9)
+
+
 # The same with a store that sends no epochs: only a listing shows the rollback.
 def test_rollback_of_store_without_epochs():
     with Fleet(gateways=5, plain=3) as f:
