Listings made while an epoch settles do not hide records told later

Cause: a gateway drops a told record that is older than its own last listing and whose engine it does not know, as that listing would have held it. A listing made while the epoch settles holds such a record but ignores it. A gateway that takes over reading then, since a reader's heartbeat is late on a busy host, and pauses its reads before the epoch has settled, neither lists again nor accepts the record from a reader. Class: a belief (complete up to here) kept beyond the rule under which it was made. Looked at for the same: own_listing_end is read there only; settled_epoch is set by listings after settling only; engines_since counts changes, which are kept whether ignored or not.

Change: the position is dropped when the epoch settles. Such a gateway is then like one that has only been told the engines.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -69,7 +69,8 @@
     QRPosition engines_changed, engines_changed_sent;
     QRPosition engines_since;   /* all changes from this position are known */
     QRPosition own_listing_end; /* the last own listing held all records before
-                                   this position; none: no listing yet */
+                                   this position; none: no listing yet, or
+                                   none since the epoch settled */
     uint64_t store_epoch;       /* newest known epoch; 0: none */
     uint64_t store_epoch_sent;  /* epoch in the last heartbeat */
     uint64_t epoch_settling_since_ms; /* 0: the epoch has settled */
--- a/src/gateway/qr_gateway_epoch.c
+++ b/src/gateway/qr_gateway_epoch.c
@@ -71,6 +71,8 @@
         return;
     }
     g->store_rolled_back = false;
+    /* listings made while the epoch settled ignored records that count now */
+    g->own_listing_end = (QRPosition){0};
     if (!g->store_reads_paused)
         qr_follower_relist(g->follow_engines);
     g->epoch_fetch_due_ms = now_ms + RELIST_MS;
