Readers that name no settled epoch are asked again for its records

Cause, by reading: a reader that has seen no epoch settle yet says 0, as builds before do, and was asked once, a second after the epoch had settled at the asker, whether it had listed the engines or not. On a host where the reader settles or lists over a second later than the asker, the engines that it lists then stay unused by the asker.

A flag in heartbeats would tell both kinds of 0 apart, and builds of today would not send it; asking again, five times at most, a second apart, needs none.

--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -79,6 +79,7 @@
     bool store_rolled_back; /* the epoch began while we ran */
     uint64_t epoch_fetch_due_ms; /* when to ask a reader for all records of
                                     the epoch; 0: none is due */
+    unsigned epoch_fetches;      /* requests sent for them */
     bool store_reads_paused;     /* other gateways read the store for us */
     QRPosition engines_received; /* last change received from other gateways */
     uint64_t engines_fetch_ms;   /* when changes were last asked for */
--- a/src/gateway/qr_gateway_changes.c
+++ b/src/gateway/qr_gateway_changes.c
@@ -11,6 +11,9 @@
 #define FETCH_ALL_RETRY_MS 500
 /* Between gateways of a region that ask another region for all engines. */
 #define FETCH_ALL_STAGGER_MS 100
+/* For a reader that settles late, as on a busy host, to list the engines. */
+#define EPOCH_FETCH_RETRY_MS 1000
+#define EPOCH_FETCHES_MAX 5
 /* For running engines to write their records again and readers to read them. */
 #define CONFIRM_MS 2200
 #define GONE_KEEP_MS 600000 /* for changes of engines that are gone */
@@ -201,17 +204,27 @@
 }
 
 /* Whether 'm' is a fresh reader that has listed the engines since the epoch
-   settled, or does not say so. */
+   settled. */
 static bool has_settled_epoch(const QRGateway *g, const QRFleetMember *m,
                               uint64_t now_ms)
 {
-    return qr_share_is_fresh_reader(g, m, now_ms) &&
-           (m->settled_epoch == 0 || m->settled_epoch >= g->store_epoch);
+    return qr_share_is_fresh_reader(g, m, now_ms) && m->settled_epoch > 0 &&
+           m->settled_epoch >= g->store_epoch;
+}
+
+/* Whether 'm' is a fresh reader that names no settled epoch: it is an earlier
+   build, or it has seen no epoch settle yet. */
+static bool names_no_settled_epoch(const QRGateway *g, const QRFleetMember *m,
+                                   uint64_t now_ms)
+{
+    return qr_share_is_fresh_reader(g, m, now_ms) && m->settled_epoch == 0;
 }
 
 /*
  * Fetches all changes of a new epoch once the epoch has settled. Readers accept
- * some records only then, at positions that other gateways may have passed.
+ * some records only then, at positions that other gateways may have passed. A
+ * reader that names no settled epoch may not have listed them yet, so the
+ * request is repeated.
  */
 static void fetch_settled_epoch(QRGateway *g, uint64_t now_ms)
 {
@@ -221,10 +234,16 @@
     if (g->epoch_fetch_due_ms == 0 || now_ms < g->epoch_fetch_due_ms)
         return;
     source = choose_source(g, has_settled_epoch, now_ms);
+    if (!source)
+        source = choose_source(g, names_no_settled_epoch, now_ms);
     if (!source)
         return;
     reader = qr_peer_data(source);
-    g->epoch_fetch_due_ms = 0;
+    g->epoch_fetches++;
+    g->epoch_fetch_due_ms =
+        reader->settled_epoch > 0 || g->epoch_fetches >= EPOCH_FETCHES_MAX
+            ? 0
+            : now_ms + EPOCH_FETCH_RETRY_MS;
     qr_logf(QR_LEVEL_INFO, "engines",
             "asked for settled epoch=%" G_GUINT64_FORMAT
             " reader=%s settled_epoch=%" G_GUINT64_FORMAT,
--- a/src/gateway/qr_gateway_epoch.c
+++ b/src/gateway/qr_gateway_epoch.c
@@ -48,6 +48,7 @@
     g->store_epoch = epoch;
     g->epoch_settling_since_ms = now;
     g->epoch_fetch_due_ms = 0;
+    g->epoch_fetches = 0;
     qr_follower_expect_epoch(g->follow_operator, epoch);
     qr_follower_expect_epoch(g->follow_engines, epoch);
 }
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -357,6 +357,40 @@
             r.conn.close()
 
 
+def test_settled_epoch_is_fetched_again_if_the_reader_did_not_name_one():
+    """A reader that has seen no epoch settle names none, as readers of earlier
+    builds do, and is asked before it has listed the engines. Without a second
+    request, the engines that it listed later would stay unused."""
+    with Fleet(plain=1) as f:
+        f.wait_ready()
+        readers = store_readers(f, 12)
+        load = fleet_pb2.Load(whole=True, reads_engines=True,
+                              engines_age_ms=10, store_epoch=1,
+                              engines_changed_epoch=1)
+        send_load_for(readers, load, 2.5)
+        assert "heard from other gateways" in f.log("g0")
+        load.store_epoch = 2
+
+        def fetches():
+            return sum(x.HasField("fetch") and x.fetch.engines and
+                       x.fetch.epoch == 2 for r in readers
+                       for x in r.frames_for(0.02))
+
+        end = time.monotonic() + 7.5
+        asked = 0
+        while time.monotonic() < end and not asked:
+            send_load_for(readers, load, 0.2)
+            asked = fetches()
+        assert asked == 1
+        load.settled_epoch = 2
+        send_load_for(readers, load, 1.5)
+        assert fetches() == 1
+        send_load_for(readers, load, 2.0)
+        assert fetches() == 0
+        for r in readers:
+            r.conn.close()
+
+
 def test_two_gateways_read_engine_records_for_all():
     """Two gateways read engine records from the store and send changes to the
     others, which read for themselves once both are killed. With 42 gateways,
