Held reads of operator's records end within the bound of a record

Found by looking for the cause of the late configuration elsewhere: where only the connections go silent on which both readers wait for operator's records, no gateway replaces the readers, since their reads of engines' records go on. They notice after 2 s of waiting, 0.8 s of time-out and 0.2 s of pause; the others know 0.4 s later, and a host whose connections broke may be late for 3 s.

Change: the store holds such a read for half of the record bound, 2 s at most (1 s on sites that apply in 2 s; sites with 4 s and more as before). One more call a second to the store there, both readers together.

Ruled out: reading at the first silent read of engines (these connections live).

--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -275,7 +275,7 @@
     QRFollowerOptions operator= {
         .topic = QR_TOPIC_OPERATOR,
         .address = g->set->store,
-        .wait_ms = (unsigned)g->set->operator_wait_ms,
+        .wait_ms = qr_gateway_held_read_ms(g),
         .timeout_ms = QR_STORE_TIMEOUT_MS,
     };
     QRFollowerOptions engines = {
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -289,6 +289,8 @@
 /* Decides whether this gateway reads the store, and asks readers for records
    that it lacks. */
 void qr_gateway_share_tick(QRGateway *g, uint64_t now_ms);
+/* How long the store may hold a read of operator's records, ms. */
+unsigned qr_gateway_held_read_ms(const QRGateway *g);
 /* Reads engines' records more often for a while, to learn of engines that have
    just started. */
 void qr_gateway_poll_engines_faster(QRGateway *g);
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -27,6 +27,8 @@
  * record on, between regions too.
  */
 #define POLL_SHARE 0.2
+/* A held read whose connection goes silent also takes its timeout (800 ms). */
+#define HELD_READ_SHARE 0.5
 #define FRESH_SHARE 0.45
 #define READER_STAGGER_SHARE 0.05
 /* With a shorter bound, late heartbeats would make readers look unanswered. */
@@ -78,6 +80,12 @@
     return MIN(max_ms, (uint64_t)(share * (double)record_bound_ms(g)));
 }
 
+unsigned qr_gateway_held_read_ms(const QRGateway *g)
+{
+    return (unsigned)share_of_bound_ms(g, HELD_READ_SHARE,
+                                       (uint64_t)g->set->operator_wait_ms);
+}
+
 /* Reads answered longer ago are not fresh. */
 static uint64_t fresh_ms(const QRGateway *g)
 {
--- a/tests/fault_link.py
+++ b/tests/fault_link.py
@@ -67,6 +67,7 @@
     def __init__(self, near, far):
         self.writers = (near, far)
         self.silent = False
+        self.sent = b""  # last part of the data that went there
 
     def reset(self):
         for writer in self.writers:
@@ -115,10 +116,11 @@
     def reset(self):
         self.loop.do(lambda: [c.reset() for c in list(self.connections)])
 
-    def silence(self):
+    def silence(self, sent=b""):
+        """Silences open connections whose last data there held 'sent'."""
         def silenced():
             for connection in self.connections:
-                connection.silent = True
+                connection.silent |= sent in connection.sent
         self.loop.do(silenced)
 
     async def serve(self, near_reader, near):
@@ -153,6 +155,8 @@
                 return
             if not data:
                 break
+            if way == THERE:
+                connection.sent = data
             for there, instead in self.names.items():
                 data = data.replace(there, instead)
             try:
--- a/tests/test_lost_readers.py
+++ b/tests/test_lost_readers.py
@@ -8,6 +8,7 @@
 from fault_link import BACK, THERE, Link, Loop
 from fleet import ROUTES, Fleet, policy
 
+CONTACT_S = 3.0  # a host whose connections broke may be late for so long
 APPLY_S = 2.0  # config_apply_ms and drain_ms, which are 2000 by default
 GATEWAYS = 8
 ROUTE = {"name": "added", "path-prefix": "/added/", "route-type": "safe",
@@ -44,6 +45,17 @@
         for i in gateways:
             self.links[i].cut((THERE, BACK))
 
+    def silence_held_reads(self):
+        """Silences the readers' connections on which the store holds a read of
+        operator's records, right after these reads were sent."""
+        self.store.put("keyed.op", "config", policy(2, self.origin.address))
+        for i in self.readers():
+            wait_for("the read to be answered", lambda i=i: (
+                "in force version=2" in self.log("g%d" % i)))
+        time.sleep(0.05)  # the next reads have arrived
+        for i in self.readers():
+            self.links[i].silence(b"keyed.op")
+
     def add_route(self):
         self.store.put("keyed.op", "config", policy(
             20, self.origin.address, ROUTES + [ROUTE]))
@@ -93,3 +105,14 @@
         for _ in range(4):
             assert not f.not_served("/safe/x")
         assert not leaving.seen
+
+
+# Only the connections on which both readers waited for operator's records went
+# silent. The readers waited for longer than the bound before they read anew, and
+# were not replaced, since their reads of engines' records went on.
+def test_configuration_is_applied_in_time_after_held_reads_go_silent():
+    with StoreLinksFleet() as f:
+        f.silence_held_reads()
+        f.add_route()
+        time.sleep(CONTACT_S)
+        assert not f.not_served("/added/x")
