--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -236,7 +236,9 @@
     with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
         call(fleet, "nobody")
     assert time.monotonic() - begun < 2.0  # the caller would wait for 2.5 s
-    assert any(" cut " in l for l in lines(fleet, "nobody"))
+    # the log is written after the connection was reset
+    wait_for("the line", lambda: any(" cut " in l
+                                     for l in lines(fleet, "nobody")), 2)
 
 
 # Connections of callers.
