--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -25,12 +25,12 @@
 
 #define QR_FLEET_SETTINGS_GATEWAY                                              \
     DEF(address_valid_s, 1, 600, 2)       /* callers' cache of an address   */ \
-    DEF(engines_poll_ms, 50, 60000, 1000) /* longest interval of reads */      \
+    DEF(engines_poll_ms, 50, 60000, 1000) /* longest time between reads */     \
     /* bounds: a configuration is in force at all gateways; an engine that     \
        announced that it leaves gets no calls */                               \
     LIMIT(config_apply_ms, 1, 3600000, 2000)                                   \
     LIMIT(drain_ms, 1, 3600000, 2000)                                          \
-    DEF(operator_wait_ms, 0, 30000, 2000)  /* long poll for records         */ \
+    DEF(operator_wait_ms, 0, 30000, 2000)  /* longest long poll for records */ \
     LIMIT(retry_allowance, 0, 1000000, 10) /* per window, all gateways */
 
 typedef struct QRFleetSettings {
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -302,6 +302,8 @@
 uint64_t qr_gateway_earliest_send_ms(const QRGateway *g);
 /* When all of the operator's records were last known to us; 0: never. */
 uint64_t qr_gateway_operator_current_ms(const QRGateway *g);
+/* Time since then, for log lines, ms; -1: no read has confirmed it yet. */
+int64_t qr_gateway_operator_confirmed_ago_ms(const QRGateway *g);
 /* Whether the outage that the last read ended was one of the store, rather than
    of our connection to the store. */
 bool qr_gateway_store_was_away(const QRGateway *g);
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -102,11 +102,11 @@
     qr_logf(QR_LEVEL_INFO, "call",
             "refused id=%s status=%u why=%s policy=%" G_GUINT64_FORMAT
             " epoch=%" G_GUINT64_FORMAT " store_epoch=%" G_GUINT64_FORMAT
-            " confirmed_ago_ms=%" G_GUINT64_FORMAT,
+            " confirmed_ago_ms=%" G_GINT64_FORMAT,
             id ? id : "-", status, why,
             g->operator.policy ? g->operator.policy->version : 0,
             g->operator.policy_position.epoch, g->store_epoch,
-            qr_gateway_now(g) - qr_gateway_operator_current_ms(g));
+            qr_gateway_operator_confirmed_ago_ms(g));
     qr_relay_send_local_reply(x, status, retry_ms);
 }
 
--- a/src/gateway/qr_gateway_readers.c
+++ b/src/gateway/qr_gateway_readers.c
@@ -209,10 +209,10 @@
     if (g->store_reads_paused)
         qr_logf(QR_LEVEL_INFO, "engines",
                 "too few readers fresh=%u before=%u operator_confirmed_ago_ms="
-                "%" G_GUINT64_FORMAT,
+                "%" G_GINT64_FORMAT,
                 qr_share_count_fresh_readers(g, now_ms),
                 count_gateways(g, qr_share_is_alive, false, now_ms),
-                now_ms - qr_gateway_operator_current_ms(g));
+                qr_gateway_operator_confirmed_ago_ms(g));
 }
 
 void qr_share_update_reading(QRGateway *g, uint64_t now_ms)
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -74,6 +74,13 @@
                qr_follower_caught_up_ms(g->follow_operator));
 }
 
+int64_t qr_gateway_operator_confirmed_ago_ms(const QRGateway *g)
+{
+    uint64_t then_ms = qr_gateway_operator_current_ms(g);
+
+    return then_ms > 0 ? (int64_t)(qr_gateway_now(g) - then_ms) : -1;
+}
+
 static bool tick_is_late(const QRGateway *g, uint64_t now_ms)
 {
     return g->share_tick_ms > 0 && now_ms > g->share_tick_ms +
--- a/src/gateway/qr_gateway_share_parts.h
+++ b/src/gateway/qr_gateway_share_parts.h
@@ -25,6 +25,7 @@
 unsigned qr_share_count_fresh_readers(const QRGateway *g, uint64_t now_ms);
 /* Starts or pauses our reads if too few or enough other gateways read. */
 void qr_share_update_reading(QRGateway *g, uint64_t now_ms);
+/* Starts our reads, with a new listing of engines, or pauses them. */
 void qr_share_set_reading(QRGateway *g, bool reads);
 /* Between two reads of engines' records, ms. */
 unsigned qr_share_poll_interval_ms(const QRGateway *g, uint64_t now_ms);
--- a/tests/test_store_goes_back.py
+++ b/tests/test_store_goes_back.py
@@ -224,6 +224,24 @@
         assert not f.plain[0].seen and not f.plain[1].seen
 
 
+def remove_then_restore_engine(f):
+    """Removes p0, then restores the store without the removal. Its record lies
+    behind the position that all gateways know."""
+    f.store.put("keyed.servers", f.plain[0].id, None)
+    for g in range(len(f.gateways)):
+        wait_for("all to know", lambda g=g: (
+            "gone engine=p0" in f.log("g%d" % g)), 4)
+    roll_back(f, {"keyed.servers": 1})
+    put_engine(f, f.plain[1], "draining")
+
+
+def wait_restored_engine_is_used(f):
+    wait_for("all to use it", lambda: all(
+        " back engine=p0" in f.log("g%d" % g) or
+        f.log("g%d" % g).count(" new engine=p0") > 1
+        for g in range(len(f.gateways))), 9)
+
+
 # Once the new epoch has settled, the store's records count: an engine that was
 # known as gone and still has a record is used, also by gateways that do not
 # read the store.
@@ -231,17 +249,8 @@
     with Fleet(gateways=4, plain=2) as f:
         f.wait_ready()
         wait_readers(f)
-        f.store.put("keyed.servers", f.plain[0].id, None)
-        for g in range(4):
-            wait_for("all to know", lambda g=g: (
-                "gone engine=p0" in f.log("g%d" % g)), 4)
-        roll_back(f, {"keyed.servers": 1})
-        # so that p0's record is behind the position that all gateways know
-        put_engine(f, f.plain[1], "draining")
-        wait_for("all to use it", lambda: all(
-            " back engine=p0" in f.log("g%d" % g) or
-            f.log("g%d" % g).count(" new engine=p0") > 1
-            for g in range(4)), 9)
+        remove_then_restore_engine(f)
+        wait_restored_engine_is_used(f)
 
 
 def freeze(f, gateways, on):
@@ -260,13 +269,7 @@
         readers = [g for g in range(4) if "heard from other gateways" not in
                    f.log("g%d" % g)]
         others = [g for g in range(4) if g not in readers]
-        f.store.put("keyed.servers", f.plain[0].id, None)
-        for g in range(4):
-            wait_for("all to know", lambda g=g: (
-                "gone engine=p0" in f.log("g%d" % g)), 4)
-        roll_back(f, {"keyed.servers": 1})
-        # so that p0's record is behind the position that all gateways know
-        put_engine(f, f.plain[1], "draining")
+        remove_then_restore_engine(f)
         freeze(f, readers, True)
         for g in others:
             wait_for("others to list", lambda g=g: (
@@ -276,10 +279,7 @@
             wait_for("others to pause", lambda g=g: f.log("g%d" % g).rfind(
                 "heard from other") > f.log("g%d" % g).rfind(
                     "listed count=2 gone=0 epoch=2"), 4)
-        wait_for("all to use it", lambda: all(
-            " back engine=p0" in f.log("g%d" % g) or
-            f.log("g%d" % g).count(" new engine=p0") > 1
-            for g in range(4)), 9)
+        wait_restored_engine_is_used(f)
 
 
 # The same with a store that sends no epochs: only a listing shows the rollback.
