Test of a prompt part that crashes engines, red

Green, and to stay so: engines that crash by themselves, one by one or all at once, with and without framed answers.

--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -1,15 +1,18 @@
-"""A request that crashes every engine that runs it, on real gateways in front of
-engines that restart after a crash.
+"""A request, or a part of prompts, that crashes every engine that runs it, on real
+gateways in front of engines that restart after a crash.
 
     crashing.py [--gateways N] [--engines N] [--seconds S] [--seed N]
                 [--course NAME] [--path PATH] [--returns same|new] [--without]
-                [--every S] [--requests N]
+                [--every S] [--requests N] [--part [--where N]] [--unframed]
 
 The request is sent every 0.15 s (--every) through a random gateway, each time under
 a new id; with --requests N, N such requests take turns. Meanwhile twelve callers send
 harmless requests, and six of them all send the same one. Prints how many engines
 ended under the request, how often the request began later than SPREAD_S (3 s) after
-the third end, and what became of the other calls. --without runs the same course
+the third end, and what became of the other calls. With --part, no two of the
+requests are alike: they share a part of their prompts, at index --where or anywhere,
+which counts from the fifth end; the harmless requests have the same first part, team
+and route. With --unframed, answers have neither a length nor chunks. --without runs the same course
 without the request, for comparison. --returns says whether an engine restarts under
 the same id or a new one. Courses:
 
@@ -28,10 +31,11 @@
 import threading
 import time
 
+import prompt_parts
 from linked_fleet import LinkedFleet, SteadyCallers
 from rig import Watch, readable
 from standin_platform import (Engine, answer, events, send_chunk,
-                              start_stream, stream_from)
+                              start_stream, start_unframed, stream_from)
 
 CRASHES = b"this one crashes you"
 SAME = b"asked by many"
@@ -44,6 +48,7 @@
 CALLERS = 12
 EVENTS = 6          # in a stream
 PORT_S = 5.0        # longest wait until the port of a crashed engine is free
+PART_RUNS = 5       # engines that end before a part is to be held
 COURSES = ("calm", "kills", "kill_all", "freezes", "cuts", "alone", "herd")
 
 
@@ -53,7 +58,7 @@
     def __init__(self, fleet, ident, returns="same"):
         self.fleet, self.returns, self.starts = fleet, returns, 0
         self.running, self.up = 0, True
-        self.began = []  # when a crashing request began here, and its body
+        self.began = []  # when a crashing request began here, and what crashes
         self.ends = []   # when this engine crashed
         super().__init__(ident, "ledger")
         self.born = int(time.time() * 1000)
@@ -71,8 +76,9 @@
                    self.head(request) + [("X-Not-Executed", "1")])
             return True
         try:
-            if request.body.startswith(CRASHES):
-                self.began.append((time.monotonic(), request.body))
+            cause = self.find_cause(request)
+            if cause:
+                self.began.append((time.monotonic(), cause))
                 return self.run_crashing(conn, request)
             return self.run_harmless(conn, request)
         finally:
@@ -80,11 +86,35 @@
                 if run == self.starts:
                     self.running -= 1
 
+    def find_cause(self, request):
+        """What in the request crashes engines: its body, a part's id, or None."""
+        if request.body.startswith(CRASHES):
+            return request.body
+        for part in prompt_parts.shared_ids(request):
+            if part in self.fleet.crashing_parts:
+                return part
+        return None
+
+    def start_answer(self, conn, request):
+        if self.fleet.unframed:
+            start_unframed(self, conn, request)
+        else:
+            start_stream(self, conn, request)
+
+    def send_part(self, conn, data):
+        if self.fleet.unframed:
+            conn.sendall(data)
+        else:
+            send_chunk(conn, data)
+
     def run_crashing(self, conn, request):
         if request.path.startswith("/stream/"):
-            start_stream(self, conn, request)
+            self.start_answer(conn, request)
             first = stream_from(request)
-            send_chunk(conn, events(first, first + 1))
+            self.send_part(conn, events(first, first + 1))
+        elif self.fleet.unframed:
+            self.start_answer(conn, request)
+            conn.sendall(b"cut")
         if readable(conn, CRASH_S):  # the caller closed the connection: no crash
             return False
         self.crash()
@@ -93,12 +123,18 @@
     def run_harmless(self, conn, request):
         if not request.path.startswith("/stream/"):
             time.sleep(WORK_S)
+            if self.fleet.unframed:
+                self.start_answer(conn, request)
+                conn.sendall(b"done " + request.body)
+                return False
             answer(conn, 200, b"done " + request.body, self.head(request))
             return True
-        start_stream(self, conn, request)
+        self.start_answer(conn, request)
         for i in range(stream_from(request), EVENTS):
             time.sleep(WORK_S / EVENTS)
-            send_chunk(conn, events(i, i))
+            self.send_part(conn, events(i, i))
+        if self.fleet.unframed:
+            return False
         conn.sendall(b"0\r\n\r\n")
         return True
 
@@ -138,8 +174,10 @@
 
 
 class CrashingFleet(LinkedFleet):
-    def __init__(self, gateways, engines, returns="same", links=False):
+    def __init__(self, gateways, engines, returns="same", links=False,
+                 crashing_parts=(), unframed=False):
         self.stopping = False
+        self.crashing_parts, self.unframed = crashing_parts, unframed
         super().__init__()
         for i in range(engines):
             e = CrashingEngine(self, "p%d" % i, returns)
@@ -152,7 +190,7 @@
         return sorted(t for e in self.plain for t in e.ends)
 
     def began(self):
-        """(when, body) of each beginning of a crashing request."""
+        """(when, cause) of each beginning of a crashing request."""
         return sorted(t for e in self.plain for t in e.began)
 
     def stop(self):
@@ -161,19 +199,26 @@
 
 
 class HarmlessCallers(SteadyCallers):
-    """Callers with harmless requests: half of them all send the same one."""
+    """Callers with harmless requests. Half of them all send the same one; with
+    'parts' they send prompts that share one part more."""
 
-    def __init__(self, fleet, seed, path):
+    def __init__(self, fleet, seed, path, parts=False):
+        self.parts = parts
         super().__init__(fleet, seed, path, CALLERS)
 
     def call(self, number, n, dice):
         """(is the shared request, was served, start time, status)"""
         ident = "c%d-%d" % (number, n)
         same = number % 2 == 0
-        body = SAME if same else b"body of " + ident.encode()
+        body = b"body of " + ident.encode()
+        headers = {}
+        if self.parts:
+            headers = prompt_parts.sound(dice, same)
+        elif same:
+            body = SAME
         gateway = dice.randrange(len(self.fleet.gateways))
         started = time.monotonic()
-        status, _, got = self.send(ident, gateway, body)
+        status, _, got = self.send(ident, gateway, body, headers)
         good = status == 200 and (got == b"done " + body or
                                   got == events(0, EVENTS - 1))
         return same, good, started, status
@@ -185,11 +230,13 @@
 
 
 class CrashingCaller:
-    """Sends the crashing request again and again, whatever the answers."""
+    """Sends the crashing request again and again, whatever the answers; with
+    crashing parts, always another request with one of them."""
 
-    def __init__(self, fleet, seed, path, every_s=EVERY_S, requests=1):
+    def __init__(self, fleet, seed, path, every_s=EVERY_S, requests=1,
+                 where=None):
         self.fleet, self.path, self.ended = fleet, path, False
-        self.every_s = every_s
+        self.every_s, self.where = every_s, where
         self.bodies = [CRASHES + b" %d" % i for i in range(requests)]
         self.dice, self.statuses, self.retry_after = random.Random(seed), [], []
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -200,15 +247,23 @@
         while not self.ended:
             n += 1
             threading.Thread(target=self.send, daemon=True,
-                             args=("again-%d" % n, self.bodies[
-                                 n % len(self.bodies)])).start()
+                             args=("again-%d" % n, *self.request(n))).start()
             time.sleep(self.every_s)
 
-    def send(self, ident, body):
+    def request(self, n):
+        """(body, headers) of the n-th request."""
+        parts = self.fleet.crashing_parts
+        if not parts:
+            return self.bodies[n % len(self.bodies)], {}
+        return b"body %d" % n, prompt_parts.crashing(
+            self.dice, parts[n % len(parts)], self.where)
+
+    def send(self, ident, body, sent_headers):
         gateway = self.dice.randrange(len(self.fleet.gateways))
         try:
             status, headers, _ = self.fleet.call(self.path, ident, gateway,
-                                                 body=body)
+                                                 body=body,
+                                                 headers=sent_headers)
         except Exception:  # pylint: disable=broad-except
             status, headers = 0, {}
         self.statuses.append(status)
@@ -280,14 +335,18 @@
 class Run:
     def __init__(self, gateways=3, engines=8, seconds=18.0, seed=1,
                  course="calm", path="/safe/x", returns="same",
-                 without=False, every=EVERY_S, requests=1):
+                 without=False, every=EVERY_S, requests=1, part=False,
+                 where=None, unframed=False):
         crashing = course not in ("alone", "herd") and not without
-        with CrashingFleet(gateways, engines, returns,
-                           links=course == "cuts") as fleet, Watch() as watch:
-            others = HarmlessCallers(fleet, seed, path)
+        parts = prompt_parts.crashing_ids(requests) if part else []
+        self.causes = parts or [CRASHES + b" %d" % i for i in range(requests)]
+        self.allowed_ends = PART_RUNS if part else 3
+        with CrashingFleet(gateways, engines, returns, course == "cuts",
+                           parts, unframed) as fleet, Watch() as watch:
+            others = HarmlessCallers(fleet, seed, path, part)
             time.sleep(BEGIN_S)
-            caller = CrashingCaller(fleet, seed, path, every,
-                                    requests) if crashing else None
+            caller = CrashingCaller(fleet, seed, path, every, requests,
+                                    where) if crashing else None
             self.began_at = time.monotonic()
             faults = Course(fleet, course, seed, 3 if crashing else 0)
             time.sleep(seconds)
@@ -305,24 +364,24 @@
                 if not good:
                     self.bad[status] = self.bad.get(status, 0) + 1
             third = self.ends[2] + SPREAD_S if len(self.ends) > 2 else None
-            self.late_runs = self.late(requests)
+            self.late_runs = self.late()
             self.settled = others.served(False, third) if third else 1.0
-            self.held = sum(" held request=" in fleet.log(n)
+            self.held = sum(" held request=" in fleet.log(n) or
+                            " held part=" in fleet.log(n)
                             for n in fleet.procs)
             self.dir = fleet.dir
         self.late_s, self.failures = watch.late_s, watch.failures
         assert not self.failures, self.failures
 
-    def late(self, requests):
-        """Late beginnings of a request, for the request with the most of them."""
+    def late(self):
+        """Late beginnings of requests, for the cause with the most of them."""
         late = []
-        for i in range(requests):
-            mine = [t for t, body in self.began
-                    if body == CRASHES + b" %d" % i]
-            if len(mine) > 2:
+        for cause in self.causes:
+            mine = [t for t, crashing in self.began if crashing == cause]
+            if len(mine) >= self.allowed_ends:
                 # the engine ends CRASH_S after the request begins there
-                third = mine[2] + CRASH_S + SPREAD_S
-                late.append([t for t in mine if t > third])
+                last = mine[self.allowed_ends - 1] + CRASH_S + SPREAD_S
+                late.append([t for t in mine if t > last])
         return max(late, key=len, default=[])
 
     def __str__(self):
@@ -348,6 +407,9 @@
     p.add_argument("--without", action="store_true")
     p.add_argument("--every", type=float, default=EVERY_S)
     p.add_argument("--requests", type=int, default=1)
+    p.add_argument("--part", action="store_true")
+    p.add_argument("--where", type=int)
+    p.add_argument("--unframed", action="store_true")
     run = Run(**vars(p.parse_args()))
     print(run)
     return 1 if len(run.late_runs) > 3 else 0
--- a/tests/linked_fleet.py
+++ b/tests/linked_fleet.py
@@ -104,11 +104,12 @@
         """Sends the n-th call of caller 'number'."""
         raise NotImplementedError
 
-    def send(self, ident, gateway, body=b"hello"):
+    def send(self, ident, gateway, body=b"hello", headers=None):
         """Returns (status, headers, body); status 0 if the call failed, as
         when the gateway was killed."""
         try:
-            return self.fleet.call(self.path, ident, gateway, body=body)
+            return self.fleet.call(self.path, ident, gateway, body=body,
+                                   headers=headers)
         except Exception:  # pylint: disable=broad-except
             return 0, {}, b""
 
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -414,6 +414,14 @@
     conn.sendall(head.encode() + b"\r\n")
 
 
+def start_unframed(engine, conn, request):
+    """The head of an answer that ends with its connection."""
+    engine.ran.append(request.headers["x-attempt-id"])
+    head = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+    head += "".join("%s: %s\r\n" % h for h in engine.head(request))
+    conn.sendall(head.encode() + b"\r\n")
+
+
 def send_chunk(conn, data):
     conn.sendall(b"%x\r\n" % len(data) + data + b"\r\n")
 
