Gateways log the shared parts of a prompt when its call breaks at an engine

The logs could not tell whether engines end under one part of many prompts or for another reason: no gateway read the list of parts. The adapter now decodes it (all parts but the last, which is the request's own; malformed entries name no part), and "requests: connection broke" names up to eight of them. Fingerprints of parts exist beside those of requests, and are not used yet.

--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -26,11 +26,18 @@
     const char *last_event;     /* id from which a stream resumes */
 } QRHeaderNames;
 
+/* A part of a prompt, as a caller names it. The same part has the same id in
+   all prompts, whatever else they hold. */
+typedef struct QRPromptPart {
+    const char *id; /* hexadecimal digits, not NUL-terminated; borrowed */
+    size_t id_len;
+} QRPromptPart;
+
 /* Topics of the store. The store keeps the newest record of each key. */
 typedef enum QRTopic {
     QR_TOPIC_OPERATOR, /* configuration, versions of weights */
     QR_TOPIC_ENGINES,  /* records that engines write of themselves */
-    QR_TOPIC_HELD,     /* deferred requests, written by gateways */
+    QR_TOPIC_HELD,     /* held suspects, written by gateways */
     QR_TOPIC_COUNT
 } QRTopic;
 
@@ -140,6 +147,12 @@
     void (*parse_notice)(unsigned status, const QRHeaders *headers,
                          QRAnswerNotice *notice);
 
+    /* Appends a QRPromptPart for each part of a request's prompt that other
+       requests may share: all but the last, which is the request's own.
+       Malformed entries are left out. The parts are valid as long as
+       'headers'. */
+    void (*parse_shared_parts)(const QRHeaders *headers, GArray *parts);
+
     /* Directory: tells callers the addresses of gateways. */
     bool (*is_directory)(const char *target);
     char *(*directory_answer)(const GPtrArray *addresses, unsigned ttl_s);
--- a/src/gateway/qr_fingerprint.h
+++ b/src/gateway/qr_fingerprint.h
@@ -1,17 +1,27 @@
 /*
- * Fingerprint of a caller's request. Requests with equal method, host, path and
- * query, team and body have the same fingerprint; call ids are not included.
+ * Fingerprints of what may crash engines: a caller's request, or a part of its
+ * prompt. Requests with equal method, host, path and query, team and body have
+ * the same fingerprint; call ids are not included. A part has one fingerprint
+ * for each service, whoever sends it.
  */
 #ifndef QR_FINGERPRINT_H
 #define QR_FINGERPRINT_H
 
-#include "base/qr_base.h"
+#include "fleet/qr_platform.h"
 
 #define QR_FINGERPRINT_BYTES 16
-#define QR_FINGERPRINT_HEX (2 * QR_FINGERPRINT_BYTES + 1)
+#define QR_FINGERPRINT_PART_PREFIX "part."
+#define QR_FINGERPRINT_TEXT                                                    \
+    (sizeof(QR_FINGERPRINT_PART_PREFIX) + (size_t)2 * QR_FINGERPRINT_BYTES)
+
+typedef enum QRFingerprintKind {
+    QR_FINGERPRINT_REQUEST,
+    QR_FINGERPRINT_PART, /* of a prompt */
+} QRFingerprintKind;
 
 typedef struct QRFingerprint {
     uint8_t bytes[QR_FINGERPRINT_BYTES];
+    QRFingerprintKind kind;
 } QRFingerprint;
 
 typedef struct QRFingerprintParts {
@@ -27,9 +37,12 @@
  * theirs. Returns false and logs an error if the library fails.
  */
 bool qr_fingerprint_make(const QRFingerprintParts *parts, QRFingerprint *out);
-/* Writes the fingerprint in hexadecimal. */
-void qr_fingerprint_text(const QRFingerprint *f, char out[QR_FINGERPRINT_HEX]);
-/* Returns false if 'text' is not a fingerprint in hexadecimal. */
+/* The same for a part of a prompt, sent to 'service'. */
+bool qr_fingerprint_make_part(const char *service, const QRPromptPart *part,
+                              QRFingerprint *out);
+/* Writes the fingerprint in hexadecimal, that of a part with a prefix. */
+void qr_fingerprint_text(const QRFingerprint *f, char out[QR_FINGERPRINT_TEXT]);
+/* Returns false if 'text' was not written by qr_fingerprint_text(). */
 bool qr_fingerprint_parse(const char *text, QRFingerprint *out);
 /* For a GHashTable whose keys are fingerprints. */
 guint qr_fingerprint_hash(const void *f);
--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -81,7 +81,7 @@
                   const char *why)
 {
     const QRGateway *g = r->g;
-    char request[QR_FINGERPRINT_HEX] = "-";
+    char request[QR_FINGERPRINT_TEXT] = "-";
 
     if (r->has_fingerprint)
         qr_fingerprint_text(&r->fingerprint, request);
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -4,6 +4,9 @@
  */
 #include "qr_relay_parts.h"
 
+#define MAX_PARTS_LOGGED 8u
+#define MAX_PART_ID_LOGGED 16u /* characters */
+
 /* Called only while some request is suspect, or after a connection broke: a
    fingerprint costs 0.8 us, plus 0.8 us per KB of the body (make measure
    WHAT=cost). */
@@ -24,6 +27,26 @@
     return r->has_fingerprint;
 }
 
+/* The first shared parts of the prompt, for the log. */
+static char *describe_parts(const QRRelay *r)
+{
+    g_autoptr(GArray) parts = g_array_new(FALSE, FALSE, sizeof(QRPromptPart));
+    GString *text = g_string_new(NULL);
+
+    r->g->platform->parse_shared_parts(qr_exchange_headers(r->x), parts);
+    for (unsigned i = 0; i < MIN(parts->len, MAX_PARTS_LOGGED); i++) {
+        const QRPromptPart *p = &g_array_index(parts, QRPromptPart, i);
+
+        g_string_append_printf(text, "%s%.*s", i > 0 ? "," : "",
+                               (int)MIN(p->id_len, MAX_PART_ID_LOGGED), p->id);
+    }
+    if (parts->len > MAX_PARTS_LOGGED)
+        g_string_append_printf(text, ",+%u", parts->len - MAX_PARTS_LOGGED);
+    if (parts->len == 0)
+        g_string_append_c(text, '-');
+    return g_string_free(text, FALSE);
+}
+
 QRSuspicion qr_relay_suspicion(QRRelay *r)
 {
     if (!qr_requests_has_suspects(r->g) || !make_fingerprint(r))
@@ -56,7 +79,9 @@
 void qr_relay_note_broken(QRRelay *r, QRAttempt *a)
 {
     const QREngine *e = qr_attempt_engine(r, a);
-    QRInterruptedCall call = {r->id, &r->fingerprint, a->sent_ms, a->on_trial};
+    g_autofree char *parts = describe_parts(r);
+    QRInterruptedCall call = {r->id, parts, &r->fingerprint, a->sent_ms,
+                              a->on_trial};
 
     /* an engine that announced its shutdown, or whose record is gone, ended as
        planned; an engine that switches versions cuts running calls */
--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -114,7 +114,7 @@
     QRRequests *q = &g->requests;
     const QRSuspect *s = qr_suspects_get(&q->suspects, f);
     bool stored = s && s->stored;
-    char text[QR_FINGERPRINT_HEX];
+    char text[QR_FINGERPRINT_TEXT];
 
     if (!qr_suspects_note_answer(&q->suspects, f, qr_gateway_now(g)))
         return;
@@ -227,13 +227,14 @@
     EngineRun *run = find_run(q, r->id);
     InterruptedCall interrupted = {*call->fingerprint, call->sent_ms,
                                    call->on_trial};
-    char text[QR_FINGERPRINT_HEX];
+    char text[QR_FINGERPRINT_TEXT];
 
     qr_fingerprint_text(call->fingerprint, text);
     qr_logf(QR_LEVEL_INFO, "requests",
             "connection broke call=%s engine=%s request=%s "
-            "at_work_ms=%" G_GUINT64_FORMAT,
-            call->id, r->id, text, qr_gateway_now(g) - call->sent_ms);
+            "parts=%s at_work_ms=%" G_GUINT64_FORMAT,
+            call->id, r->id, text, call->parts,
+            qr_gateway_now(g) - call->sent_ms);
     if (!run) {
         run = g_new0(EngineRun, 1);
         run->engine = g_strdup(r->id);
@@ -274,7 +275,7 @@
 static json_object *row_json(const QRSuspect *s, uint64_t now_ms)
 {
     json_object *o = json_object_new_object();
-    char text[QR_FINGERPRINT_HEX];
+    char text[QR_FINGERPRINT_TEXT];
 
     qr_fingerprint_text(&s->fingerprint, text);
     qr_json_str(o, "request", text);
--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -34,6 +34,7 @@
 /* A call whose connection broke before the engine's answer was complete. */
 typedef struct QRInterruptedCall {
     const char *id;
+    const char *parts; /* shared parts of its prompt, for the log */
     const QRFingerprint *fingerprint;
     uint64_t sent_ms;
     bool on_trial; /* the callee ends the trial once the engine's state is
--- a/src/gateway/qr_requests_peers.c
+++ b/src/gateway/qr_requests_peers.c
@@ -154,7 +154,7 @@
     QRSuspect *s;
 
     while ((s = qr_suspects_next_unreported(&g->requests.suspects))) {
-        char text[QR_FINGERPRINT_HEX];
+        char text[QR_FINGERPRINT_TEXT];
         bool own = qr_suspect_last_end_is_local(s);
 
         qr_fingerprint_text(&s->fingerprint, text);
@@ -209,7 +209,7 @@
     QRSuspects *t = &g->requests.suspects;
     QRSuspect *s = qr_suspects_get(t, f);
     uint64_t now = qr_gateway_now(g);
-    char text[QR_FINGERPRINT_HEX];
+    char text[QR_FINGERPRINT_TEXT];
     bool was_held = s && qr_suspect_is_held(s, now);
 
     /* the sender does not know of the answer yet */
--- a/src/gateway/qr_requests_store.c
+++ b/src/gateway/qr_requests_store.c
@@ -70,7 +70,7 @@
     QRSuspect *s = qr_suspects_get(&q->suspects, &q->writing_request);
     g_autoptr(GPtrArray) messages = qr_request_messages_new();
     uint64_t now = qr_gateway_now(g);
-    char text[QR_FINGERPRINT_HEX];
+    char text[QR_FINGERPRINT_TEXT];
     bool stored = a->status == 200;
     uint64_t rest =
         qr_platform_retry_delay_ms(g->platform, a->status, a->headers);
@@ -118,7 +118,7 @@
 static void write_record(QRGateway *g, const QRSuspect *s)
 {
     QRRequests *q = &g->requests;
-    char key[QR_FINGERPRINT_HEX];
+    char key[QR_FINGERPRINT_TEXT];
     g_autofree char *value = record_text(s, qr_gateway_now(g));
 
     q->writing_request = s->fingerprint;
