An answer that ends with its connection is checked against its engine

Cause: when a crash cut such an answer, it looked whole, so the call was no suspect of that engine's end; and such answers were no sign of health either, so that what was answered all the time was never cleared. A stream that ended inside an event was retried, but its engine was not checked.

Now the end of such an answer opens a connection to the engine, as a broken connection does (the caller's connection is gone anyway, the next call uses the new one). Refused: the call was at work when the engine ended. Open: the answer was whole. Only calls that ended before the probe began are judged by it.

--- a/src/gateway/qr_relay_answer.c
+++ b/src/gateway/qr_relay_answer.c
@@ -261,6 +261,7 @@
     case ANSWER_EVENTS:
         r->current.call = NULL;
         if (r->current.mode == ANSWER_EVENTS && r->events.partial->len > 0) {
+            qr_relay_note_broken(r, &r->current);
             qr_relay_report_outcome(r, QR_OUTCOME_FAILURE);
             qr_attempt_detach(r, &r->current);
             qr_relay_attempt_ended(r, QR_ATTEMPT_BROKEN,
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -76,12 +76,14 @@
     qr_requests_trial_ended(r->g, &r->fingerprint);
 }
 
-void qr_relay_note_broken(QRRelay *r, QRAttempt *a)
+/* Has the engine checked whether it has ended. 'answered': nothing seems to be
+   missing in its answer. */
+static void check_engine(QRRelay *r, QRAttempt *a, bool answered)
 {
     const QREngine *e = qr_attempt_engine(r, a);
     g_autofree char *parts = describe_parts(r);
-    QRInterruptedCall call = {r->id, parts, &r->fingerprint, a->sent_ms,
-                              a->on_trial};
+    QRInterruptedCall call = {r->id,      parts,    &r->fingerprint,
+                              a->sent_ms, answered, a->on_trial};
 
     /* an engine that announced its shutdown, or whose record is gone, ended as
        planned; an engine that switches versions cuts running calls */
@@ -92,8 +94,13 @@
     qr_requests_call_interrupted(r->g, e, &call);
 }
 
-/* An answer that ends with its connection also looks complete if its engine
-   crashed. */
+void qr_relay_note_broken(QRRelay *r, QRAttempt *a)
+{
+    check_engine(r, a, false);
+}
+
+/* Without a length and chunks, an answer that its engine's crash cut looks
+   whole. */
 static bool is_surely_whole(const QRRelay *r)
 {
     const QRHeaders *h = &r->current.answer.headers;
@@ -104,8 +111,9 @@
 
 void qr_relay_note_answered(QRRelay *r)
 {
-    if (qr_requests_has_suspects(r->g) && is_surely_whole(r) &&
-        make_fingerprint(r))
+    if (!is_surely_whole(r))
+        check_engine(r, &r->current, true);
+    else if (qr_requests_has_suspects(r->g) && make_fingerprint(r))
         qr_requests_note_answer(r->g, &r->fingerprint);
 }
 
--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -24,15 +24,17 @@
 /* One run of an engine, with this gateway's calls that broke off there. */
 typedef struct EngineRun {
     char *engine, *address;
-    uint64_t born_ms, interrupted_ms;
-    bool probing;  /* a connection attempt is in progress */
-    GArray *calls; /* InterruptedCall */
+    uint64_t born_ms;
+    uint64_t interrupted_ms; /* end of the first connection of 'calls' */
+    bool probing;          /* a connection attempt is in progress */
+    GArray *calls;         /* InterruptedCall */
+    unsigned probed_calls; /* the first ones: those before the probe began */
 } EngineRun;
 
 typedef struct InterruptedCall {
     QRFingerprint fingerprint;
-    uint64_t sent_ms;
-    bool on_trial;
+    uint64_t sent_ms, ended_ms; /* its connection ended */
+    bool answered, on_trial;
 } InterruptedCall;
 
 static void engine_run_free(void *p)
@@ -198,6 +200,34 @@
         handle_run_end(g, run, "its record was removed or has a later start");
 }
 
+/* The engine lives: its answers that ended with their connections are whole. */
+static void confirm_answers(QRGateway *g, EngineRun *run)
+{
+    for (unsigned i = run->probed_calls; i > 0; i--) {
+        InterruptedCall *c = &g_array_index(run->calls, InterruptedCall, i - 1);
+
+        if (!c->answered)
+            continue;
+        qr_requests_note_answer(g, &c->fingerprint);
+        g_array_remove_index(run->calls, i - 1);
+    }
+    run->probed_calls = 0;
+    if (run->calls->len > 0)
+        run->interrupted_ms =
+            g_array_index(run->calls, InterruptedCall, 0).ended_ms;
+}
+
+static bool has_unconfirmed_answer(const EngineRun *run)
+{
+    for (unsigned i = 0; i < run->calls->len; i++) {
+        if (g_array_index(run->calls, InterruptedCall, i).answered)
+            return true;
+    }
+    return false;
+}
+
+static void start_probe(QRGateway *g, EngineRun *run);
+
 static void handle_probe_result(void *owner, const char *address,
                                 QRClientProbeResult reached)
 {
@@ -216,40 +246,52 @@
         }
         /* if a new run is already listening there, its record will show that */
         end_trials(g, run);
+        if (reached == QR_CLIENT_PROBE_OPEN)
+            confirm_answers(g, run);
+        if (run->calls->len == 0)
+            drop_run(g, run);
+        else if (has_unconfirmed_answer(run) && reached == QR_CLIENT_PROBE_OPEN)
+            start_probe(g, run); /* answers that ended since the last probe */
     }
 }
 
+static void start_probe(QRGateway *g, EngineRun *run)
+{
+    run->probing = true;
+    run->probed_calls = run->calls->len;
+    qr_client_probe(g->to_engines, run->address, PROBE_TIMEOUT_MS,
+                    handle_probe_result, g);
+}
+
 void qr_requests_call_interrupted(QRGateway *g, const QREngine *engine,
                                   const QRInterruptedCall *call)
 {
     QRRequests *q = &g->requests;
     const QREngineRecord *r = engine->record;
     EngineRun *run = find_run(q, r->id);
-    InterruptedCall interrupted = {*call->fingerprint, call->sent_ms,
-                                   call->on_trial};
+    uint64_t now = qr_gateway_now(g);
+    InterruptedCall interrupted = {*call->fingerprint, call->sent_ms, now,
+                                   call->answered, call->on_trial};
     char text[QR_FINGERPRINT_TEXT];
 
     qr_fingerprint_text(call->fingerprint, text);
-    qr_logf(QR_LEVEL_INFO, "requests",
-            "connection broke call=%s engine=%s request=%s "
-            "parts=%s at_work_ms=%" G_GUINT64_FORMAT,
-            call->id, r->id, text, call->parts,
-            qr_gateway_now(g) - call->sent_ms);
+    if (!call->answered)
+        qr_logf(QR_LEVEL_INFO, "requests",
+                "connection broke call=%s engine=%s request=%s "
+                "parts=%s at_work_ms=%" G_GUINT64_FORMAT,
+                call->id, r->id, text, call->parts, now - call->sent_ms);
     if (!run) {
         run = g_new0(EngineRun, 1);
         run->engine = g_strdup(r->id);
         run->address = g_strdup(r->address);
         run->born_ms = r->born_ms;
-        run->interrupted_ms = qr_gateway_now(g);
+        run->interrupted_ms = now;
         run->calls = g_array_new(FALSE, FALSE, sizeof(InterruptedCall));
         g_ptr_array_add(q->runs, run);
     }
     g_array_append_val(run->calls, interrupted);
-    if (!run->probing) {
-        run->probing = true;
-        qr_client_probe(g->to_engines, run->address, PROBE_TIMEOUT_MS,
-                        handle_probe_result, g);
-    }
+    if (!run->probing)
+        start_probe(g, run);
 }
 
 void qr_requests_tick(QRGateway *g, uint64_t now_ms)
--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -31,12 +31,14 @@
     uint64_t next_sweep_ms;
 } QRRequests;
 
-/* A call whose connection broke before the engine's answer was complete. */
+/* A call whose connection ended before the engine's answer was complete, or was
+   known to be complete. */
 typedef struct QRInterruptedCall {
     const char *id;
     const char *parts; /* shared parts of its prompt, for the log */
     const QRFingerprint *fingerprint;
     uint64_t sent_ms;
+    bool answered; /* nothing is missing if the engine has not ended */
     bool on_trial; /* the callee ends the trial once the engine's state is
                       known */
 } QRInterruptedCall;
--- a/src/gateway/qr_requests_peers.c
+++ b/src/gateway/qr_requests_peers.c
@@ -254,7 +254,7 @@
                             uint64_t msg_sent_ms)
 {
     QRSuspects *t = &g->requests.suspects;
-    QRFingerprint f;
+    QRFingerprint f = {{0}, QR_FINGERPRINT_REQUEST};
     QRSuspect *s;
 
     if (msg->fingerprint.len != sizeof(f.bytes))
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -46,6 +46,15 @@
     check_held(Run(seconds=SECONDS, path="/stream/x"))
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+def test_request_is_held_without_framing(path):
+    """Without length or chunks, an answer that the crash cuts looks whole, and an
+    engine that lives after such an answer has answered."""
+    run = Run(seconds=SECONDS, path=path, unframed=True)
+    check_held(run)
+    assert run.same >= 0.95, str(run)
+
+
 def test_frequent_request_is_not_held_when_engines_crash():
     """Engines crash spontaneously, one after the other. Each crash interrupts the
     requests running there, nearly always with the most frequent one."""
