--- a/tests/unit.c
+++ b/tests/unit.c
@@ -10,6 +10,7 @@
 #include "unit_notices.h"
 #include "unit_placement.h"
 #include "unit_sources.h"
+#include "unit_parts.h"
 #include "unit_suspects.h"
 #include "unit_fleet.h"
 
@@ -418,6 +419,7 @@
     suite_add_tcase(s, unit_entries_case());
     suite_add_tcase(s, unit_epochs_case());
     suite_add_tcase(s, unit_suspects_case());
+    suite_add_tcase(s, unit_parts_case());
     suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_notices_case());
--- a/tests/unit_suspects.c
+++ b/tests/unit_suspects.c
@@ -355,8 +355,7 @@
             continue;
         m->crashes_caused += c->request == CRASHING;
         c->finish_ms = 0;
-        msg.end =
-            (QRRunEnd){engine, 0, c->sent_ms, m->now_ms, QR_TEAM_SEVERAL};
+        msg.end = (QRRunEnd){engine, 0, c->sent_ms, m->now_ms, QR_TEAM_SEVERAL};
         qr_suspects_add_end(&m->tables[c->gateway], &f, &msg.end, m->now_ms);
         s = qr_suspects_get(&m->tables[c->gateway], &f);
         if (s && s->local_trials > 0)
@@ -389,7 +388,8 @@
     unsigned engine = random_below(&m->random, ENGINES);
     QRSuspects *t = &m->tables[gateway];
     QRFingerprint f = fingerprint_of(request);
-    QRSuspicion suspicion = qr_suspects_check(t, &f, QR_TEAM_SEVERAL, m->now_ms);
+    QRSuspicion suspicion =
+        qr_suspects_check(t, &f, QR_TEAM_SEVERAL, m->now_ms);
     bool refused =
         suspicion == QR_SUSPICION_WAIT || suspicion == QR_SUSPICION_HELD;
 
