--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -3,16 +3,19 @@
 
     crashing.py [--gateways N] [--engines N] [--seconds S] [--seed N]
                 [--course NAME] [--path PATH] [--returns same|new] [--without]
-                [--every S] [--requests N] [--part [--where N]] [--unframed]
+                [--every S] [--requests N] [--part [--where N] [--more N]] [--unframed]
+                [--earlier PROGRAM]
 
 The request is sent every 0.15 s (--every) through a random gateway, each time under
 a new id; with --requests N, N such requests take turns. Meanwhile twelve callers send
 harmless requests, and six of them all send the same one. Prints how many engines
 ended under the request, how often the request began later than SPREAD_S (3 s) after
 the third end, and what became of the other calls. With --part, no two of the
-requests are alike: they share a part of their prompts, at index --where or anywhere,
-which counts from the fifth end; the harmless requests have the same first part, team
-and route. With --unframed, answers have neither a length nor chunks. --without runs the same course
+requests are alike: they share a part of their prompts, at index --where or anywhere
+among --more others, which counts from the fifth end; the harmless requests have the same first part, team
+and route. With --unframed, answers have neither a length nor chunks. With
+--earlier, the last gateway runs an earlier build, and the request is sent to the
+others. --without runs the same course
 without the request, for comparison. --returns says whether an engine restarts under
 the same id or a new one. Courses:
 
@@ -162,10 +165,12 @@
 
 class CrashingFleet(LinkedFleet):
     def __init__(self, gateways, engines, returns="same", links=False,
-                 crashing_parts=(), unframed=False):
+                 crashing_parts=(), unframed=False, earlier=None):
         self.stopping = False
         self.crashing_parts, self.unframed = crashing_parts, unframed
         super().__init__()
+        if earlier:
+            self.binaries["g%d" % (gateways - 1)] = earlier
         for i in range(engines):
             e = CrashingEngine(self, "p%d" % i, returns)
             self.store.put("keyed.servers", e.id, e.record())
@@ -221,9 +226,10 @@
     crashing parts, always another request with one of them."""
 
     def __init__(self, fleet, seed, path, every_s=EVERY_S, requests=1,
-                 where=None):
+                 where=None, more=0):
         self.fleet, self.path, self.ended = fleet, path, False
-        self.every_s, self.where = every_s, where
+        self.every_s, self.where, self.more = every_s, where, more
+        self.gateways = len(fleet.gateways) - len(fleet.binaries)
         self.bodies = [CRASHES + b" %d" % i for i in range(requests)]
         self.dice, self.statuses, self.retry_after = random.Random(seed), [], []
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -243,10 +249,10 @@
         if not parts:
             return self.bodies[n % len(self.bodies)], {}
         return b"body %d" % n, prompt_parts.crashing(
-            self.dice, parts[n % len(parts)], self.where)
+            self.dice, parts[n % len(parts)], self.where, self.more)
 
     def send(self, ident, body, sent_headers):
-        gateway = self.dice.randrange(len(self.fleet.gateways))
+        gateway = self.dice.randrange(self.gateways)
         try:
             status, headers, _ = self.fleet.call(self.path, ident, gateway,
                                                  body=body,
@@ -323,17 +329,17 @@
     def __init__(self, gateways=3, engines=8, seconds=18.0, seed=1,
                  course="calm", path="/safe/x", returns="same",
                  without=False, every=EVERY_S, requests=1, part=False,
-                 where=None, unframed=False):
+                 where=None, more=0, unframed=False, earlier=None):
         crashing = course not in ("alone", "herd") and not without
         parts = prompt_parts.crashing_ids(requests) if part else []
         self.causes = parts or [CRASHES + b" %d" % i for i in range(requests)]
         self.allowed_ends = PART_RUNS if part else 3
         with CrashingFleet(gateways, engines, returns, course == "cuts",
-                           parts, unframed) as fleet, Watch() as watch:
+                           parts, unframed, earlier) as fleet, Watch() as watch:
             others = HarmlessCallers(fleet, seed, path, part)
             time.sleep(BEGIN_S)
             caller = CrashingCaller(fleet, seed, path, every, requests,
-                                    where) if crashing else None
+                                    where, more) if crashing else None
             self.began_at = time.monotonic()
             faults = Course(fleet, course, seed, 3 if crashing else 0)
             time.sleep(seconds)
@@ -396,7 +402,9 @@
     p.add_argument("--requests", type=int, default=1)
     p.add_argument("--part", action="store_true")
     p.add_argument("--where", type=int)
+    p.add_argument("--more", type=int, default=0)
     p.add_argument("--unframed", action="store_true")
+    p.add_argument("--earlier")
     run = Run(**vars(p.parse_args()))
     print(run)
     return 1 if len(run.late_runs) > 3 else 0
--- a/tests/prompt_parts.py
+++ b/tests/prompt_parts.py
@@ -24,10 +24,13 @@
                   dice)
 
 
-def crashing(dice, part, where=None):
-    """The crashing part is at index 'where' among the shared ones, or anywhere."""
+def crashing(dice, part, where=None, more=0):
+    """The crashing part is at index 'where' among the shared ones, or anywhere,
+    with 'more' parts that no other prompt has."""
     shared = [FIRST, dice.choice(SUBJECTS)]
-    shared.insert(dice.randrange(3) if where is None else where, part)
+    shared += ["%x" % dice.getrandbits(24) for _ in range(more)]
+    shared.insert(dice.randrange(len(shared) + 1) if where is None else where,
+                  part)
     return header(shared, dice)
 
 
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -5,9 +5,12 @@
 suspect. Sound requests share the team, the route and the other parts, and have
 to be served meanwhile.
 """
+import random
+
 import pytest
 
-from crashing import PART_RUNS, Run
+import prompt_parts
+from crashing import PART_RUNS, CrashingFleet, Run
 
 SECONDS = 7.5   # five engines end in the first 2 s; then 3 s for messages to spread
 ENDS_MOST = 12  # for each part: the deciding ones, and requests at work meanwhile
@@ -21,6 +24,7 @@
     {"unframed": True}, {"unframed": True, "path": "/stream/x"},
     {"course": "kills"}, {"course": "kill_all"}, {"course": "cuts"},
     {"course": "freezes"},
+    {"more": 200},  # listed beside it, each in one prompt only
     {"gateways": 12, "engines": 12}], ids=str)
 def test_part_is_held(options):
     run = Run(seconds=SECONDS, part=True, **options)
@@ -48,3 +52,25 @@
     assert len(run.ends) >= 8 and run.held == 0, str(run)
     if course == "alone" and not unframed:
         assert run.same >= 0.99 and run.unique >= 0.99, str(run)
+
+
+@pytest.mark.parametrize("value", [
+    ",,,,", ":", "a:1:2,:,b", "zz:1," * 40, "\xff\xfe:1,\xc3\xa9,a:1",
+    "a" * 3000 + ":1,b:2", "0:1," * 900], ids=range(7))
+def test_malformed_parts_are_passed_on_unread(value):
+    """Lists of parts are read once an engine has ended under some request."""
+    with CrashingFleet(1, 4, crashing_parts=["dead00"]) as fleet:
+        dice = random.Random(1)
+        fleet.call("/unsafe/x", "crash", headers=prompt_parts.crashing(
+            dice, "dead00"))
+        for i in range(8):
+            status, _, _ = fleet.call("/safe/x", "n%d" % i, headers={
+                prompt_parts.HEADER: value})
+            assert status == 200, i
+        fleet.plain[0].crash()
+        status, _, _ = fleet.call("/safe/x", "last", headers={
+            prompt_parts.HEADER: value})
+        assert status == 200
+        seen = [r.headers[prompt_parts.HEADER.lower()] for e in fleet.plain
+                for r in e.seen if r.headers["x-attempt-id"] == "last"]
+        assert seen and set(seen) == {value.strip()}
