--- a/src/cmd/qr_cmd_held.c
+++ b/src/cmd/qr_cmd_held.c
@@ -1,5 +1,6 @@
 /*
- * The verb 'held': which requests gateways hold back as they crash engines.
+ * The verb 'held': which requests, and requests with which parts of prompts,
+ * gateways refuse because they crash engines.
  */
 #include "qr_client.h"
 #include "qr_cmd.h"
@@ -11,7 +12,7 @@
 
 static void print_row(const char *gateway, json_object *row)
 {
-    printf("%-22s %-33s %-9s %8d %6d %8d %6d %s\n", gateway,
+    printf("%-22s %-37s %-9s %8d %6d %8d %6d %s\n", gateway,
            qr_json_get_str(row, "request"), qr_json_get_str(row, "state"),
            (int)qr_json_get_int(row, "left_s"),
            (int)qr_json_get_int(row, "times_held"),
@@ -54,13 +55,13 @@
     unsigned silent = 0;
 
     qr_client_parse(argc, argv, QR_CLIENT_NO_FILE,
-                    "Lists the requests that gateways hold back, or send one "
-                    "at a time, since engines ended under them. -e takes the "
-                    "metrics address of a gateway. A call's log lines name "
-                    "its request.",
+                    "Lists the requests and prompt parts that gateways hold "
+                    "back, or try once at a time, since engines ended under "
+                    "them. -e takes the metrics address of a gateway. A "
+                    "call's log lines name its request and parts.",
                     &a);
     if (!a.json)
-        printf("%-22s %-33s %-9s %8s %6s %8s %6s %s\n", "gateway", "request",
+        printf("%-22s %-37s %-9s %8s %6s %8s %6s %s\n", "gateway", "suspect",
                "state", "left s", "times", "engines", "tries", "stored");
     for (unsigned i = 0; i < a.entries->len; i++)
         silent += print_gateway(a.entries->pdata[i], a.json) != 0;
--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -36,8 +36,9 @@
     DEF(unreadable, "engine records of the store that could not be parsed")    \
     DEF(engine_ends, "ends of engine runs that broke calls of this gateway")   \
     DEF(trials, "retries of requests during which an engine had ended")        \
-    DEF(requests_held, "requests quarantined because they crash engines")      \
-    DEF(refused_held, "503: a request that is quarantined")                    \
+    DEF(requests_held,                                                         \
+        "requests and prompt parts held because they crash engines")           \
+    DEF(refused_held, "503: a request that is held, or has a part that is")    \
     DEF(ejections, "engines ejected because of their failures")                \
     DEF(said_leaving, "engines whose answer announced that they leave")        \
     DEF(said_rest,                                                             \
--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -82,11 +82,13 @@
                   const char *why)
 {
     const QRGateway *g = r->g;
-    char request[QR_FINGERPRINT_TEXT] = "-";
+    char request[QR_FINGERPRINT_TEXT] = "-", held[QR_FINGERPRINT_TEXT] = "-";
 
     if (r->fingerprints)
         qr_fingerprint_text(&g_array_index(r->fingerprints, QRFingerprint, 0),
                             request);
+    if (r->is_held)
+        qr_fingerprint_text(qr_relay_held_by(r), held);
     qr_logf(QR_LEVEL_INFO, "call",
             "%s id=%s status=%u route=%s service=%s team=%s ms=%" G_GUINT64_FORMAT
             " sendings=%u runs=%u slots_asked=%u slots_denied=%u prompt=%u deadline_ms=%u waited_before_ms=%u"
@@ -94,7 +96,7 @@
             " gap_ms=%" G_GUINT64_FORMAT " forecast_first_ms=%.0f"
             " forecast_gap_ms=%.0f seen_open=%u seen_slots=%u"
             " seen_age_ms=%" G_GUINT64_FORMAT
-            " engine=%s request=%s policy=%" G_GUINT64_FORMAT " why=%s",
+            " engine=%s request=%s held=%s policy=%" G_GUINT64_FORMAT " why=%s",
             outcome, r->id, status, r->route, r->service, r->team,
             qr_gateway_now(g) - r->arrived_ms, r->attempts, r->runs,
             r->slot.requests, r->slot.denied, r->prompt_tokens,
@@ -103,7 +105,7 @@
             r->forecast.slots, r->forecast.age_ms, r->tried->len > 0
                 ? (const char *)r->tried->pdata[r->tried->len - 1]
                 : "-",
-            request, g->operator.policy ? g->operator.policy->version : 0, why);
+            request, held, g->operator.policy ? g->operator.policy->version : 0, why);
 }
 
 void qr_relay_send_local_reply(QRExchange *x, unsigned status,
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -90,6 +90,7 @@
     GArray *fingerprints; /* QRFingerprint: of the request, then of the shared
                              parts of its prompt; NULL: not needed so far */
     uint64_t team_hash;   /* set with 'fingerprints' */
+    bool is_held;         /* when it was last checked */
     unsigned held_by;     /* index of the fingerprint for which it is held */
     QRRelaySlot slot;
     /* attempts */
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -98,6 +98,7 @@
             r->held_by = i;
         most = MAX(most, suspicion);
     }
+    r->is_held = most == QR_SUSPICION_HELD;
     return most;
 }
 
--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -391,7 +391,9 @@
     qr_fingerprint_text(&s->fingerprint, text);
     qr_json_str(o, "request", text);
     qr_json_str(o, "state",
-                qr_suspect_is_held(s, now_ms) ? "held" : "on trial");
+                qr_suspect_is_held(s, now_ms) ? "held"
+                : is_shared(s)                ? "on trial"
+                                              : "suspect");
     qr_json_int(o, "left_s",
                 (int64_t)(MAX(s->held_until_ms, now_ms) - now_ms) / 1000);
     qr_json_int(o, "times_held", s->hold_count);
@@ -405,6 +407,11 @@
     return o;
 }
 
+static bool is_listed(const QRSuspect *s)
+{
+    return is_shared(s) || s->is_leading;
+}
+
 char *qr_requests_json(const QRGateway *g)
 {
     g_autoptr(json_object) o = json_object_new_object();
@@ -414,7 +421,7 @@
 
     g_hash_table_iter_init(&it, g->requests.suspects.rows);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (is_shared(value))
+        if (is_listed(value))
             json_object_array_add(rows, row_json(value, qr_gateway_now(g)));
     }
     qr_json_add(o, "requests", rows);
--- a/src/gateway/qr_requests.h
+++ b/src/gateway/qr_requests.h
@@ -1,8 +1,8 @@
 /*
- * Detects and shares requests that may crash engines. A gateway learns of these
- * requests from its own calls that break off when an engine ends, from other
- * gateways, and from the store, which lists the held requests. qr_suspects
- * decides which requests are held.
+ * Detects and shares suspects: requests, and parts of prompts, that may crash
+ * engines. A gateway learns of them from its own calls that break off when an
+ * engine ends, from other gateways, and from the store, which lists what is
+ * held. qr_suspects decides what is held.
  */
 #ifndef QR_REQUESTS_H
 #define QR_REQUESTS_H
@@ -81,8 +81,8 @@
                        const Qr__Fleet__Requests *list);
 /* Sends the known suspects to a gateway that has just connected. */
 void qr_requests_send_known(QRGateway *g, QRPeerConn *peer);
-/* Returns the suspects whose trials are reported to all gateways, with the held
-   ones, as JSON. The caller frees the text. */
+/* Returns the suspects whose trials are reported to all gateways, the held ones
+   and the leading parts, as JSON. The caller frees the text. */
 char *qr_requests_json(const QRGateway *g);
 
 #endif
