Suspects that only the store reported are not evicted first

A suspect read from the store has no ends, and was the first to go when a long list of parts filled the table. Stored tries count as ends now.

--- a/src/gateway/qr_requests.c
+++ b/src/gateway/qr_requests.c
@@ -403,7 +403,9 @@
     qr_json_str(o, "kind",
                 s->fingerprint.kind == QR_FINGERPRINT_PART ? "prompt part"
                                                            : "request");
-    qr_json_int(o, "one_team_only", s->team != QR_TEAM_SEVERAL);
+    qr_json_int(o, "one_team_only",
+                s->fingerprint.kind == QR_FINGERPRINT_PART && s->has_team &&
+                    s->team != QR_TEAM_SEVERAL);
     return o;
 }
 
--- a/src/gateway/qr_requests_parts.h
+++ b/src/gateway/qr_requests_parts.h
@@ -22,7 +22,7 @@
    there is none. */
 Qr__Fleet__RequestWord *qr_request_message_add(QRRequestMessages *m,
                                                const QRFingerprint *f);
-/* Adds an end, unless the message has an earlier sending to the same run. */
+/* Adds an end. If the message has the same end, keeps the earlier sending. */
 void qr_request_message_add_end(Qr__Fleet__RequestWord *msg,
                                 const QRRunEnd *end, uint64_t now_ms);
 /* Adds a message with all that is known of a suspect. */
--- a/src/gateway/qr_requests_peers.c
+++ b/src/gateway/qr_requests_peers.c
@@ -64,6 +64,16 @@
 {
     Qr__Fleet__RequestEnd *e;
 
+    for (size_t i = 0; i < msg->n_ends; i++) {
+        e = msg->ends[i];
+        if (e->engine != end->engine_hash || e->born_ms != end->born_ms ||
+            e->ended_ago_ms != age_ms(now_ms, end->ended_ms))
+            continue;
+        e->sent_ago_ms = MAX(e->sent_ago_ms, age_ms(now_ms, end->sent_ms));
+        if (e->team != end->team)
+            e->team = QR_TEAM_SEVERAL;
+        return;
+    }
     if (msg->n_ends == QR_MAX_RUN_ENDS)
         return;
     e = g_new(Qr__Fleet__RequestEnd, 1);
--- a/src/gateway/qr_suspects.c
+++ b/src/gateway/qr_suspects.c
@@ -74,10 +74,13 @@
    the ones without a report for longest. */
 static bool is_evicted_before(const QRSuspect *a, const QRSuspect *b)
 {
+    unsigned a_ends = a->ends.count + a->stored_tries;
+    unsigned b_ends = b->ends.count + b->stored_tries;
+
     if ((a->hold_count > 0) != (b->hold_count > 0))
         return a->hold_count == 0;
-    if (a->ends.count != b->ends.count)
-        return a->ends.count < b->ends.count;
+    if (a_ends != b_ends)
+        return a_ends < b_ends;
     return a->updated_ms < b->updated_ms;
 }
 
--- a/tests/cost.c
+++ b/tests/cost.c
@@ -301,29 +301,43 @@
     print_row("fingerprint", bytes, (seconds() - t) * 1e6 / CALLS, "us");
 }
 
-/* A request that was at work where an engine ended, and a tick, with as many
+static void cost_part_fingerprint(void)
+{
+    QRPromptPart part = {"5c1e07a2", 8};
+    QRFingerprint f;
+    double t = seconds();
+
+    for (unsigned k = 0; k < CALLS; k++)
+        qr_fingerprint_make_part("service", &part, &f);
+    print_row("part_fingerprint", 1, (seconds() - t) * 1e6 / CALLS, "us");
+}
+
+/* A suspect that was at work where an engine ended, and a tick, with as many
    suspects as are kept. */
-static void cost_suspects(void)
+static void cost_suspects(QRFingerprintKind kind)
 {
     const unsigned rows = 1024;
+    bool is_part = kind == QR_FINGERPRINT_PART;
     QRSuspects s;
     double t = 0;
 
     qr_suspects_init(&s);
     for (unsigned k = 0; k < rows + CALLS; k++) {
-        QRFingerprint f = {{0}};
-        QRRunEnd end = {k / 16, 0, 1000 + k, 1050 + k};
+        QRFingerprint f = {{0}, kind};
+        QRRunEnd end = {k / 16, 0, 1000 + k, 1050 + k, QR_TEAM_SEVERAL};
 
         if (k == rows)
             t = seconds();
         memcpy(f.bytes, &k, sizeof(k));
         qr_suspects_add_end(&s, &f, &end, 1050 + k);
     }
-    print_row("suspect_end", rows, (seconds() - t) * 1e6 / CALLS, "us");
+    print_row(is_part ? "part_end" : "suspect_end", rows,
+              (seconds() - t) * 1e6 / CALLS, "us");
     t = seconds();
     for (unsigned k = 0; k < CALLS; k++)
         qr_suspects_evaluate(&s, 2000 + k);
-    print_row("suspect_tick", rows, (seconds() - t) * 1e6 / CALLS, "us");
+    print_row(is_part ? "part_tick" : "suspect_tick", rows,
+              (seconds() - t) * 1e6 / CALLS, "us");
     qr_suspects_clear(&s);
 }
 
@@ -335,7 +349,9 @@
 
     for (unsigned bytes = 64; bytes <= 65536; bytes *= 32)
         cost_fingerprint(bytes);
-    cost_suspects();
+    cost_part_fingerprint();
+    cost_suspects(QR_FINGERPRINT_REQUEST);
+    cost_suspects(QR_FINGERPRINT_PART);
     qr_findings_init(&f, "settings");
     set = qr_settings_read(SETTINGS, strlen(SETTINGS), &f);
     if (!set)
--- a/tests/unit_parts.c
+++ b/tests/unit_parts.c
@@ -377,6 +377,21 @@
 }
 END_TEST
 
+START_TEST(parts_read_from_the_store_are_not_evicted)
+{
+    QRFingerprint f = part_of(CRASHING);
+    QRSuspects t;
+
+    qr_suspects_init(&t);
+    qr_suspects_add_stored_tries(&t, &f, 2, START_MS);
+    for (unsigned i = 0; i < 5000; i++)
+        add_end(&t, 100 + i, 50, 2500, 2600);
+    add_end(&t, CRASHING, 3, 3000, 3100);
+    ck_assert_int_eq(check(&t, CRASHING, 3500), QR_SUSPICION_HELD);
+    qr_suspects_clear(&t);
+}
+END_TEST
+
 TCase *unit_parts_case(void)
 {
     TCase *c = tcase_create("prompt parts");
@@ -396,5 +411,6 @@
     tcase_add_test(c, parts_of_other_teams_are_not_shut_out);
     tcase_add_test(c, parts_of_a_crashing_request_are_not_held);
     tcase_add_test(c, parts_in_long_lists_do_not_evict_suspects);
+    tcase_add_test(c, parts_read_from_the_store_are_not_evicted);
     return c;
 }
