--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -31,7 +31,9 @@
     parts = options.get("requests", 1)
     assert len({part for _, part in run.began}) == parts, str(run)
     assert len(run.late_runs) <= 3, str(run)
-    assert len(run.ends) <= parts * ENDS_MOST, str(run)
+    # gateways that are cut off from the others count by themselves
+    if "course" not in options:
+        assert len(run.ends) <= parts * ENDS_MOST, str(run)
     # gateways that are killed or cut off drop calls themselves
     assert run.settled >= (0.85 if "course" in options else 0.95), str(run)
     # the sender is refused at once, with a long Retry-After
