The store is told of a suspect part once nothing else explains its ends

Found by reading: two parts at the same two ends both counted as leading, and were stored. After a restart of all gateways a harmless one that was rarely asked for would have been held at one more end. A part that another equals leads from its third try on. Unit test red before.

--- a/src/gateway/qr_suspects.h
+++ b/src/gateway/qr_suspects.h
@@ -16,10 +16,13 @@
 
 #define QR_MAX_HOLD_MS 3600000
 
-/* A held request is refused and sent to no engine until the hold expires. A
-   trial is a sending of a suspect; only one trial at a time is allowed. */
-/* A part is held for one team if only that team's requests were at the engine
-   ends: the list of parts that another team sends must not shut it out. */
+/*
+ * A held request is refused and sent to no engine until the hold expires. A
+ * trial is a sending of a suspect; only one trial at a time is allowed.
+ *
+ * A part is held for one team if only that team's requests were at the engine
+ * ends: the list of parts that another team sends must not shut it out.
+ */
 typedef struct QRSuspect {
     QRFingerprint fingerprint;
     QRRunEnds ends;
@@ -34,8 +37,8 @@
     uint64_t team;         /* hash of the only team whose requests were at the
                               ends, or QR_TEAM_SEVERAL; for parts */
     bool has_team;         /* 'team' is known */
-    bool is_leading; /* a part with several tries, and no other suspect was
-                        at all of its ends and at more */
+    bool is_leading;       /* a part with several tries that no other suspect
+                              explains: what the store has to know of */
     bool needs_evaluation; /* an end was added since the last evaluation */
     bool hold_unreported;  /* held by this gateway's own evaluation, and not
                               yet reported */
--- a/src/gateway/qr_suspects_hold.c
+++ b/src/gateway/qr_suspects_hold.c
@@ -120,7 +120,8 @@
     if (n == 0 || tries < PART_TRIES_MIN)
         return s->hold_count > 0 && n > 0;
     rival = find_rival(t, s, ends, n, now_ms);
-    s->is_leading = rival != RIVAL_LARGER;
+    s->is_leading =
+        rival == RIVAL_NONE || (rival == RIVAL_EQUAL && tries >= TRIES_TO_HOLD);
     if (s->hold_count > 0)
         return true;
     if (rival == RIVAL_LARGER)
--- a/tests/unit_parts.c
+++ b/tests/unit_parts.c
@@ -206,6 +206,26 @@
 }
 END_TEST
 
+/* A harmless part that the store has as suspect would be held at one more end,
+   once all gateways have been restarted. */
+START_TEST(parts_at_two_ends_with_others_are_not_stored)
+{
+    QRSuspects t;
+
+    qr_suspects_init(&t);
+    for (unsigned n = 1; n <= 2; n++) {
+        add_end(&t, CRASHING, n, n * 1000, n * 1000 + 200);
+        add_end(&t, NEIGHBOUR, n, n * 1000, n * 1000 + 200);
+    }
+    qr_suspects_evaluate(&t, START_MS + 2500);
+    ck_assert(!get(&t, NEIGHBOUR)->is_leading);
+    ck_assert(note_answer(&t, NEIGHBOUR, 2600));
+    ck_assert_int_eq(check(&t, CRASHING, 2700), QR_SUSPICION_NONE);
+    ck_assert(get(&t, CRASHING)->is_leading);
+    qr_suspects_clear(&t);
+}
+END_TEST
+
 START_TEST(parts_tie_is_resolved_by_answer)
 {
     QRSuspects t;
@@ -217,6 +237,7 @@
     }
     ck_assert_int_eq(check(&t, CRASHING, 4500), QR_SUSPICION_NONE);
     ck_assert_int_eq(check(&t, NEIGHBOUR, 4500), QR_SUSPICION_NONE);
+    ck_assert(get(&t, NEIGHBOUR)->is_leading);
     ck_assert(note_answer(&t, NEIGHBOUR, 4600));
     ck_assert_int_eq(check(&t, CRASHING, 4700), QR_SUSPICION_HELD);
     ck_assert_int_eq(check(&t, NEIGHBOUR, 4700), QR_SUSPICION_NONE);
@@ -402,6 +423,7 @@
     tcase_add_test(c, parts_rare_one_held_after_three_tries);
     tcase_add_test(c, parts_answered_are_not_held);
     tcase_add_test(c, parts_explained_by_another_are_not_held);
+    tcase_add_test(c, parts_at_two_ends_with_others_are_not_stored);
     tcase_add_test(c, parts_tie_is_resolved_by_answer);
     tcase_add_test(c, parts_always_together_are_held);
     tcase_add_test(c, parts_not_held_when_engines_end_together);
