Wire fields and configuration values for serving under scarce capacity

Adds optional fields to messages between processes, which builds without them ignore: rank and team of a slot request, pace of an engine and the time until it serves the newest version, the state of the origin, and the role of a peer that is asked for a piece only if it holds it. No behaviour changes.

--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -22,7 +22,8 @@
     const char *not_run;        /* response: call was certainly not run */
     const char *signature;      /* marks an answer of an engine itself */
     const char *priority;       /* 0 is the most urgent */
-    const char *usage;          /* "tokens in,tokens out" */
+    const char *usage;          /* "tokens in,most tokens out" */
+    const char *length_hint;    /* the caller's guess of the tokens out */
     const char *last_event;     /* id from which a stream resumes */
 } QRHeaderNames;
 
--- a/src/fleet/qr_policy.h
+++ b/src/fleet/qr_policy.h
@@ -38,6 +38,7 @@
     unsigned slots, chunks, layers;
     uint32_t chunk_bytes;
     double step_ms, per_sequence_ms, read_per_s;
+    uint64_t memory_tokens; /* of all calls at one engine; 0: unknown */
     /* Token steps between two admissions of queued calls. */
     unsigned admission_interval_steps;
     double typical_prompt_tokens, typical_answer_tokens; /* per call */
@@ -48,9 +49,10 @@
     char *name;
     char *origin; /* ip:port of a weight origin, or NULL */
     unsigned connections_max;
-    double cold_per_s;     /* requests that a cold engine bears, from all
-                              gateways together; 0: as many as a warm one */
-    uint32_t objective_ms; /* least among its routes; 0: none */
+    double origin_bytes_per_ms; /* that a weight origin can send; 0: unknown */
+    double cold_per_s;          /* requests that a cold engine bears, from all
+                                   gateways together; 0: as many as a warm one */
+    uint32_t objective_ms;      /* least among its routes; 0: none */
     QREngineModel engine;
 } QRService;
 
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &qr__fleet__slot_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qr__fleet__origin_state__init
+                     (Qr__Fleet__OriginState         *message)
+{
+  static const Qr__Fleet__OriginState init_value = QR__FLEET__ORIGIN_STATE__INIT;
+  *message = init_value;
+}
+size_t qr__fleet__origin_state__get_packed_size
+                     (const Qr__Fleet__OriginState *message)
+{
+  assert(message->base.descriptor == &qr__fleet__origin_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qr__fleet__origin_state__pack
+                     (const Qr__Fleet__OriginState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qr__fleet__origin_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qr__fleet__origin_state__pack_to_buffer
+                     (const Qr__Fleet__OriginState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qr__fleet__origin_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qr__Fleet__OriginState *
+       qr__fleet__origin_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qr__Fleet__OriginState *)
+     protobuf_c_message_unpack (&qr__fleet__origin_state__descriptor,
+                                allocator, len, data);
+}
+void   qr__fleet__origin_state__free_unpacked
+                     (Qr__Fleet__OriginState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qr__fleet__origin_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qr__fleet__frame__init
                      (Qr__Fleet__Frame         *message)
 {
@@ -1547,7 +1592,7 @@
   (ProtobufCMessageInit) qr__fleet__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor qr__fleet__engine_state__field_descriptors[13] =
 {
   {
     "engine_address",
@@ -1681,6 +1726,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace_percent",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EngineState, pace_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__EngineState, ready_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__engine_state__field_indices_by_name[] = {
   10,   /* field[10] = born_ms */
@@ -1690,7 +1759,9 @@
   6,   /* field[6] = name */
   8,   /* field[8] = others_open */
   9,   /* field[9] = others_reading */
+  11,   /* field[11] = pace_percent */
   5,   /* field[5] = reachable */
+  12,   /* field[12] = ready_ms */
   2,   /* field[2] = serving */
   7,   /* field[7] = slow_link */
   4,   /* field[4] = switching */
@@ -1698,7 +1769,7 @@
 static const ProtobufCIntRange qr__fleet__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor qr__fleet__engine_state__descriptor =
 {
@@ -1708,7 +1779,7 @@
   "Qr__Fleet__EngineState",
   "qr.fleet",
   sizeof(Qr__Fleet__EngineState),
-  11,
+  13,
   qr__fleet__engine_state__field_descriptors,
   qr__fleet__engine_state__field_indices_by_name,
   1,  qr__fleet__engine_state__number_ranges,
@@ -2230,18 +2301,20 @@
   (ProtobufCMessageInit) qr__fleet__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue qr__fleet__want__role__enum_values_by_number[3] =
+static const ProtobufCEnumValue qr__fleet__want__role__enum_values_by_number[4] =
 {
   { "RELAY", "QR__FLEET__WANT__ROLE__RELAY", 0 },
   { "FIRST", "QR__FLEET__WANT__ROLE__FIRST", 1 },
   { "ROOT", "QR__FLEET__WANT__ROLE__ROOT", 2 },
+  { "HOLDER", "QR__FLEET__WANT__ROLE__HOLDER", 3 },
 };
 static const ProtobufCIntRange qr__fleet__want__role__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex qr__fleet__want__role__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex qr__fleet__want__role__enum_values_by_name[4] =
 {
   { "FIRST", 1 },
+  { "HOLDER", 3 },
   { "RELAY", 0 },
   { "ROOT", 2 },
 };
@@ -2252,9 +2325,9 @@
   "Role",
   "Qr__Fleet__Want__Role",
   "qr.fleet",
-  3,
+  4,
   qr__fleet__want__role__enum_values_by_number,
-  3,
+  4,
   qr__fleet__want__role__enum_values_by_name,
   1,
   qr__fleet__want__role__value_ranges,
@@ -2849,7 +2922,7 @@
   (ProtobufCMessageInit) qr__fleet__rate_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__slot_request__field_descriptors[14] =
+static const ProtobufCFieldDescriptor qr__fleet__slot_request__field_descriptors[16] =
 {
   {
     "call",
@@ -3019,6 +3092,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rank",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__SlotRequest, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__SlotRequest, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__slot_request__field_indices_by_name[] = {
   0,   /* field[0] = call */
@@ -3031,15 +3128,17 @@
   1,   /* field[1] = open */
   4,   /* field[4] = open_most */
   3,   /* field[3] = prompt */
+  14,   /* field[14] = rank */
   2,   /* field[2] = reading */
   5,   /* field[5] = reading_most */
   10,   /* field[10] = rest_ms */
   6,   /* field[6] = returned */
+  15,   /* field[15] = team */
 };
 static const ProtobufCIntRange qr__fleet__slot_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor qr__fleet__slot_request__descriptor =
 {
@@ -3049,7 +3148,7 @@
   "Qr__Fleet__SlotRequest",
   "qr.fleet",
   sizeof(Qr__Fleet__SlotRequest),
-  14,
+  16,
   qr__fleet__slot_request__field_descriptors,
   qr__fleet__slot_request__field_indices_by_name,
   1,  qr__fleet__slot_request__number_ranges,
@@ -3185,7 +3284,71 @@
   (ProtobufCMessageInit) qr__fleet__slot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor qr__fleet__origin_state__field_descriptors[3] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__OriginState, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reachable",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__OriginState, reachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__OriginState, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qr__fleet__origin_state__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = reachable */
+};
+static const ProtobufCIntRange qr__fleet__origin_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor qr__fleet__origin_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qr.fleet.OriginState",
+  "OriginState",
+  "Qr__Fleet__OriginState",
+  "qr.fleet",
+  sizeof(Qr__Fleet__OriginState),
+  3,
+  qr__fleet__origin_state__field_descriptors,
+  qr__fleet__origin_state__field_indices_by_name,
+  1,  qr__fleet__origin_state__number_ranges,
+  (ProtobufCMessageInit) qr__fleet__origin_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qr__fleet__frame__field_descriptors[13] =
 {
   {
     "hello",
@@ -3331,6 +3494,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origin_state",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qr__Fleet__Frame, body_case),
+    offsetof(Qr__Fleet__Frame, origin_state),
+    &qr__fleet__origin_state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__frame__field_indices_by_name[] = {
   3,   /* field[3] = engine_state */
@@ -3338,6 +3513,7 @@
   0,   /* field[0] = hello */
   2,   /* field[2] = load */
   1,   /* field[1] = members */
+  12,   /* field[12] = origin_state */
   6,   /* field[6] = piece */
   8,   /* field[8] = probe */
   4,   /* field[4] = records */
@@ -3349,7 +3525,7 @@
 static const ProtobufCIntRange qr__fleet__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor qr__fleet__frame__descriptor =
 {
@@ -3359,7 +3535,7 @@
   "Qr__Fleet__Frame",
   "qr.fleet",
   sizeof(Qr__Fleet__Frame),
-  12,
+  13,
   qr__fleet__frame__field_descriptors,
   qr__fleet__frame__field_indices_by_name,
   1,  qr__fleet__frame__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Qr__Fleet__RateLimit Qr__Fleet__RateLimit;
 typedef struct Qr__Fleet__SlotRequest Qr__Fleet__SlotRequest;
 typedef struct Qr__Fleet__SlotReply Qr__Fleet__SlotReply;
+typedef struct Qr__Fleet__OriginState Qr__Fleet__OriginState;
 typedef struct Qr__Fleet__Frame Qr__Fleet__Frame;
 
 
@@ -50,7 +51,11 @@
   /*
    * it draws the piece from the origin
    */
-  QR__FLEET__WANT__ROLE__ROOT = 2
+  QR__FLEET__WANT__ROLE__ROOT = 2,
+  /*
+   * it sends the piece only if it is here already
+   */
+  QR__FLEET__WANT__ROLE__HOLDER = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__WANT__ROLE)
 } Qr__Fleet__Want__Role;
 typedef enum _Qr__Fleet__Piece__State {
@@ -308,10 +313,18 @@
    * start of the engine's run, as it says; 0: it does not
    */
   uint64_t born_ms;
+  /*
+   * 100: normal, 200: half as fast; 0: not known
+   */
+  uint32_t pace_percent;
+  /*
+   * 1 + expected time until the engine serves the newest version; 0: not known
+   */
+  uint32_t ready_ms;
 };
 #define QR__FLEET__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -682,10 +695,18 @@
    * requests that it bears meanwhile, of all gateways
    */
   double cold_per_s;
+  /*
+   * of this call: 0 is the most urgent
+   */
+  uint32_t rank;
+  /*
+   * hash of the name of its team; 0: no team, or not told
+   */
+  uint32_t team;
 };
 #define QR__FLEET__SLOT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__slot_request__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Qr__Fleet__SlotReply
@@ -723,6 +744,27 @@
     , 0, 0, 0, 0, NULL, 0, 0, 0 }
 
 
+/*
+ * Whether the origin of weights answers, from a sidecar that has just tried it.
+ */
+struct  Qr__Fleet__OriginState
+{
+  ProtobufCMessage base;
+  /*
+   * ip:port of the origin
+   */
+  char *address;
+  protobuf_c_boolean reachable;
+  /*
+   * since the origin answered, or failed to
+   */
+  uint32_t age_ms;
+};
+#define QR__FLEET__ORIGIN_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__origin_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 typedef enum {
   QR__FLEET__FRAME__BODY__NOT_SET = 0,
   QR__FLEET__FRAME__BODY_HELLO = 1,
@@ -736,7 +778,8 @@
   QR__FLEET__FRAME__BODY_PROBE = 9,
   QR__FLEET__FRAME__BODY_REQUESTS = 10,
   QR__FLEET__FRAME__BODY_SLOT_REQUEST = 11,
-  QR__FLEET__FRAME__BODY_SLOT_REPLY = 12
+  QR__FLEET__FRAME__BODY_SLOT_REPLY = 12,
+  QR__FLEET__FRAME__BODY_ORIGIN_STATE = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QR__FLEET__FRAME__BODY__CASE)
 } Qr__Fleet__Frame__BodyCase;
 
@@ -757,6 +800,7 @@
     Qr__Fleet__Requests *requests;
     Qr__Fleet__SlotRequest *slot_request;
     Qr__Fleet__SlotReply *slot_reply;
+    Qr__Fleet__OriginState *origin_state;
   };
 };
 #define QR__FLEET__FRAME__INIT \
@@ -1106,6 +1150,25 @@
 void   qr__fleet__slot_reply__free_unpacked
                      (Qr__Fleet__SlotReply *message,
                       ProtobufCAllocator *allocator);
+/* Qr__Fleet__OriginState methods */
+void   qr__fleet__origin_state__init
+                     (Qr__Fleet__OriginState         *message);
+size_t qr__fleet__origin_state__get_packed_size
+                     (const Qr__Fleet__OriginState   *message);
+size_t qr__fleet__origin_state__pack
+                     (const Qr__Fleet__OriginState   *message,
+                      uint8_t             *out);
+size_t qr__fleet__origin_state__pack_to_buffer
+                     (const Qr__Fleet__OriginState   *message,
+                      ProtobufCBuffer     *buffer);
+Qr__Fleet__OriginState *
+       qr__fleet__origin_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qr__fleet__origin_state__free_unpacked
+                     (Qr__Fleet__OriginState *message,
+                      ProtobufCAllocator *allocator);
 /* Qr__Fleet__Frame methods */
 void   qr__fleet__frame__init
                      (Qr__Fleet__Frame         *message);
@@ -1181,6 +1244,9 @@
 typedef void (*Qr__Fleet__SlotReply_Closure)
                  (const Qr__Fleet__SlotReply *message,
                   void *closure_data);
+typedef void (*Qr__Fleet__OriginState_Closure)
+                 (const Qr__Fleet__OriginState *message,
+                  void *closure_data);
 typedef void (*Qr__Fleet__Frame_Closure)
                  (const Qr__Fleet__Frame *message,
                   void *closure_data);
@@ -1210,6 +1276,7 @@
 extern const ProtobufCMessageDescriptor qr__fleet__rate_limit__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__slot_request__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__slot_reply__descriptor;
+extern const ProtobufCMessageDescriptor qr__fleet__origin_state__descriptor;
 extern const ProtobufCMessageDescriptor qr__fleet__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
