Pace of engines scales the forecast by which they are chosen

Cause: an engine's report has a pace that nothing used; a slow engine got as many calls as any other. Ruled out: rejecting a report with an invalid pace (the engine would get no calls); sending each small change of the pace (more messages than today). Change: the sidecar reports the pace in EngineState.pace_percent, at once when it changes by a quarter. A gateway keeps it for 2 s, beside what it observes of its own streams, and scales step, pass and prefill times by it, relative to the fastest engine that can serve: where all are slow none is avoided. An invalid pace is taken for unknown, with one warning. Conclusion: the absolute pace is qr_engine_pace().

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -22,6 +22,15 @@
    removed, because the record may expire during a store outage and come back.
  */
 #define LEAVING_RETENTION_MS 600000
+/* Two missed reports of a sidecar, which come once a second. */
+#define PACE_LASTS_MS 2000
+/* Beyond this an engine serves nobody in time, and the number is implausible.
+ */
+#define PACE_MAX_PERCENT 10000
+#define OBSERVED_PACE_WEIGHT 0.5
+#define OBSERVED_PACE_MAX 8.0 /* a long pause does not make it unusable */
+/* Smaller differences come from load that the model does not describe. */
+#define OBSERVED_PACE_MIN 1.5
 
 void qr_engine_record_free(QREngineRecord *r)
 {
@@ -117,6 +126,7 @@
         false;
     e->sidecar_slow_link = e->probing = false;
     e->sidecar_version = e->sidecar_report_ms = 0;
+    e->reported_pace = e->observed_pace = 0;
     e->failures = e->ejections = e->misdirected = 0;
     e->ejected_until_ms = e->refused_until_ms = e->deprioritized_until_ms = 0;
     e->rejections = 0;
@@ -515,3 +525,38 @@
     }
     return false;
 }
+
+bool qr_engine_report_pace(QREngine *e, uint32_t percent, uint64_t now_ms)
+{
+    bool plausible = percent <= PACE_MAX_PERCENT;
+
+    e->reported_pace = plausible ? percent / 100.0 : 0;
+    e->pace_implausible = !plausible;
+    e->pace_reported_ms = now_ms;
+    return plausible;
+}
+
+void qr_engine_observe_pace(QREngine *e, double ratio, uint64_t now_ms)
+{
+    if (!(ratio > 0))
+        return;
+    if (e->observed_pace <= 0 || now_ms > e->pace_observed_ms + PACE_LASTS_MS)
+        e->observed_pace = 1;
+    e->observed_pace += OBSERVED_PACE_WEIGHT *
+                        (MIN(ratio, OBSERVED_PACE_MAX) - e->observed_pace);
+    e->pace_observed_ms = now_ms;
+}
+
+double qr_engine_pace(const QREngine *e, uint64_t now_ms)
+{
+    uint64_t age_ms = now_ms - MIN(now_ms, e->pace_observed_ms);
+    double pace = 1, observed;
+
+    if (e->reported_pace > 0 && now_ms <= e->pace_reported_ms + PACE_LASTS_MS)
+        pace = MAX(pace, e->reported_pace);
+    if (e->observed_pace <= 0 || age_ms >= PACE_LASTS_MS)
+        return pace;
+    observed =
+        1 + (e->observed_pace - 1) * (1 - (double)age_ms / PACE_LASTS_MS);
+    return observed >= OBSERVED_PACE_MIN ? MAX(pace, observed) : pace;
+}
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -87,6 +87,11 @@
     bool has_sidecar_report, sidecar_switching, sidecar_unreachable,
         sidecar_slow_link;
     uint64_t sidecar_version, sidecar_report_ms;
+    double reported_pace;  /* by the sidecar; 1: normal, 2: half as fast; 0:
+                              unknown */
+    double observed_pace;  /* smoothed, from pauses of own streams; 0: none */
+    bool pace_implausible; /* the last reported one */
+    uint64_t pace_reported_ms, pace_observed_ms;
     QREngineSlots slots;
     QRNotices notices; /* response headers of this run */
     /* circuit breaker and backoff, from this gateway's own calls */
@@ -194,6 +199,15 @@
 /* The version of weights that new calls run on; 0: none, or unknown. */
 uint64_t qr_engine_version(const QREngine *e);
 
+/* Stores the pace that the sidecar reports, in percent; 0: unknown. Returns
+   false if it is implausible, and is then taken for unknown. */
+bool qr_engine_report_pace(QREngine *e, uint32_t percent, uint64_t now_ms);
+/* Records how many times longer than usual a stream pauses there. */
+void qr_engine_observe_pace(QREngine *e, double ratio, uint64_t now_ms);
+/* How many times slower than normal the engine is: 1 if nothing is known, never
+   less. */
+double qr_engine_pace(const QREngine *e, uint64_t now_ms);
+
 /* Result of a call to an engine. */
 typedef enum QREngineOutcome {
     QR_OUTCOME_GOOD,    /* a complete response */
--- a/src/fleet/qr_platform.h
+++ b/src/fleet/qr_platform.h
@@ -98,7 +98,8 @@
     uint64_t sequence; /* of the last order accepted */
     uint64_t born_ms;  /* start of this engine process, Unix time; 0: unknown */
     unsigned active, queued;
-    double pace;
+    double pace;       /* 1: normal, 2: half as fast; 0: unknown */
+    bool pace_invalid; /* it states a pace that is no plausible number */
 } QREngineReport;
 
 void qr_engine_report_clear(QREngineReport *r);
--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -59,6 +59,7 @@
 /* The predicted state of an engine for one call. */
 typedef struct Forecast {
     double first_ms, gap_ms;
+    double pace; /* relative to the fastest engine that can serve */
     unsigned open, slots;
 } Forecast;
 
@@ -145,21 +146,51 @@
            (m->step_ms + m->per_sequence_ms * open);
 }
 
-static Forecast forecast(const QREngine *e, const QRBalanceInput *in)
+/* Of the engines that can serve, the pace of the fastest one. Usually that of
+   the first one looked at. */
+static double least_pace(const QREngines *engines, const QRBalanceInput *in)
 {
-    Forecast f = {DEFAULT_FIRST_BYTE_MS, 0, qr_engine_open(e),
-                  slot_count(e, in)};
+    const GPtrArray *list = qr_engines_of(engines, in->service);
+    double least = 0;
+
+    for (unsigned i = 0; list && i < list->len && least != 1; i++) {
+        const QREngine *e = list->pdata[i];
+        double pace = qr_engine_pace(e, in->now_ms);
+
+        if ((least == 0 || pace < least) && can_serve(e, in))
+            least = pace;
+    }
+    return MAX(least, 1);
+}
+
+/* How many times slower the engine is than 'least', the fastest one: where all
+   are slow none is avoided. */
+static double relative_pace(const QREngine *e, double least,
+                            const QRBalanceInput *in)
+{
+    return MAX(qr_engine_pace(e, in->now_ms) / least, 1);
+}
+
+static Forecast forecast(const QREngine *e, double least,
+                         const QRBalanceInput *in)
+{
+    Forecast f = {.first_ms = DEFAULT_FIRST_BYTE_MS,
+                  .pace = relative_pace(e, least, in),
+                  .open = qr_engine_open(e),
+                  .slots = slot_count(e, in)};
     const QREngineModel *m = in->model;
     double per_ms, pass_ms, reading_ms, silence_ms;
 
     if (needs_weights(in) && m->read_per_s > 0) {
-        per_ms = m->read_per_s / 1000;
-        pass_ms = pass_ms_of(m, MIN(f.open, f.slots));
+        per_ms = m->read_per_s / 1000 / f.pace;
+        pass_ms = pass_ms_of(m, MIN(f.open, f.slots)) * f.pace;
         reading_ms =
             (qr_engine_reading(e, per_ms, in->now_ms) + in->prompt_tokens) /
             per_ms;
         f.gap_ms = pass_ms + reading_ms;
         f.first_ms = (f.open > 0 ? pass_ms / 2 : 0) + reading_ms + pass_ms;
+    } else {
+        f.first_ms *= f.pace;
     }
     silence_ms = (double)qr_engine_first_byte_wait_ms(e, in->now_ms);
     if (silence_ms > MIN_SILENCE_MS)
@@ -196,8 +227,8 @@
  * Computes the limits for a request for a slot. Returns false if the call would
  * be too late even with no unread prompt ahead of it.
  */
-static bool compute_limits(const QREngine *e, const QRBalanceInput *in,
-                           QRBalanceLimits *l)
+static bool compute_limits(const QREngine *e, double pace,
+                           const QRBalanceInput *in, QRBalanceLimits *l)
 {
     const QREngineModel *m = in->model;
     unsigned slots = slot_count(e, in);
@@ -213,9 +244,9 @@
     l->max_unread_tokens = UINT32_MAX;
     if (!needs_weights(in) || m->read_per_s <= 0)
         return true;
-    tokens =
-        reading_budget_ms(in, pass_ms_of(m, slots)) * m->read_per_s / 1000 -
-        in->prompt_tokens;
+    tokens = reading_budget_ms(in, pass_ms_of(m, slots) * pace) *
+                 m->read_per_s / 1000 / pace -
+             in->prompt_tokens;
     l->max_unread_tokens = tokens > 0 ? (unsigned)MIN(tokens, 1e9) : 0;
     return tokens >= 0;
 }
@@ -238,7 +269,7 @@
 
     if (in->now_ms < e->slots.denied_until_ms)
         return false;
-    return (compute_limits(e, in, &l) || f->open == 0) &&
+    return (compute_limits(e, f->pace, in, &l) || f->open == 0) &&
            l.max_open_calls > (leaves_region(e, in) ? f->open : 0);
 }
 
@@ -343,7 +374,7 @@
     c->engine_open = best->forecast.open;
     c->engine_slots = best->forecast.slots;
     c->needs_slot = qr_engine_has_coordinator(best->engine, in->now_ms);
-    (void)compute_limits(best->engine, in, &c->limits);
+    (void)compute_limits(best->engine, best->forecast.pace, in, &c->limits);
 }
 
 /* Returns for how long an engine that can serve wants no request, because it
@@ -430,6 +461,7 @@
     /* used only if no engine of known load can serve */
     Samples unknown = preferred;
     unsigned known = 0; /* usable engines of known load */
+    double least = least_pace(engines, in);
     const Candidate *best;
     QRBalanceChoice c = {0};
     Backoff backoff = {0};
@@ -451,7 +483,7 @@
                            x.engine->sidecar_switching;
             continue;
         }
-        x.forecast = forecast(x.engine, in);
+        x.forecast = forecast(x.engine, least, in);
         if (is_load_unknown(x.engine, in))
             samples = &unknown;
         else
@@ -490,7 +522,7 @@
         qr_placement_check(&in->placement, e->record->zone) !=
             QR_PLACEMENT_ALLOWED)
         return false;
-    only.forecast = forecast(e, in);
+    only.forecast = forecast(e, 1, in); /* by its pace alone */
     fill_choice(c, &only, in);
     return true;
 }
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -5,9 +5,11 @@
  */
 #include "qr_gateway_peers_parts.h"
 
+#include <math.h>
 #include <string.h>
 
 #define SIDECAR_TIMEOUT_MS 2500  /* a sidecar sends its state every 1 s */
+#define PACE_LOGGED 0.25         /* smaller changes of a pace are not logged */
 #define SIDECAR_RECONNECT_MS 700 /* allowed after a connection is lost */
 
 void qr_gateway_fill_hello(void *owner, QRFrame *frame, Qr__Fleet__Hello *hello)
@@ -194,6 +196,21 @@
     qr_gateway_poll_engines_faster(g);
 }
 
+/* Logs a pace that differs much from the last one, or is implausible. */
+static void take_pace(QREngine *e, uint32_t percent, uint64_t now)
+{
+    double before = qr_engine_pace(e, now);
+    bool was_known = !e->pace_implausible;
+    bool known = qr_engine_report_pace(e, percent, now);
+    double pace = qr_engine_pace(e, now);
+
+    if (known != was_known || fabs(pace - before) >= PACE_LOGGED)
+        qr_logf(known ? QR_LEVEL_INFO : QR_LEVEL_WARN, "engines",
+                "told pace=%.2f before=%.2f reported_percent=%u plausible=%d "
+                "engine=%s",
+                pace, before, percent, known, e->record->id);
+}
+
 static void take_engine_state(QRGateway *g, QRPeerConn *peer,
                               const Qr__Fleet__EngineState *state)
 {
@@ -223,6 +240,7 @@
     e->sidecar_switching = state->switching;
     e->sidecar_unreachable = !state->reachable;
     e->sidecar_slow_link = state->slow_link;
+    take_pace(e, state->pace_percent, qr_gateway_now(g));
     if (!member->reserves_slots)
         return;
     qr_gateway_set_sidecar_coordinator(g, e, peer);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define PACE_CHANGE_FACTOR 1.25
 #define PROCESS_STALL_MS 150 /* longer gaps count as a suspension */
 #define TICK_INTERVAL_MS 25
 #define SLOW_TICK_INTERVAL_MS 100
@@ -78,17 +79,34 @@
     return 0;
 }
 
+/* Whether the pace differs so much from the last one sent that gateways have to
+   know at once; smaller changes wait for the next regular state. */
+static bool pace_changed(const QRSidecar *s, double pace)
+{
+    double sent = s->sent_pace;
+
+    return (pace > 0) != (sent > 0) ||
+           (sent > 0 && (pace > sent * PACE_CHANGE_FACTOR ||
+                         sent > pace * PACE_CHANGE_FACTOR));
+}
+
 static void apply_report(QRSidecar *s, QREngineReport *new, bool reachable)
 {
-    bool changed = s->report_ms == 0 || reachable != s->reachable ||
+    bool invalid_before = s->report.pace_invalid;
+    bool changed = s->report_ms == 0 || pace_changed(s, new->pace) ||
+                   reachable != s->reachable ||
                    new->version != s->report.version ||
                    new->born_ms != s->report.born_ms;
 
     if (changed)
         qr_logf(QR_LEVEL_INFO, "engine",
                 "reports reachable=%d version=%" G_GUINT64_FORMAT
-                " busy=%d sequence=%" G_GUINT64_FORMAT " active=%u",
-                reachable, new->version, new->busy, new->sequence, new->active);
+                " busy=%d sequence=%" G_GUINT64_FORMAT " active=%u pace=%.2f",
+                reachable, new->version, new->busy, new->sequence, new->active,
+                new->pace);
+    if (new->pace_invalid && !invalid_before)
+        qr_logf(QR_LEVEL_WARN, "engine",
+                "reports an invalid pace, taken for unknown");
     /* the engine restarted: its staged pieces must be listed again */
     if (s->report_ms && (new->sequence < s->report.sequence ||
                          (new->born_ms && s->report.born_ms &&new->born_ms !=
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -97,6 +97,7 @@
     uv_timer_t timer;
     QRTicks ticks;
     uv_signal_t sigterm, sigint, sighup;
+    double sent_pace; /* of the engine, as last sent to gateways */
     uint64_t incarnation, slow_tick_ms, state_sent_ms;
     /* the engine */
     QREngineReport report;
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -75,6 +75,7 @@
     state->reachable = s->reachable;
     state->born_ms = s->report.born_ms;
     state->name = s->set->host;
+    state->pace_percent = (uint32_t)(s->report.pace * 100 + 0.5);
 }
 
 static void send_state(QRSidecar *s, QRPeerConn *peer)
@@ -113,6 +114,7 @@
         (!changed && now < s->state_sent_ms + STATE_INTERVAL_MS))
         return;
     s->state_sent_ms = now;
+    s->sent_pace = s->report.pace;
     for (unsigned i = 0; i < s->gateways->len; i++)
         send_state(s, s->gateways->pdata[i]);
 }
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -322,6 +322,7 @@
         self.model, self.version = model, version
         self.slots = 4
         self.sequence = 0
+        self.pace = None  # in its reports; None: it does not say
         self.born = 0   # start of this run, Unix ms; 0: it does not say
         self.busy_until = 0
         self.next_version = 0
@@ -382,7 +383,8 @@
                            "busy": self.busy_until > 0,
                            "sequence": self.sequence, "queued": 0,
                            "active": 0, "kv-used": 0, "kv-total": 1,
-                           "sessions": 0} | self.start())
+                           "sessions": 0} | self.start()
+                    | ({} if self.pace is None else {"pace": self.pace}))
 
     def order(self, conn, order):
         if order.get("expected-revision") != self.sequence:
