Unsent bytes of a server can be bounded in sum

Cause: an answer with over 1 MB unread is aborted, which bounds a call but not the process: 100 callers that read nothing hold 100 MB. Ruled out: pausing reads from engines (engines abort unread answers, or run out of memory); aborting inside a write (the relay that writes may be the victim). Change: a server counts the unsent bytes of its connections at each write. qr_server_limit_unsent() aborts the answer of whom has read nothing for longest while the sum exceeds the limit.

--- a/src/net/qr_exchange.c
+++ b/src/net/qr_exchange.c
@@ -12,8 +12,21 @@
 
 void qr_conn_write(QRConn *c, const void *data, size_t len)
 {
-    if (!c->closing)
-        (void)qr_socket_write(&c->tcp, data, len);
+    if (c->closing)
+        return;
+    (void)qr_socket_write(&c->tcp, data, len);
+    qr_conn_count_pending(c, len);
+}
+
+void qr_conn_count_pending(QRConn *c, size_t written)
+{
+    size_t now = uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp);
+
+    /* fewer than before and written since: the caller has read some */
+    if (c->pending == 0 || now < c->pending + written)
+        c->read_ms = qr_clock_ms(c->server->loop);
+    c->server->pending += now - c->pending;
+    c->pending = now;
 }
 
 void qr_append_status_line(GString *out, unsigned status)
--- a/src/net/qr_server.c
+++ b/src/net/qr_server.c
@@ -37,6 +37,8 @@
     QRConn *moved = s->conns->pdata[s->conns->len - 1];
 
     c->closing = true;
+    s->pending -= c->pending;
+    c->pending = 0;
     s->conns->pdata[c->index] = moved;
     moved->index = c->index;
     g_ptr_array_set_size(s->conns, (int)s->conns->len - 1);
@@ -403,6 +405,56 @@
         conn_tick(s->conns->pdata[i - 1], now_ms);
 }
 
+/* Resets a connection, which its caller cannot take for the end of a complete
+   answer. */
+static void conn_abort(QRConn *c, const char *why)
+{
+    bool open = c->exchange.state != QR_EXCHANGE_NONE;
+
+    c->exchange.state = QR_EXCHANGE_NONE;
+    qr_conn_detach(c);
+    if (open)
+        c->server->handlers->disconnected(c->server->owner, &c->exchange, why);
+    if (uv_tcp_close_reset(&c->tcp, qr_conn_free) != 0)
+        uv_close((uv_handle_t *)&c->tcp, qr_conn_free);
+}
+
+/* Returns the connection with unsent bytes whose caller has read nothing for
+   the longest time, or NULL. */
+static QRConn *server_longest_unread(const QRServer *s)
+{
+    QRConn *longest = NULL;
+
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        QRConn *c = s->conns->pdata[i];
+
+        if (c->pending > 0 && (!longest || c->read_ms < longest->read_ms))
+            longest = c;
+    }
+    return longest;
+}
+
+unsigned qr_server_limit_unsent(QRServer *s, size_t limit, uint64_t now_ms)
+{
+    unsigned aborted = 0;
+    QRConn *c;
+
+    if (limit == 0 || s->pending <= limit)
+        return 0;
+    for (unsigned i = 0; i < s->conns->len; i++)
+        qr_conn_count_pending(s->conns->pdata[i], 0);
+    while (s->pending > limit && (c = server_longest_unread(s))) {
+        qr_logf(QR_LEVEL_WARN, "callers",
+                "aborted why=unread answers exceed their memory unsent=%zu "
+                "unread_ms=%" G_GUINT64_FORMAT " unsent_all=%zu limit=%zu",
+                c->pending, now_ms - MIN(now_ms, c->read_ms), s->pending,
+                limit);
+        conn_abort(c, "aborted, as unread answers exceed their memory");
+        aborted++;
+    }
+    return aborted;
+}
+
 unsigned qr_server_connections(const QRServer *s)
 {
     return s->conns->len;
--- a/src/net/qr_server.h
+++ b/src/net/qr_server.h
@@ -44,6 +44,12 @@
 unsigned qr_server_close_idle(QRServer *s);
 /* Checks timeouts; to be called a few times a second. */
 void qr_server_tick(QRServer *s, uint64_t now_ms);
+/*
+ * While more than 'limit' bytes are unsent over all connections, aborts the
+ * answer to the caller that has read nothing for the longest time. 0: no limit.
+ * Returns the number of answers aborted.
+ */
+unsigned qr_server_limit_unsent(QRServer *s, size_t limit, uint64_t now_ms);
 unsigned qr_server_connections(const QRServer *s);
 /* Closes all connections without calling handlers, and frees the server. */
 void qr_server_close(QRServer *s);
--- a/src/net/qr_server_parts.h
+++ b/src/net/qr_server_parts.h
@@ -34,6 +34,8 @@
     uint64_t since_ms;      /* when the current state began */
     uint32_t idle_limit_ms; /* idle timeout in force when it became idle */
     size_t unsent;          /* unsent bytes at the last tick, after an answer */
+    size_t pending;         /* unsent bytes counted in server->pending */
+    uint64_t read_ms;       /* when the caller last read, or had read all */
     bool request_begun;     /* bytes of a request were received */
     bool closing, lingering;
     bool processing;  /* qr_conn_process_input() is running */
@@ -45,6 +47,7 @@
     uv_tcp_t tcp;
     uv_loop_t *loop;
     GPtrArray *conns; /* QRConn * */
+    size_t pending;   /* unsent bytes of all connections, as last counted */
     QRServerLimits limits;
     const QRServerHandlers *handlers;
     void *owner;
@@ -56,6 +59,8 @@
 /* Marks the connection as closing and removes it from its server. */
 void qr_conn_detach(QRConn *c);
 void qr_conn_write(QRConn *c, const void *data, size_t len);
+/* Counts the unsent bytes of the connection, after it wrote 'written'. */
+void qr_conn_count_pending(QRConn *c, size_t written);
 /* Shuts down the sending side and keeps reading for a while: an immediate close
    could reset the connection before the caller has read the answer. */
 void qr_conn_linger(QRConn *c);
