One owner fetches each piece from the origin; versions are scheduled

Cause: a sidecar that waited long for a root asked the next root, which fetched the piece again; the roots of two versions were different sidecars, so that both versions shared the origin's bandwidth; a gateway that was followed anew made every sidecar its own only root for a moment; and an origin that had returned was asked by all at once.

Change: roots are the same for all versions and keep their pieces when others come or go; as many as the origin's bandwidth keeps busy. A root is waited for as long as it reports that it waits, and yields if the origin answers others but not it. One prober and backoff while the origin is unreachable. A new owner first asks the relays. Versions that a newer one replaces within their bound are skipped, and engines switch between completion and bound.

--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -21,7 +21,9 @@
 
 #define QR_FLEET_SETTINGS_SIDECAR                                              \
     /* share of the host's link for weights while calls use the link */        \
-    DEF(weights_link_percent, 5, 100, 85)
+    DEF(weights_link_percent, 5, 100, 85)                                      \
+    /* skip versions that a newer one replaces in time; 0: fetch all */        \
+    DEF(schedule_versions, 0, 1, 1)
 
 #define QR_FLEET_SETTINGS_GATEWAY                                              \
     DEF(address_valid_s, 1, 600, 2)       /* callers' cache of an address   */ \
--- a/src/fleet/qr_members.h
+++ b/src/fleet/qr_members.h
@@ -16,6 +16,7 @@
     uint64_t incarnation;
     uint64_t heard_ms; /* last message from the member itself; 0: none */
     bool listed;       /* a gateway lists the member among the sidecars */
+    bool confirmed;    /* listed by the gateway that is followed now */
     uint64_t disconnected_ms; /* when its connection was lost; 0: connected */
     const void *conn;         /* of its last Hello message; not owned */
     QRKnownVersions known; /* which of the operator's records the member has */
--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -357,6 +357,21 @@
     return list ? &g_array_index(list, QRNamedVersion, list->len - 1) : NULL;
 }
 
+const QRNamedVersion *qr_operator_version_after(const QROperator *o,
+                                                const char *model,
+                                                uint64_t version)
+{
+    GArray *list = model ? g_hash_table_lookup(o->versions, model) : NULL;
+
+    for (unsigned i = 0; list && i < list->len; i++) {
+        const QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
+
+        if (v->version > version)
+            return v;
+    }
+    return NULL;
+}
+
 uint64_t qr_operator_overdue_version(const QROperator *o, const char *model,
                                      uint64_t bound_ms, uint64_t now_ms)
 {
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -83,6 +83,10 @@
 /* Returns the newest version of a model's weights, or NULL. */
 const QRNamedVersion *qr_operator_newest_version(const QROperator *o,
                                                  const char *model);
+/* Returns the oldest known version newer than 'version', or NULL. */
+const QRNamedVersion *qr_operator_version_after(const QROperator *o,
+                                                const char *model,
+                                                uint64_t version);
 /*
  * Returns the newest version that was named at least 'bound_ms' ago; 0: none.
  * Each version keeps its own bound when later versions are named.
--- a/src/net/qr_traffic.h
+++ b/src/net/qr_traffic.h
@@ -24,7 +24,8 @@
     X(PROBE, probe)                                                            \
     X(REQUESTS, requests)                                                      \
     X(SLOT_REQUEST, slot_request)                                              \
-    X(SLOT_REPLY, slot_reply)
+    X(SLOT_REPLY, slot_reply)                                                  \
+    X(ORIGIN_STATE, origin_state)
 
 typedef enum QRFrameKind {
 #define X(upper, lower) QR_FRAME_##upper,
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -6,21 +6,35 @@
 
 #include <string.h>
 
-#define CONNECT_MS 700
 #define ORIGIN_TIMEOUT_MS 2500
 #define ORIGIN_REQUESTS_MAX 1 /* the origin accepts few connections */
-#define ORIGIN_RETRY_MS 150   /* delay after a failed request */
+/* A piece is tried again this long after the origin sent a damaged one. */
+#define DAMAGED_RETRY_MS 150
+/* A sidecar learns within this time after its start which others there are.
+   Before that it would own the pieces of others. */
+#define MEMBERS_KNOWN_MS 1000
+/* A relay replies within this time whether it holds a piece; one that has
+   queued the piece sends it within the second. */
+#define HOLDER_REPLY_MS 150
+#define HOLDER_SEND_MS 1500
+/* Named longer ago, pieces may have been fetched before this sidecar heard of
+   the version. */
+#define FIRST_FETCH_MS 1500
+/* If no source delivers and no piece arrives for so long, this sidecar fetches
+   pieces that it does not own: it may be able to reach the origin only. */
+#define ISOLATED_MS 2000
 /* Idle connections to the origin are closed: other sidecars need them. */
 #define ORIGIN_IDLE_MS 300
 #define STALL_MS 900              /* no piece from any source: ask another */
 #define PEER_TIMEOUT_MS 4000      /* for a peer to deliver a piece */
 #define PEER_REPLY_TIMEOUT_MS 900 /* for a peer to send any reply at all */
-#define PENDING_TIMEOUT_MS 1500   /* since a peer last reported PENDING */
-/* While other pieces arrive, a pending piece is waited for no longer. */
-#define ROOT_TIMEOUT_MS 5000
-#define RELAY_TIMEOUT_MS 9000       /* longer: a relay waits for a root */
+#define PENDING_TIMEOUT_MS 1000   /* since a peer last reported PENDING */
+/* While other pieces arrive, a relay is waited for no longer. A root is waited
+   for as long as it reports PENDING: it knows by itself that it cannot reach
+   the origin, and another root would fetch the piece a second time. */
+#define RELAY_TIMEOUT_MS 9000
 #define MEMBER_VIEWS_SETTLE_MS 1500 /* until sidecars see the same members */
-#define PENDING_NOTICE_MS 500 /* between PENDING messages to a waiting peer */
+#define PENDING_NOTICE_MS 400 /* between PENDING messages to a waiting peer */
 /* The manifest is small: its peer timeouts are divided by this number. */
 #define MANIFEST_TIMEOUT_DIVISOR 3
 #define DIAL_TIMEOUT_MS 300
@@ -110,30 +124,114 @@
     return true;
 }
 
+static uint64_t next_random(const QRSidecar *s, uint64_t salt)
+{
+    return qr_hash_str(s->set->host, qr_sidecar_now(s) + salt);
+}
+
+/* Whether the origin could not be used, rather than lacking this piece. */
+static bool is_origin_failure(const QRBufferedAnswer *a)
+{
+    return a->status == 0 || a->status == 429 || a->status >= 500;
+}
+
+static void note_origin_failure(QRTarget *t, uint32_t index,
+                                const QRBufferedAnswer *a)
+{
+    QRSidecar *s = t->sidecar;
+    uint64_t now = qr_sidecar_now(s);
+    g_auto(QRSourcePlan) plan = {0};
+    QROriginFailure f = {
+        .retry_after_ms =
+            qr_platform_retry_delay_ms(s->platform, a->status, a->headers),
+        .random = next_random(s, index),
+    };
+
+    qr_sidecar_plan(s, t->version, &plan);
+    f.probes = qr_source_is_prober(&plan);
+    qr_origin_note_failure(&s->origin, &f, now);
+    s->origin_failures++;
+    qr_logf(QR_LEVEL_WARN, "weights",
+            "origin failed index=%d status=%u why=%s version=%" G_GUINT64_FORMAT
+            " failures=%u probes=%d retry_in_ms=%" G_GUINT64_FORMAT,
+            (int)index, a->status, a->error ? a->error : "-", t->version,
+            s->origin.failures, f.probes, s->origin.retry_ms - now);
+}
+
 static void handle_origin_answer(void *owner, unsigned index,
                                  const QRBufferedAnswer *a)
 {
     QRTarget *t = owner;
+    QRSidecar *s = t->sidecar;
     QRPiece *p = qr_piece(t, index);
-    uint64_t retry_after_ms =
-        qr_platform_retry_delay_ms(t->sidecar->platform, a->status, a->headers);
+    uint64_t now = qr_sidecar_now(s);
 
     p->fetch = NULL;
-    t->sidecar->origin_bytes += a->len;
-    t->sidecar->origin_used_ms = qr_sidecar_now(t->sidecar);
+    s->origin_bytes += a->len;
+    s->origin_used_ms = now;
+    if (is_origin_failure(a)) {
+        note_origin_failure(t, index, a);
+        p->asked = false;
+        p->asked_ms = now;
+        return;
+    }
+    qr_origin_note_answer(&s->origin, now);
+    s->origin_pieces++;
+    qr_pieces_report_origin(s, now);
     /* the next tick requests the next piece: this connection cannot carry
        another request until the last bytes of this answer are processed */
     if (a->status == 200 && accept_piece(t, index, a->data, a->len, "origin"))
         return;
     qr_logf(QR_LEVEL_WARN, "weights",
-            "origin failed index=%d status=%u why=%s version=%" G_GUINT64_FORMAT
-            " rest_ms=%" G_GUINT64_FORMAT,
-            (int)index, a->status, a->error ? a->error : "-", t->version,
-            retry_after_ms);
+            "origin sent no valid piece index=%d status=%u "
+            "version=%" G_GUINT64_FORMAT,
+            (int)index, a->status, t->version);
     p->asked = false;
-    p->asked_ms = qr_sidecar_now(t->sidecar);
-    t->sidecar->origin_retry_ms =
-        p->asked_ms + MAX(ORIGIN_RETRY_MS, retry_after_ms);
+    p->asked_ms = now;
+    s->origin.retry_ms = now + DAMAGED_RETRY_MS;
+}
+
+static void send_origin_state(QRSidecar *s, QRPeerConn *peer, uint64_t now)
+{
+    QRFrame frame = QR__FLEET__FRAME__INIT;
+    Qr__Fleet__OriginState state = QR__FLEET__ORIGIN_STATE__INIT;
+
+    state.address = (char *)origin_address(s);
+    state.reachable = true;
+    state.age_ms = (uint32_t)MIN(now - s->origin.answered_ms, G_MAXUINT32);
+    frame.body_case = QR__FLEET__FRAME__BODY_ORIGIN_STATE;
+    frame.origin_state = &state;
+    qr_peer_send(peer, &frame);
+}
+
+void qr_pieces_report_origin(QRSidecar *s, uint64_t now_ms)
+{
+    g_auto(QRSourcePlan) plan = {0};
+
+    if (!origin_address(s) || !qr_origin_take_report(&s->origin, now_ms))
+        return;
+    qr_sidecar_plan(s, qr_sidecar_newest_version(s), &plan);
+    for (unsigned i = 0; i < plan.roots->len; i++) {
+        const QRFleetMember *m = plan.roots->pdata[i];
+        QRPeerConn *peer = strcmp(m->name, s->set->host) != 0
+                               ? qr_sidecar_open_peer(s, m->address)
+                               : NULL;
+
+        if (peer)
+            send_origin_state(s, peer, now_ms);
+    }
+}
+
+void qr_pieces_handle_origin_state(QRSidecar *s,
+                                   const Qr__Fleet__OriginState *state)
+{
+    uint64_t now = qr_sidecar_now(s);
+
+    /* from a peer that has another configuration, or malformed */
+    if (!state->reachable || g_strcmp0(state->address, origin_address(s)) != 0)
+        return;
+    qr_origin_note_peer_answer(&s->origin, now - MIN(now, state->age_ms),
+                               next_random(s, state->age_ms), now);
 }
 
 unsigned qr_pieces_count_origin_requests(const QRSidecar *s)
@@ -160,22 +258,87 @@
         qr_client_close_idle(s->origin_client, origin_address(s));
 }
 
-static void request_from_origin(QRTarget *t, uint32_t index, uint64_t now)
+/* Whether the members are known, so that the owner of a piece is. */
+static bool knows_members(const QRSidecar *s, uint64_t now)
+{
+    return now >= s->started_ms + MEMBERS_KNOWN_MS &&
+           (s->followed_gateway || s->reads_store);
+}
+
+/* Asks the relays of all regions for the piece, if they hold it. */
+static void ask_holders(QRTarget *t, uint32_t index, const QRSourcePlan *plan)
+{
+    QRSidecar *s = t->sidecar;
+    g_autoptr(GPtrArray) relays = g_ptr_array_new();
+
+    qr_source_first_relays(plan, index, relays);
+    for (unsigned i = 0; i < relays->len; i++) {
+        const QRFleetMember *m = relays->pdata[i];
+        QRPeerConn *peer = qr_sidecar_open_peer(s, m->address);
+        QRFrame frame = QR__FLEET__FRAME__INIT;
+        Qr__Fleet__Want want = QR__FLEET__WANT__INIT;
+
+        if (!peer)
+            continue;
+        want.role = QR__FLEET__WANT__ROLE__HOLDER;
+        want.model = s->model;
+        want.version = t->version;
+        want.index = index;
+        frame.body_case = QR__FLEET__FRAME__BODY_WANT;
+        frame.want = &want;
+        qr_peer_send(peer, &frame);
+    }
+}
+
+/*
+ * Whether a relay may still deliver the piece. A sidecar that owns it only now
+ * replaces an owner that may have fetched it; what that owner passed on is with
+ * the relays, and the origin need not send it again.
+ */
+static bool awaits_holder(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
+                          uint64_t now)
+{
+    QRPiece *p = qr_piece(t, index);
+
+    if (index == QR_MANIFEST_INDEX || p->owned_at_first)
+        return false;
+    if (p->holders_asked_ms == 0) {
+        p->holders_asked_ms = now;
+        ask_holders(t, index, plan);
+        return true;
+    }
+    return now < p->holders_asked_ms + HOLDER_REPLY_MS ||
+           (p->holder_found_ms > 0 &&
+            now < p->holder_found_ms + HOLDER_SEND_MS);
+}
+
+/* Sends the request if the origin, the other requests and the schedule of
+   versions allow. */
+static void request_from_origin(QRTarget *t, uint32_t index,
+                                const QRSourcePlan *plan, uint64_t now)
 {
     QRSidecar *s = t->sidecar;
     g_autofree char *path = NULL;
     QRBufferedRequest r = {0};
 
-    if (!origin_address(s) || now < s->origin_retry_ms ||
+    if (!origin_address(s) || !knows_members(s, now) ||
+        !qr_origin_may_request(&s->origin, now) ||
         qr_pieces_count_origin_requests(s) >= ORIGIN_REQUESTS_MAX)
         return;
+    if (!qr_source_is_owner(plan, index) &&
+        qr_piece(t, index)->attempts.roots == 0 &&
+        !qr_piece(t, index)->uses_role &&
+        now < t->progress.last_ms + ISOLATED_MS)
+        return;
+    if (awaits_holder(t, index, plan, now))
+        return;
     path = index == QR_MANIFEST_INDEX
                ? s->platform->manifest_path(s->model, t->version)
                : s->platform->piece_path(s->model, t->version, index);
     r.address = origin_address(s);
     r.method = "GET";
     r.path = path;
-    r.connect_ms = CONNECT_MS;
+    r.connect_ms = qr_origin_connect_timeout_ms(&s->origin);
     r.timeout_ms = ORIGIN_TIMEOUT_MS;
     qr_piece(t, index)->fetch =
         qr_buffered_send(s->origin_client, &r, handle_origin_answer, t, index);
@@ -293,15 +456,17 @@
 static bool is_overdue(const QRTarget *t, uint32_t index, uint64_t now)
 {
     const QRPiece *p = qr_piece(t, index);
-    uint64_t pending_ms = p->from_root ? ROOT_TIMEOUT_MS : RELAY_TIMEOUT_MS;
     uint64_t divisor =
         index == QR_MANIFEST_INDEX ? MANIFEST_TIMEOUT_DIVISOR : 1;
 
+    if (!p->asked)
+        return false;
     if (p->pending)
         return now > p->asked_ms + PENDING_TIMEOUT_MS ||
-               qr_progress_is_source_overdue(&t->progress, p->first_asked_ms,
-                                             pending_ms, now);
-    if (p->asked && !p->answered)
+               (!p->from_root &&
+                qr_progress_is_source_overdue(&t->progress, p->first_asked_ms,
+                                              RELAY_TIMEOUT_MS, now));
+    if (!p->answered)
         return now > p->asked_ms + PEER_REPLY_TIMEOUT_MS / divisor;
     if (now > p->asked_ms + PEER_TIMEOUT_MS / divisor)
         return true;
@@ -340,6 +505,42 @@
     return p->uses_role ? p->role : QR_PIECE_ROLE_NONE;
 }
 
+/* Fetches the piece from the origin, or lets another root do so if the origin
+   does not answer this host. */
+static void fetch_as_root(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
+                          uint64_t now)
+{
+    QRSidecar *s = t->sidecar;
+    QRPiece *p = qr_piece(t, index);
+
+    if (plan->roots->len < 2 || !qr_origin_must_yield(&s->origin, now)) {
+        request_from_origin(t, index, plan, now);
+        return;
+    }
+    s->origin_yields++;
+    p->attempts.roots++;
+    p->uses_role = false;
+    p->role = QR_PIECE_ROLE_NONE;
+    qr_logf(QR_LEVEL_INFO, "weights",
+            "origin unreachable from here, another root fetches index=%d "
+            "version=%" G_GUINT64_FORMAT " roots_tried=%u",
+            (int)index, t->version, p->attempts.roots);
+}
+
+/* Notes whether this sidecar owned the piece when it heard of it, soon after
+   the version was named. */
+static void note_first_owner(QRTarget *t, uint32_t index,
+                             const QRSourcePlan *plan, uint64_t now)
+{
+    QRPiece *p = qr_piece(t, index);
+
+    p->asked_ms = now;
+    p->owned_at_first =
+        qr_source_is_owner(plan, index) && t->named_ms > 0 &&
+        t->first_tick_ms < t->named_ms + FIRST_FETCH_MS &&
+        t->first_tick_ms >= t->sidecar->started_ms + MEMBERS_KNOWN_MS;
+}
+
 /*
  * A source that does not have the piece yet is waited for only while it is
  * still the preferred source, because sidecars that see different members
@@ -355,7 +556,7 @@
     if (p->data || p->fetch || p->stage)
         return;
     if (p->asked_ms == 0)
-        p->asked_ms = now_ms;
+        note_first_owner(t, index, plan, now_ms);
     if (is_overdue(t, index, now_ms)) {
         p->asked_ms = now_ms;
         advance_source(p);
@@ -368,7 +569,7 @@
         return;
     p->asked = p->pending = false;
     if (!source.from)
-        request_from_origin(t, index, now_ms);
+        fetch_as_root(t, index, plan, now_ms);
     else if (index == QR_MANIFEST_INDEX || source.role == QR_PIECE_ROLE_ROOT ||
              count_incoming(s) < (unsigned)s->piece_window)
         request_from_peer(t, index, &source, now_ms);
@@ -415,6 +616,9 @@
             return;
         }
     }
+    if (!p->data && piece->state == QR__FLEET__PIECE__STATE__QUEUED &&
+        p->holders_asked_ms > 0)
+        p->holder_found_ms = qr_sidecar_now(s);
     if (p->data || !from || g_strcmp0(p->source, from->name) != 0)
         return;
     p->answered = true;
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -38,7 +38,13 @@
         qr_members_of(&s->members, QR_ROLE_SIDECAR, s->set->service);
     const QRService *origin =
         s->operator.policy ? qr_policy_origin(s->operator.policy) : NULL;
+    const QRService *service = qr_sidecar_service(s);
     const QRTarget *t = qr_target_find(s, s->model, version);
+    QROriginLimits limits = {
+        .connections = origin ? origin->connections_max : 0,
+        .bytes_per_ms = origin ? origin->origin_bytes_per_ms : 0,
+        .piece_bytes = service ? service->engine.chunk_bytes : 0,
+    };
 
     for (unsigned i = members->len; i > 0; i--) {
         const QRFleetMember *m = members->pdata[i - 1];
@@ -47,7 +53,7 @@
             g_ptr_array_remove_index(members, i - 1);
     }
     qr_source_plan_init(plan, members, s->set->host, s->set->region,
-                        origin ? origin->connections_max : 0, s->model, version,
+                        qr_source_root_count(&limits), s->model, version,
                         t && t->pieces ? t->pieces->len : 0);
 }
 
@@ -281,6 +287,10 @@
         "quayring_sidecar_origin_bytes_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_peer_pieces_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_orders_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_origin_pieces_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_origin_failures_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_origin_yields_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_versions_skipped_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_serving_version %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_target_version %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_granted_total %" G_GUINT64_FORMAT "\n"
@@ -288,9 +298,11 @@
         "quayring_sidecar_slots_yielded_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_paced_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_rested_total %" G_GUINT64_FORMAT "\n",
-        s->origin_bytes, s->peer_pieces, s->orders, s->report.version,
-        qr_sidecar_newest_version(s), s->slots.granted, s->slots.denied,
-        s->slots.yielded, s->slots.rate_limited, s->slots.backed_off);
+        s->origin_bytes, s->peer_pieces, s->orders, s->origin_pieces,
+        s->origin_failures, s->origin_yields, s->versions_skipped,
+        s->report.version, qr_sidecar_newest_version(s), s->slots.granted,
+        s->slots.denied, s->slots.yielded, s->slots.rate_limited,
+        s->slots.backed_off);
     qr_traffic_append_metrics(qr_peers_traffic(s->peers), text);
     qr_exchange_reply(x, 200, NULL, text->str, text->len);
 }
@@ -347,7 +359,7 @@
     s->operator_follower = qr_follower_new(s->store_client, s->platform,
                                            &operator, & operator_handlers, s);
     qr_follower_pause(s->operator_follower, true);
-    s->followed_until_ms = qr_sidecar_now(s);
+    s->followed_until_ms = s->started_ms = qr_sidecar_now(s);
     for (unsigned i = 0; i < s->set->seeds->len; i++)
         qr_peers_dial(s->peers, s->set->seeds->pdata[i]);
 }
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -18,9 +18,11 @@
 #include "net/qr_ticks.h"
 #include "net/qr_buffered_call.h"
 #include "qr_upload_limiter.h"
+#include "qr_origin.h"
 #include "qr_progress.h"
 #include "fleet/qr_slots.h"
 #include "qr_sources.h"
+#include "qr_version_schedule.h"
 
 #include <uv.h>
 
@@ -33,20 +35,24 @@
     bool verified;        /* read back after staging and found intact */
     uint64_t verified_ms; /* when it was read back */
     QRSourceAttempts attempts;
-    QRPieceRole role;        /* role in which peers ask this sidecar for it */
-    bool uses_role;          /* its source follows 'role': waiting failed */
-    bool from_root;          /* the peer asked is a root, not a relay */
-    bool asked;              /* a peer was asked at 'asked_ms' */
-    bool answered;           /* the peer asked has sent some reply */
-    bool pending;            /* the peer will send a reply once it has it */
-    uint64_t asked_ms;       /* of the request or the last PENDING reply */
-    uint64_t first_asked_ms; /* of the first request to 'source' */
-    uint64_t dial_ms;        /* start of dialling the peer; 0: not dialling */
-    char *source;            /* name of the peer asked */
-    const void *asked_conn;  /* connection to it; not owned, may be closed */
-    QRBufferedCall *fetch;   /* request to the origin, or NULL */
-    QRBufferedCall *stage;   /* request to the engine, or NULL */
-    bool stage_is_read;      /* 'stage' reads the piece back */
+    QRPieceRole role;          /* role in which peers ask this sidecar for it */
+    bool uses_role;            /* its source follows 'role': waiting failed */
+    bool owned_at_first;       /* this sidecar owned it when it was named */
+    uint64_t holders_asked_ms; /* when relays were asked whether they hold it,
+                                  before it is fetched again; 0: never */
+    uint64_t holder_found_ms;  /* a relay has queued it; 0: none has */
+    bool from_root;            /* the peer asked is a root, not a relay */
+    bool asked;                /* a peer was asked at 'asked_ms' */
+    bool answered;             /* the peer asked has sent some reply */
+    bool pending;              /* the peer will send a reply once it has it */
+    uint64_t asked_ms;         /* of the request or the last PENDING reply */
+    uint64_t first_asked_ms;   /* of the first request to 'source' */
+    uint64_t dial_ms;          /* start of dialling the peer; 0: not dialling */
+    char *source;              /* name of the peer asked */
+    const void *asked_conn;    /* connection to it; not owned, may be closed */
+    QRBufferedCall *fetch;     /* request to the origin, or NULL */
+    QRBufferedCall *stage;     /* request to the engine, or NULL */
+    bool stage_is_read;        /* 'stage' reads the piece back */
 } QRPiece;
 
 /*
@@ -63,7 +69,12 @@
     GArray *pieces;          /* QRPiece; NULL without a manifest */
     unsigned held_pieces;    /* number of pieces in memory */
     QRProgress progress;
-    uint64_t logged_ms; /* when the progress was last logged */
+    uint64_t logged_ms;     /* when the progress was last logged */
+    uint64_t first_tick_ms; /* when its pieces were first looked at; 0: not */
+    /* not fetched: a newer version will be served within this one's bound */
+    bool skipped;
+    uint64_t complete_forecast_ms; /* by the schedule; 0: unknown */
+    bool forecast_in_time;
     bool scanning;
     bool scanned; /* pieces stored at the engine have been listed */
 } QRTarget;
@@ -116,9 +127,14 @@
     QRUploadLimiter upload_limiter;
     uint64_t link_slow_until_ms; /* see qr_link_is_slow() */
     uint64_t pending_refresh_ms; /* next PENDING reply to the waiters */
-    uint64_t origin_retry_ms;    /* no request to the origin before this time */
-    uint64_t origin_used_ms;     /* its last reply; 0: no idle connection */
-    double piece_window;         /* limit of pieces requested at once */
+    QROrigin origin;
+    uint64_t schedule_ms; /* when versions were last scheduled */
+    uint64_t started_ms;
+    uint64_t members_asked_ms; /* the followed gateway was asked for its list of
+                                  members, and may still send it; 0: it was
+                                  not, or that is over */
+    uint64_t origin_used_ms;   /* its last reply; 0: no idle connection */
+    double piece_window;       /* limit of pieces requested at once */
     /* the order to the engine to start a version */
     QRBufferedCall *order_call;
     uint64_t order_next_ms, order_answered_ms;
@@ -127,6 +143,7 @@
                               or is being executed by the engine */
     uint64_t announced_ms; /* when gateways were told; 0: no order is due */
     uint64_t origin_bytes, peer_pieces, orders;
+    uint64_t origin_pieces, origin_failures, origin_yields, versions_skipped;
     bool reported_slow_link; /* last link state sent to gateways */
     bool stopped;
 };
@@ -138,6 +155,9 @@
 void qr_sidecar_plan(const QRSidecar *s, uint64_t version, QRSourcePlan *plan);
 /* The newest version named by the operator; 0: none is known. */
 uint64_t qr_sidecar_newest_version(const QRSidecar *s);
+/* The expected time in ms until the engine serves the newest version; 0: it
+   does already, or nothing is known. */
+uint64_t qr_sidecar_ready_in_ms(const QRSidecar *s, uint64_t now_ms);
 /* Whether the engine serves 'version' of the model, or a newer one. */
 bool qr_sidecar_serves(const QRSidecar *s, uint64_t version);
 /* The newest version that is fetched completely or served; 0: none. */
@@ -165,6 +185,11 @@
    on the link. */
 bool qr_link_is_slow(QRSidecar *s, uint64_t now_ms);
 void qr_link_note_slow(QRSidecar *s, uint64_t now_ms);
+/* Reports to the other roots that the origin answers, if that is due. */
+void qr_pieces_report_origin(QRSidecar *s, uint64_t now_ms);
+/* A peer reports that the origin answers it. */
+void qr_pieces_handle_origin_state(QRSidecar *s,
+                                   const Qr__Fleet__OriginState *state);
 /* Number of open requests to the origin. */
 unsigned qr_pieces_count_origin_requests(const QRSidecar *s);
 /* Tells peers that wait for a piece that it has arrived. */
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -11,6 +11,9 @@
 #define DELEGATE_WAIT_MS 1000
 #define GATEWAYS_FETCH_MS                                                      \
     300 /* for the list and for hellos of gateways on it */
+/* For the list of members of a newly followed gateway. One that has just
+   started meets the others within a second. */
+#define LIST_WAIT_MS 1500
 #define FOLLOW_SEED 17
 
 static void peer_fill_hello(void *owner, QRFrame *frame,
@@ -35,14 +38,40 @@
     hello->reserves_slots = true;
 }
 
-static void mark_all_unlisted(QRSidecar *s)
+static void mark_all_unconfirmed(QRSidecar *s)
 {
     GHashTableIter it;
     void *value;
 
     g_hash_table_iter_init(&it, s->members.by_name);
     while (g_hash_table_iter_next(&it, NULL, &value))
-        ((QRFleetMember *)value)->listed = false;
+        ((QRFleetMember *)value)->confirmed = false;
+}
+
+/*
+ * Ends the listing of members that the followed gateway did not list. They were
+ * kept until now, because a gateway that has just started knows few members:
+ * their pieces would change owners twice, and be fetched again each time.
+ */
+static void drop_unconfirmed(QRSidecar *s, uint64_t now_ms)
+{
+    GHashTableIter it;
+    void *value;
+
+    if (s->members_asked_ms == 0 || now_ms < s->members_asked_ms + LIST_WAIT_MS)
+        return;
+    s->members_asked_ms = 0;
+    g_hash_table_iter_init(&it, s->members.by_name);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        QRFleetMember *m = value;
+
+        if (m->confirmed || !m->listed)
+            continue;
+        qr_logf(QR_LEVEL_INFO, "members", "not listed name=%s role=%s", m->name,
+                m->role);
+        m->listed = false;
+        m->complete_version = 0;
+    }
 }
 
 /* Asks a gateway to relay members and operator records to this sidecar. */
@@ -60,12 +89,15 @@
             ((const QRFleetMember *)qr_peer_data(peer))->name,
             ((const QRFleetMember *)qr_peer_data(peer))->delegate);
     qr_peer_set_liveness(peer, QR_PEER_RECEIVES);
-    mark_all_unlisted(s); /* the gateway will send the list of members */
+    mark_all_unconfirmed(s); /* the gateway will send the list of members */
+    s->members_asked_ms = qr_sidecar_now(s);
     qr_peer_send(peer, &frame);
 }
 
 static void fill_state(const QRSidecar *s, Qr__Fleet__EngineState *state)
 {
+    uint64_t ready_ms;
+
     state->engine_address = s->set->engine;
     state->model = s->model ? s->model : (char *)"";
     state->serving = s->report.version;
@@ -74,6 +106,8 @@
     state->slow_link = s->reported_slow_link;
     state->reachable = s->reachable;
     state->born_ms = s->report.born_ms;
+    ready_ms = qr_sidecar_ready_in_ms(s, qr_sidecar_now(s));
+    state->ready_ms = ready_ms ? (uint32_t)MIN(ready_ms + 1, G_MAXUINT32) : 0;
     state->name = s->set->host;
 }
 
@@ -176,7 +210,7 @@
     if (m->listed == h->gone)
         qr_logf(QR_LEVEL_INFO, "members", "%s name=%s role=%s",
                 h->gone ? "gone" : "listed", m->name, m->role);
-    m->listed = !h->gone;
+    m->listed = m->confirmed = !h->gone;
     if (h->gone)
         m->complete_version = 0;
 }
@@ -256,6 +290,9 @@
     case QR__FLEET__FRAME__BODY_PIECE:
         qr_weights_handle_piece(s, peer, frame->piece);
         break;
+    case QR__FLEET__FRAME__BODY_ORIGIN_STATE:
+        qr_pieces_handle_origin_state(s, frame->origin_state);
+        break;
     case QR__FLEET__FRAME__BODY_SLOT_REQUEST:
         peer_slot_request(s, peer, member->name, frame->slot_request);
         break;
@@ -362,6 +399,7 @@
     QRPeerConn *chosen = choose_gateway(s);
     uint64_t now = qr_sidecar_now(s);
 
+    drop_unconfirmed(s, now);
     if (!chosen)
         return;
     if (s->followed_gateway) {
--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -12,6 +12,12 @@
  * connections that are slow to close. */
 #define CONNECTIONS_PER_ROOT 3
 #define ROOTS_DEFAULT 8
+#define ROOTS_MAX 64
+/* The requests that are open at the origin take this long together: enough to
+   keep it busy between two requests of a root, and less than a connection
+   attempt may take. */
+#define ORIGIN_QUEUE_MS 400
+#define ROOTS_MIN 2
 /* Number of relay groups that each relay is in, see relay_group(). */
 #define GROUPS_PER_RELAY 2
 /* Only holders are asked once 1 in this many of a region holds the version. */
@@ -34,15 +40,89 @@
     return wm < wn ? -1 : wm > wn ? 1 : strcmp(m->name, n->name);
 }
 
-void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
-                         const char *self, const char *region,
-                         unsigned origin_connections, const char *model,
-                         uint64_t version, unsigned pieces)
+unsigned qr_source_root_count(const QROriginLimits *limits)
 {
-    unsigned roots = origin_connections
-                         ? origin_connections / CONNECTIONS_PER_ROOT
+    unsigned roots = limits->connections
+                         ? limits->connections / CONNECTIONS_PER_ROOT
                          : ROOTS_DEFAULT;
-    unsigned staying = 0, staying_local = 0;
+    double busy;
+
+    if (limits->bytes_per_ms > 0 && limits->piece_bytes > 0) {
+        busy = ORIGIN_QUEUE_MS * limits->bytes_per_ms / limits->piece_bytes;
+        roots = MIN(roots, (unsigned)CLAMP(busy, ROOTS_MIN, ROOTS_MAX));
+    }
+    return CLAMP(roots, 1, ROOTS_MAX);
+}
+
+/* A member that may become a root. */
+typedef struct RootCandidate {
+    QRFleetMember *member;
+    uint64_t weight;
+} RootCandidate;
+
+/* Whether 'a' is preferred to 'b'. */
+static bool is_better_root(const RootCandidate *a, const RootCandidate *b)
+{
+    if (a->member->leaving != b->member->leaving)
+        return !a->member->leaving;
+    if (a->weight != b->weight)
+        return a->weight < b->weight;
+    return strcmp(a->member->name, b->member->name) < 0;
+}
+
+/* Inserts 'c' into the best 'max' candidates. Returns their number. */
+static unsigned insert_candidate(RootCandidate *best, unsigned n, unsigned max,
+                                 const RootCandidate *c)
+{
+    unsigned at = n;
+
+    while (at > 0 && is_better_root(c, &best[at - 1]))
+        at--;
+    if (at >= max)
+        return n;
+    n = MIN(n + 1, max);
+    memmove(&best[at + 1], &best[at], (n - 1 - at) * sizeof(*best));
+    best[at] = *c;
+    return n;
+}
+
+/* Returns up to 'max' roots. Each keeps its place when others come or go: it
+   takes the first free place from the one that its name hashes to. */
+static GPtrArray *choose_roots(const GPtrArray *members, unsigned max,
+                               const char *model)
+{
+    RootCandidate best[ROOTS_MAX];
+    g_autofree char *key = g_strdup_printf("root/%s", model);
+    GPtrArray *roots = g_ptr_array_new();
+    unsigned n = 0;
+    bool staying = false;
+
+    for (unsigned i = 0; i < members->len; i++)
+        staying = staying || !((QRFleetMember *)members->pdata[i])->leaving;
+    for (unsigned i = 0; i < members->len; i++) {
+        RootCandidate c = {.member = members->pdata[i]};
+
+        if (staying && c.member->leaving)
+            continue;
+        c.weight = qr_rendezvous(key, c.member->name);
+        n = insert_candidate(best, n, max, &c);
+    }
+    g_ptr_array_set_size(roots, (int)n);
+    for (unsigned i = 0; i < n; i++) {
+        unsigned at = (unsigned)(best[i].weight % n);
+
+        while (roots->pdata[at])
+            at = (at + 1) % n;
+        roots->pdata[at] = best[i].member;
+    }
+    return roots;
+}
+
+void qr_source_plan_init(QRSourcePlan *plan, const GPtrArray *members,
+                         const char *self, const char *region, unsigned roots,
+                         const char *model, uint64_t version, unsigned pieces)
+{
+    unsigned staying_local = 0;
     OrderKey key;
 
     g_snprintf(key.text, sizeof(key.text), "%s/%" G_GUINT64_FORMAT, model,
@@ -59,10 +139,9 @@
         const QRFleetMember *m = members->pdata[i];
 
         g_ptr_array_add(plan->all, members->pdata[i]);
-        staying += !m->leaving;
         staying_local += !m->leaving && g_strcmp0(m->region, region) == 0;
     }
-    plan->roots = MIN(MAX(roots, 1), staying ? staying : members->len);
+    plan->roots = choose_roots(members, CLAMP(roots, 1, ROOTS_MAX), model);
     plan->relays = staying_local;
     g_ptr_array_sort_with_data(plan->all, compare_rank, &key);
     for (unsigned i = 0; i < plan->all->len; i++) {
@@ -88,6 +167,7 @@
 {
     g_clear_pointer(&plan->all, g_ptr_array_unref);
     g_clear_pointer(&plan->local, g_ptr_array_unref);
+    g_clear_pointer(&plan->roots, g_ptr_array_unref);
     g_clear_pointer(&plan->holders, g_ptr_array_unref);
     g_clear_pointer(&plan->local_holders, g_ptr_array_unref);
 }
@@ -115,10 +195,20 @@
         return member_at_rank(plan->local_holders, rank);
     if (!is_manifest && plan->holders->len > 0)
         return member_at_rank(plan->holders, rank);
-    if (plan->roots == 0)
-        return NULL;
-    root = plan->all->pdata[rank % plan->roots];
-    return is_self(plan, root) ? NULL : root;
+    root = member_at_rank(plan->roots, rank);
+    return root && !is_self(plan, root) ? root : NULL;
+}
+
+bool qr_source_is_owner(const QRSourcePlan *plan, uint32_t index)
+{
+    const QRFleetMember *root = member_at_rank(plan->roots, index);
+
+    return root && is_self(plan, root);
+}
+
+bool qr_source_is_prober(const QRSourcePlan *plan)
+{
+    return qr_source_is_owner(plan, 0);
 }
 
 /* Sidecars of leaving engines are relays only if no other sidecar remains. */
@@ -200,7 +290,7 @@
 static bool is_exhausted(const QRSourcePlan *plan, QRSourceAttempts tried)
 {
     return tried.relays >= MAX(plan->local->len, ATTEMPTS_MIN) ||
-           tried.roots >= MAX(plan->roots, ATTEMPTS_MIN);
+           tried.roots >= MAX(plan->roots->len, ATTEMPTS_MIN);
 }
 
 /* Returns the relay to ask for the piece; NULL: this sidecar asks a root. */
@@ -242,6 +332,40 @@
                                       : QR_PIECE_ROLE_RELAY};
 }
 
+/* The relays of one region, counted in the order of the plan. */
+typedef struct RegionRelays {
+    unsigned staying, passed;
+} RegionRelays;
+
+void qr_source_first_relays(const QRSourcePlan *plan, uint32_t index,
+                            GPtrArray *out)
+{
+    g_autoptr(GHashTable) regions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+
+    for (unsigned pass = 0; pass < 2; pass++) {
+        for (unsigned i = 0; i < plan->all->len; i++) {
+            QRFleetMember *m = plan->all->pdata[i];
+            RegionRelays *r = g_hash_table_lookup(regions, m->region);
+            RelayGroup group;
+
+            if (m->leaving)
+                continue;
+            if (!r) {
+                r = g_new0(RegionRelays, 1);
+                g_hash_table_insert(regions, m->region, r);
+            }
+            if (pass == 0) {
+                r->staying++;
+                continue;
+            }
+            group = relay_group(plan->pieces, r->staying, index);
+            if (r->passed++ == group.first && !is_self(plan, m))
+                g_ptr_array_add(out, m);
+        }
+    }
+}
+
 bool qr_source_is_relay(const QRSourcePlan *plan, uint32_t index,
                         const QRFleetMember *member)
 {
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -18,11 +18,10 @@
 #define ANNOUNCE_DELAY_MS 80
 #define DRAIN_TIMEOUT_MS 1200 /* for calls at the engine to end */
 #define CUT_STREAMS_MAX 4     /* running streams that a start may cut */
-#define SWITCH_LEAD_MS 2200   /* by then the first sidecars have all pieces */
+/* From the order to the report that gateways receive of the new version. */
+#define REPORT_DELAY_MS 200
 /* Gateways require the new version this long before its bound. */
 #define GATEWAY_MARGIN_MS 1000
-/* The last engine is ordered to start this long before the bound. */
-#define LAST_ORDER_MARGIN_MS 1200
 
 /*
  * Handles the answer to reading a piece back. A piece that matches its digest
@@ -268,19 +267,48 @@
 }
 
 /* When the engine may start the version. An engine that gateways do not use
-   starts at once; the others start in turn. */
+   starts at once; the others start in turn, within the bound of the oldest
+   version that they lack. */
 static uint64_t start_due_ms(const QRTarget *t, uint64_t now_ms)
 {
     const QRSidecar *s = t->sidecar;
+    const QRNamedVersion *next =
+        qr_operator_version_after(&s->operator, s->model, s->report.version);
     g_auto(QRSourcePlan) plan = {0};
-    uint64_t bound = (uint64_t)s->set->version_ms;
+    QRSwitchWindow window;
+    uint64_t named_ms = t->named_ms;
 
-    if (!is_in_use(s, now_ms) || t->named_ms == 0)
+    if (!is_in_use(s, now_ms) || named_ms == 0)
         return 0;
+    if (next && next->since_ms > 0)
+        named_ms = MIN(named_ms, next->since_ms);
+    window =
+        qr_switch_window(named_ms, (uint64_t)s->set->version_ms,
+                         qr_target_is_complete(t) ? t->progress.last_ms : 0);
     qr_sidecar_plan(s, t->version, &plan);
-    return qr_switch_time_ms(
-        &plan, t->named_ms + MIN(SWITCH_LEAD_MS, bound / 3),
-        t->named_ms + bound - MIN(bound, LAST_ORDER_MARGIN_MS));
+    return qr_switch_time_ms(&plan, window.first_ms, window.last_ms);
+}
+
+uint64_t qr_sidecar_ready_in_ms(const QRSidecar *s, uint64_t now_ms)
+{
+    const QRTarget *t = s->targets && s->targets->len > 0
+                            ? s->targets->pdata[s->targets->len - 1]
+                            : NULL;
+    const QRService *service = qr_sidecar_service(s);
+    uint64_t start_ms;
+
+    if (!t || !service || qr_sidecar_serves(s, t->version))
+        return 0;
+    if (s->switching && !s->announced_ms)
+        start_ms = now_ms;
+    else if (qr_target_is_complete(t))
+        start_ms = start_due_ms(t, now_ms);
+    else if (t->complete_forecast_ms > 0)
+        start_ms = t->complete_forecast_ms;
+    else
+        return 0;
+    return MAX(start_ms, now_ms) - now_ms + service->engine.warmup_ms +
+           REPORT_DELAY_MS;
 }
 
 /*
@@ -294,7 +322,7 @@
     for (unsigned i = 0; i < s->targets->len; i++) {
         QRTarget *t = s->targets->pdata[i];
 
-        if (!t->pieces || qr_sidecar_serves(s, t->version))
+        if (!t->pieces || t->skipped || qr_sidecar_serves(s, t->version))
             continue;
         if (!chosen || qr_target_is_complete(t))
             chosen = t;
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -296,10 +296,16 @@
  */
 static void adopt_attempts(QRPiece *p, const Qr__Fleet__Want *want)
 {
+    QRPieceRole role = role_wanted(want);
     QRSourceAttempts tried = {MAX(p->attempts.relays, want->attempt),
-                              MAX(p->attempts.roots, want->root_attempt)};
-
-    p->role = MAX(p->role, role_wanted(want));
+                              p->attempts.roots};
+
+    /* A relay finds out by itself which root does not deliver: the asker may
+       only have a bad link to that root, and the next root would fetch the
+       piece a second time. */
+    if (role == QR_PIECE_ROLE_ROOT)
+        tried.roots = MAX(tried.roots, want->root_attempt);
+    p->role = MAX(p->role, role);
     if (p->fetch || (tried.relays == p->attempts.relays &&
                      tried.roots == p->attempts.roots))
         return;
@@ -332,7 +338,8 @@
                   want->version, want->index, 0};
     QRPiece *p;
 
-    if (is_unknown_version(s, want)) {
+    if (is_unknown_version(s, want) &&
+        want->role != QR__FLEET__WANT__ROLE__HOLDER) {
         g_array_append_val(s->waiters, w);
         send_piece(peer, want->model, want->version, want->index,
                    QR__FLEET__PIECE__STATE__PENDING, NULL);
@@ -363,7 +370,8 @@
     }
     /* other sidecars hold the version too; if this one asked them, they
        could ask this one in turn */
-    if (is_missing(w.target, w.index)) {
+    if (is_missing(w.target, w.index) ||
+        want->role == QR__FLEET__WANT__ROLE__HOLDER) {
         qr_upload_send_state(&w, QR__FLEET__PIECE__STATE__ABSENT);
         return;
     }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -7,6 +7,11 @@
 
 #define WINDOW_INITIAL_PIECES 3
 #define PROGRESS_LOG_MS 1000
+#define SCHEDULE_INTERVAL_MS 100
+#define SCHEDULED_MAX 8 /* the newest versions; more are never fetched */
+/* For the engines of all sidecars to switch one after the other: each is
+   drained for up to 1.2 s, and a third of them at once are too many. */
+#define SWITCH_SPREAD_MS 3500
 
 static void piece_clear(void *p)
 {
@@ -215,8 +220,10 @@
     g_auto(QRSourcePlan) plan = {0};
     unsigned offset;
 
-    if (!is_needed(t))
+    if (!is_needed(t) || t->skipped)
         return;
+    if (t->first_tick_ms == 0)
+        t->first_tick_ms = now;
     if (t->manifest && (must_scan_first(t) || qr_target_is_complete(t)))
         return;
     qr_sidecar_plan(s, t->version, &plan);
@@ -232,6 +239,82 @@
                       now);
 }
 
+/* What the schedule of versions needs to know about transfers; rates are 0
+   where the configuration states none. */
+static QRTransferRates transfer_rates(const QRSidecar *s)
+{
+    const QRService *service = qr_sidecar_service(s);
+    const QRService *origin =
+        s->operator.policy ? qr_policy_origin(s->operator.policy) : NULL;
+    double share = (double)s->set->weights_link_percent / 100;
+
+    return (QRTransferRates){
+        .origin_bytes_per_ms = origin ? origin->origin_bytes_per_ms : 0,
+        .link_bytes_per_ms = s->set->link_mbit_s * 1e6 / 8 / 1000 * share,
+        .piece_bytes = service ? service->engine.chunk_bytes : 0,
+        .switch_ms =
+            SWITCH_SPREAD_MS + (service ? service->engine.warmup_ms : 0),
+    };
+}
+
+static unsigned missing_pieces(const QRSidecar *s, const QRTarget *t)
+{
+    const QRService *service = qr_sidecar_service(s);
+
+    if (qr_sidecar_serves(s, t->version))
+        return 0;
+    if (t->pieces)
+        return t->pieces->len - t->held_pieces;
+    return service ? service->engine.chunks : 0;
+}
+
+static void apply_schedule(QRTarget *t, const QRScheduledVersion *v,
+                           uint64_t now_ms)
+{
+    QRSidecar *s = t->sidecar;
+
+    if (v->skipped != t->skipped || v->in_time != t->forecast_in_time)
+        qr_logf(
+            QR_LEVEL_INFO, "weights",
+            "schedule version=%" G_GUINT64_FORMAT
+            " skipped=%d in_time=%d missing=%u complete_in_ms=%" G_GINT64_FORMAT
+            " due_in_ms=%" G_GINT64_FORMAT,
+            t->version, v->skipped, v->in_time, v->pieces_missing,
+            (int64_t)(v->complete_ms - now_ms), (int64_t)(v->due_ms - now_ms));
+    s->versions_skipped += v->skipped && !t->skipped;
+    t->skipped = v->skipped;
+    t->forecast_in_time = v->in_time;
+    t->complete_forecast_ms = v->complete_ms;
+}
+
+/* Decides which of the versions that are being fetched are needed. */
+static void schedule_versions(QRSidecar *s, uint64_t now_ms)
+{
+    QRScheduledVersion versions[SCHEDULED_MAX];
+    QRTransferRates rates = transfer_rates(s);
+    unsigned n = MIN(s->targets->len, SCHEDULED_MAX);
+    unsigned first = s->targets->len - n;
+
+    if (!s->set->schedule_versions ||
+        now_ms < s->schedule_ms + SCHEDULE_INTERVAL_MS)
+        return;
+    s->schedule_ms = now_ms;
+    for (unsigned i = 0; i < n; i++) {
+        const QRTarget *t = s->targets->pdata[first + i];
+
+        versions[i] = (QRScheduledVersion){
+            .version = t->version,
+            .pieces_missing = missing_pieces(s, t),
+            .due_ms = (t->named_ms ? t->named_ms : now_ms) +
+                      (uint64_t)s->set->version_ms,
+            .skipped = t->skipped,
+        };
+    }
+    qr_version_schedule(versions, n, &rates, now_ms);
+    for (unsigned i = 0; i < n; i++)
+        apply_schedule(s->targets->pdata[first + i], &versions[i], now_ms);
+}
+
 void qr_weights_tick(QRSidecar *s, uint64_t now_ms)
 {
     if (!s->model || !s->report_ms)
@@ -239,6 +322,7 @@
     drop_superseded(s);
     qr_pieces_close_idle_origin(s, now_ms);
     qr_pieces_notify_pending(s, now_ms);
+    schedule_versions(s, now_ms);
     for (unsigned i = 0; i < s->targets->len; i++)
         target_tick(s->targets->pdata[i], now_ms);
 }
--- a/tests/unit_sources.c
+++ b/tests/unit_sources.c
@@ -38,7 +38,6 @@
 
 #define SIDECARS 18
 #define PIECES 72
-#define ORIGIN_CONNECTIONS 24 /* results in ROOTS roots */
 #define ROOTS 8
 
 static QRPieceSource source(const QRFleetMembers *m, const char *self,
@@ -48,7 +47,7 @@
     g_auto(QRSourcePlan) plan = {0};
 
     qr_source_plan_init(&plan, list, self, qr_members_get(m, self)->region,
-                        ORIGIN_CONNECTIONS, "m", 2, PIECES);
+                        ROOTS, "m", 2, PIECES);
     return qr_source_choose(&plan, index, (QRSourceAttempts){relays, roots},
                             QR_PIECE_ROLE_NONE);
 }
@@ -174,8 +173,7 @@
     qr_members_init(&m);
     members_fill(&m, SIDECARS);
     list = qr_members_of(&m, QR_ROLE_SIDECAR, "s");
-    qr_source_plan_init(&plan, list, "s0", "r0", ORIGIN_CONNECTIONS, "m", 2,
-                        PIECES);
+    qr_source_plan_init(&plan, list, "s0", "r0", ROOTS, "m", 2, PIECES);
     for (unsigned piece = 0; piece < PIECES; piece++) {
         unsigned relays = 0;
 
@@ -336,7 +334,7 @@
         char self[16];
 
         g_snprintf(self, sizeof(self), "s%u", i);
-        qr_source_plan_init(&plan, list, self, "r0", ORIGIN_CONNECTIONS, "m", 2,
+        qr_source_plan_init(&plan, list, self, "r0", ROOTS, "m", 2,
                             MODEL_PIECES);
         for (unsigned piece = 0; piece < MODEL_PIECES; piece++) {
             QRPieceSource at = qr_source_choose(
@@ -389,7 +387,7 @@
 
     qr_members_get(m, late)->leaving = atoi(self + 1) % 2 == 0;
     qr_source_plan_init(&plan, list, self, qr_members_get(m, self)->region,
-                        ORIGIN_CONNECTIONS, "m", 2, PIECES);
+                        ROOTS, "m", 2, PIECES);
     return qr_source_choose(&plan, piece, (QRSourceAttempts){0, 0}, role);
 }
 
@@ -447,8 +445,7 @@
         uint64_t due;
 
         g_snprintf(self, sizeof(self), "s%u", i);
-        qr_source_plan_init(&plan, list, self, "r0", ORIGIN_CONNECTIONS, "m", 2,
-                            PIECES);
+        qr_source_plan_init(&plan, list, self, "r0", ROOTS, "m", 2, PIECES);
         due = qr_switch_time_ms(&plan, 1000, 1900);
         ck_assert(due >= 1000 && due <= 1900);
         at[(due - 1000) / 100]++;
