All gateways are listed to sidecars that followed while regions were unsettled

Cause: a gateway that knows up to 24 others notes that it has told its sidecars of the gateways of other regions. Change: the list is told again once regions settle. Also: failures of the origin expire, and a version is dropped once any newer one is complete.

--- a/src/gateway/qr_gateway_neighbours.c
+++ b/src/gateway/qr_gateway_neighbours.c
@@ -4,7 +4,7 @@
  * gateway has some of these, because it dials the seeds in any region, and
  * because it cannot tell the delegates while it knows few gateways.
  */
-#include "qr_gateway.h"
+#include "qr_gateway_peers_parts.h"
 
 #include <string.h>
 
@@ -124,8 +124,14 @@
         return;
     g->neighbours_settled = g->neighbours_changed = true;
     for (unsigned i = 0;
-         g->neighbours.known > UNSETTLED_MAX && i < gateways->len; i++)
-        ((QRFleetMember *)gateways->pdata[i])->gateways_asked = 0;
+         g->neighbours.known > UNSETTLED_MAX && i < gateways->len; i++) {
+        QRFleetMember *m = gateways->pdata[i];
+
+        m->gateways_asked = 0;
+        /* sidecars that began to follow since UNSETTLED_MAX was exceeded were
+           not told of the gateways of other regions */
+        m->told_as = TOLD_NOTHING;
+    }
     qr_logf(QR_LEVEL_INFO, "members",
             "gateways settled known=%u region=%u delegate=%d", gateways->len,
             qr_gateway_region_size(g, g->set->region),
--- a/src/sidecar/qr_origin.c
+++ b/src/sidecar/qr_origin.c
@@ -19,6 +19,8 @@
 /* A report as old as the first failure says nothing about the time since. */
 #define REPORT_MARGIN_MS 300
 #define YIELD_MS 3000
+/* A sidecar that still fetches tries again within this time. */
+#define FAILURES_EXPIRE_MS 5000
 #define REPORT_INTERVAL_MS 500
 /* A connection attempt waits behind the pieces that the origin sends. */
 #define CONNECT_TIMEOUT_MS 700
@@ -55,6 +57,9 @@
 {
     uint64_t delay_ms;
 
+    /* failures of an earlier fetch say nothing about this one */
+    if (now_ms > o->retry_ms + FAILURES_EXPIRE_MS)
+        o->failures = 0;
     if (o->failures++ == 0)
         o->failing_since_ms = MAX(now_ms, 1);
     delay_ms = MAX(retry_delay_ms(o, f->probes), f->retry_after_ms);
@@ -73,7 +78,7 @@
 {
     if (now_ms < o->yield_until_ms)
         return true;
-    if (o->failures < 2 ||
+    if (o->failures < 2 || now_ms > o->retry_ms + FAILURES_EXPIRE_MS ||
         now_ms < o->failing_since_ms + UNREACHABLE_AFTER_MS ||
         o->peer_answered_ms < o->failing_since_ms + REPORT_MARGIN_MS)
         return false;
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -45,6 +45,19 @@
     g_ptr_array_remove(s->targets, t);
 }
 
+/* Whether a newer version than the target at 'index' is complete or served. */
+static bool is_replaced(const QRSidecar *s, unsigned index)
+{
+    for (unsigned i = index + 1; i < s->targets->len; i++) {
+        const QRTarget *newer = s->targets->pdata[i];
+
+        if (qr_target_is_complete(newer) ||
+            qr_sidecar_serves(s, newer->version))
+            return true;
+    }
+    return false;
+}
+
 /* Drops an older version once a newer one is complete, served or past its
    deadline. */
 static void drop_superseded(QRSidecar *s)
@@ -55,10 +68,8 @@
 
     while (s->targets->len > 1) {
         QRTarget *older = s->targets->pdata[0];
-        QRTarget *newer = s->targets->pdata[1];
 
-        if (!qr_target_is_complete(newer) &&
-            !qr_sidecar_serves(s, newer->version) && older->version >= due)
+        if (!is_replaced(s, 0) && older->version >= due)
             return;
         target_drop(s, older);
     }
