--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -22,6 +22,7 @@
    removed, because the record may expire during a store outage and come back.
  */
 #define LEAVING_RETENTION_MS 600000
+#define READY_VALID_MS 2000 /* sidecars report once a second */
 
 void qr_engine_record_free(QREngineRecord *r)
 {
@@ -462,6 +463,21 @@
                                  : e->record->version;
 }
 
+bool qr_engine_expects_version(const QREngine *e, uint64_t version,
+                               uint64_t now_ms, uint64_t *left_ms)
+{
+    uint64_t age_ms = now_ms - MIN(e->sidecar_report_ms, now_ms);
+    bool serves = !e->sidecar_switching && e->sidecar_version > 0 &&
+                  e->sidecar_version >= version;
+
+    if (e->gone || e->superseded || e->unreadable || qr_engine_is_leaving(e) ||
+        !e->has_sidecar_report || e->sidecar_unreachable ||
+        e->sidecar_ready_ms == 0 || age_ms > READY_VALID_MS || serves)
+        return false;
+    *left_ms = e->sidecar_ready_ms - 1 - MIN(age_ms, e->sidecar_ready_ms - 1);
+    return true;
+}
+
 static bool outcome_failure(QREngine *e, unsigned weight, uint64_t now_ms)
 {
     uint64_t pause;
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -87,6 +87,9 @@
     bool has_sidecar_report, sidecar_switching, sidecar_unreachable,
         sidecar_slow_link;
     uint64_t sidecar_version, sidecar_report_ms;
+    uint32_t sidecar_ready_ms; /* 1 + time from that report until the engine is
+                                  expected to serve the newest version; 0: not
+                                  known */
     QREngineSlots slots;
     QRNotices notices; /* response headers of this run */
     /* circuit breaker and backoff, from this gateway's own calls */
@@ -193,6 +196,13 @@
 uint64_t qr_engine_first_byte_wait_ms(const QREngine *e, uint64_t now_ms);
 /* The version of weights that new calls run on; 0: none, or unknown. */
 uint64_t qr_engine_version(const QREngine *e);
+/*
+ * Whether its sidecar has lately said when the engine is expected to serve the
+ * newest version. Sets 'left_ms' to the time until then. 'version' is the one
+ * that calls need: an engine that serves it already is not waited for.
+ */
+bool qr_engine_expects_version(const QREngine *e, uint64_t version,
+                               uint64_t now_ms, uint64_t *left_ms);
 
 /* Result of a call to an engine. */
 typedef enum QREngineOutcome {
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -11,6 +11,7 @@
 #include "unit_placement.h"
 #include "unit_sources.h"
 #include "unit_parts.h"
+#include "unit_retry.h"
 #include "unit_suspects.h"
 #include "unit_fleet.h"
 
@@ -420,6 +421,7 @@
     suite_add_tcase(s, unit_epochs_case());
     suite_add_tcase(s, unit_suspects_case());
     suite_add_tcase(s, unit_parts_case());
+    suite_add_tcase(s, unit_retry_case());
     suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_notices_case());
