Refused callers get a turn as Retry-After

Change: a slot counts as freed when an attempt that an engine accepted ends. A call refused as busy takes a turn of its service; one refused because no engine can serve returns when the first engine is expected to have its version. A held request, an engine in backoff, a gateway that stops or has no configuration, and a service with no known rate behave as before. The last line of a refused call names retry_after_ms and turn; `quayring explain` says what they mean. Counters turns_given and turns_full. Setting retry_turns: 0 switches turns off, also at SIGHUP.

Ruled out: counting attempts that an engine rejected as freed slots; a full service would seem to have many.

Conclusion: Retry-After follows capacity where it is known.

--- a/src/cmd/qr_cmd_explain.c
+++ b/src/cmd/qr_cmd_explain.c
@@ -61,6 +61,23 @@
     return NULL;
 }
 
+/* DEF(word in the last line of a refused call, what the caller was told) */
+#define TURN_LIST                                                              \
+    DEF("turn=free", "It was told to return when a slot should be free.")      \
+    DEF("turn=full", "No capacity was expected within the time it could use.") \
+    DEF("turn=ready", "It was told to return when an engine should be ready.") \
+    DEF("turn=none", "It got no turn; the reason is in the last line.")
+
+static const char *turn_of(const char *line)
+{
+#define DEF(text, meaning)                                                     \
+    if (strstr(line, text))                                                    \
+        return meaning;
+    TURN_LIST
+#undef DEF
+    return NULL;
+}
+
 /* Whether 'line' names the call: "id=ID" followed by a blank or the end. */
 static bool names_call(const char *line, const char *id)
 {
@@ -126,7 +143,7 @@
     g_autoptr(GPtrArray) files = g_ptr_array_new();
     g_autoptr(GPtrArray) lines = g_ptr_array_new_with_free_func(g_free);
     ExplainArgs a = {NULL, files};
-    const char *meaning = NULL;
+    const char *meaning = NULL, *turn = NULL;
 
     argp_parse(&explain_argp, argc, argv, 0, NULL, &a);
     if (gather_files(&a, lines) != 0)
@@ -134,13 +151,17 @@
     g_ptr_array_sort(lines, by_time);
     for (unsigned i = 0; i < lines->len; i++) {
         puts(lines->pdata[i]);
-        if (outcome_of(lines->pdata[i]))
-            meaning = outcome_of(lines->pdata[i]);
+        if (!outcome_of(lines->pdata[i]))
+            continue;
+        meaning = outcome_of(lines->pdata[i]);
+        turn = turn_of(lines->pdata[i]);
     }
     if (!meaning) {
         printf("No line names the call %s.\n", a.id);
         return QR_EXIT_UNKNOWN;
     }
     puts(meaning);
+    if (turn)
+        puts(turn);
     return EXIT_SUCCESS;
 }
--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -38,6 +38,10 @@
     DEF(trials, "retries of requests during which an engine had ended")        \
     DEF(requests_held,                                                         \
         "requests and prompt parts held because they crash engines")           \
+    DEF(turns_given,                                                           \
+        "503: return when a slot is expected to be free, or an engine ready")  \
+    DEF(turns_full,                                                            \
+        "503: no capacity expected within the time that the caller can use")   \
     DEF(refused_held, "503: a request that is held, or has a part that is")    \
     DEF(ejections, "engines ejected because of their failures")                \
     DEF(said_leaving, "engines whose answer announced that they leave")        \
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -241,6 +241,7 @@
     g->set->drain_ms = new->drain_ms;
     g->set->retry_ratio = new->retry_ratio;
     g->set->retry_allowance = new->retry_allowance;
+    g->set->retry_turns = new->retry_turns;
     qr_logf(QR_LEVEL_INFO, "gateway", "reloaded file=%s", g->settings_file);
 }
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -22,6 +22,7 @@
 #include "qr_deadlines.h"
 #include "qr_startup_calls.h"
 #include "qr_requests.h"
+#include "qr_retry_after.h"
 
 #include <uv.h>
 
@@ -34,6 +35,7 @@
     QRBudget budget;
     double mean_call_ms;   /* smoothed: from sending to the end of the answer */
     QRDeadlines deadlines; /* of its calls */
+    QRRetryAfter turns;    /* of its refused callers */
     /* Queues of QRRelay *, in order of arrival. */
     GQueue waiting;      /* calls that may still be answered in time */
     GQueue late_waiting; /* calls refused before, with no known try left */
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -100,10 +100,10 @@
 
     g->counters.counts[counter]++;
     qr_logf(QR_LEVEL_INFO, "call",
-            "refused id=%s status=%u why=%s policy=%" G_GUINT64_FORMAT
+            "refused id=%s status=%u why=%s retry_after_ms=%u turn=none policy=%" G_GUINT64_FORMAT
             " epoch=%" G_GUINT64_FORMAT " store_epoch=%" G_GUINT64_FORMAT
             " confirmed_ago_ms=%" G_GINT64_FORMAT,
-            id ? id : "-", status, why,
+            id ? id : "-", status, why, retry_ms,
             g->operator.policy ? g->operator.policy->version : 0,
             g->operator.policy_position.epoch, g->store_epoch,
             qr_gateway_operator_confirmed_ago_ms(g));
--- a/src/gateway/qr_gateway_peers.c
+++ b/src/gateway/qr_gateway_peers.c
@@ -220,6 +220,7 @@
     e->unconfirmed = false;
     e->sidecar_report_ms = qr_gateway_now(g);
     e->sidecar_version = state->serving;
+    e->sidecar_ready_ms = state->ready_ms;
     e->sidecar_switching = state->switching;
     e->sidecar_unreachable = !state->reachable;
     e->sidecar_slow_link = state->slow_link;
--- a/src/gateway/qr_relay_attempt.c
+++ b/src/gateway/qr_relay_attempt.c
@@ -23,12 +23,23 @@
     qr_engine_call_heard(e, a->sent_ms);
 }
 
+/* Whether the engine runs or ran the call, rather than rejecting it. */
+static bool was_accepted(const QRAttempt *a)
+{
+    return a->mode != ANSWER_NONE && a->mode != ANSWER_DROP &&
+           !qr_relay_is_failure(a->answer.status);
+}
+
 void qr_attempt_uncount_open(QRRelay *r, QRAttempt *a)
 {
     QREngine *e = qr_attempt_engine(r, a);
 
     if (e && e->own > 0 && a->counted_open) {
         e->own--;
+        if (was_accepted(a))
+            qr_retry_after_slot_freed(
+                &qr_gateway_stats(r->g, r->service)->turns,
+                qr_gateway_now(r->g));
         qr_gateway_slots_changed(r->g, e);
     }
     a->counted_open = false;
--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -141,8 +141,54 @@
                : RETRY_BUSY_MS + (unsigned)(random % RETRY_BUSY_SPREAD_MS);
 }
 
-/* A request that is held returns when the hold is over. */
-static unsigned retry_after_ms(const QRRelay *r, QRCounter counter)
+/* Finds the engine that is expected first to have the version that the call
+   needs. Returns false if no engine says so. */
+static bool first_ready_ms(const QRRelay *r, uint64_t *ready_ms)
+{
+    const GPtrArray *list = qr_engines_of(&r->g->engines, r->service);
+    QRPlacement placement = qr_relay_placement(r);
+    uint64_t version = qr_relay_min_version(r, 0), left_ms;
+    bool found = false;
+
+    for (unsigned i = 0; list && i < list->len; i++) {
+        const QREngine *e = list->pdata[i];
+
+        if (!qr_engine_expects_version(e, version, qr_gateway_now(r->g),
+                                       &left_ms) ||
+            qr_placement_check(&placement, e->record->zone) !=
+                QR_PLACEMENT_ALLOWED)
+            continue;
+        *ready_ms = found ? MIN(*ready_ms, left_ms) : left_ms;
+        found = true;
+    }
+    return found;
+}
+
+/* Decides when the caller returns, from the slots that become free or the
+   engines that become ready. Sets 'delay_ms' unless nothing is known. */
+static QRTurn take_turn(QRRelay *r, QRCounter counter, unsigned *delay_ms)
+{
+    QRServiceStats *stats = qr_gateway_stats(r->g, r->service);
+    uint64_t now = qr_gateway_now(r->g), ready_ms;
+    uint64_t passed = now - r->arrived_ms;
+    QRRefusedCaller caller = {
+        .now_ms = now,
+        .left_ms = r->deadline_ms > passed ? r->deadline_ms - passed : 0,
+        .mean_call_ms = stats->mean_call_ms,
+        .random = next_random(r->g),
+    };
+
+    if (!r->g->set->retry_turns || r->held_off_ms > 0)
+        return QR_TURN_NONE;
+    if (counter == QR_COUNTER_refused_busy)
+        return qr_retry_after_take_turn(&stats->turns, &caller, delay_ms);
+    if (counter == QR_COUNTER_refused_unready && first_ready_ms(r, &ready_ms))
+        return qr_retry_after_ready(&caller, ready_ms, delay_ms);
+    return QR_TURN_NONE;
+}
+
+/* Without a turn. A request that is held returns when the hold is over. */
+static unsigned usual_retry_after_ms(const QRRelay *r, QRCounter counter)
 {
     if (counter == QR_COUNTER_refused_held)
         return (unsigned)qr_requests_hold_left_ms(r->g, qr_relay_held_by(r));
@@ -155,14 +201,37 @@
     return qr_relay_retry_after_ms(r->g, counter == QR_COUNTER_refused_unready);
 }
 
+/* Decides the Retry-After of a refusal, and logs and returns it. */
+static unsigned refuse(QRRelay *r, QRCounter counter, const char *why)
+{
+    unsigned retry_ms;
+    QRTurn turn = take_turn(r, counter, &retry_ms);
+    g_autofree char *text = NULL;
+
+    if (turn == QR_TURN_NONE)
+        retry_ms = usual_retry_after_ms(r, counter);
+    else
+        qr_relay_count(r->g, turn == QR_TURN_FULL ? QR_COUNTER_turns_full
+                                                  : QR_COUNTER_turns_given);
+    text = g_strdup_printf("%s retry_after_ms=%u turn=%s", why, retry_ms,
+                           qr_turn_name(turn));
+    qr_relay_log(r, "refused", 503, text);
+    return retry_ms;
+}
+
 void qr_relay_finish_locally(QRRelay *r, unsigned status, QRCounter counter,
                              const char *why)
 {
     QRExchange *x = r->x;
-    unsigned retry_ms = status == 503 ? retry_after_ms(r, counter) : 0;
+    unsigned retry_ms;
 
     qr_relay_count(r->g, counter);
-    qr_relay_log(r, status == 503 ? "refused" : "failed", status, why);
+    if (status == 503) {
+        retry_ms = refuse(r, counter, why);
+    } else {
+        retry_ms = 0;
+        qr_relay_log(r, "failed", status, why);
+    }
     qr_relay_free(r);
     qr_relay_send_local_reply(x, status, retry_ms);
 }
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -173,6 +173,8 @@
 /* The oldest version of weights on which the call may begin 'margin_ms' from
    now; 0: any. */
 uint64_t qr_relay_min_version(const QRRelay *r, uint64_t margin_ms);
+/* Where the call may run. */
+QRPlacement qr_relay_placement(const QRRelay *r);
 /* Sends the call to the engine that was chosen. */
 void qr_relay_send(QRRelay *r, const QRBalanceChoice *c);
 /* Requests a slot at the chosen engine; the call is sent there once the slot is
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -172,6 +172,16 @@
                : r->objective_ms;
 }
 
+QRPlacement qr_relay_placement(const QRRelay *r)
+{
+    return (QRPlacement){
+        .route_regions = r->route_regions,
+        .team_regions = r->team_regions,
+        .regions = r->g->regions,
+        .evacuations = &r->g->operator.evacuations,
+    };
+}
+
 static QRBalanceInput balance_input(const QRRelay *r)
 {
     QRGateway *g = r->g;
@@ -185,12 +195,7 @@
     in.zone = g->set->availability_zone;
     in.region = g->set->region;
     in.regions = g->regions;
-    in.placement = (QRPlacement){
-        .route_regions = r->route_regions,
-        .team_regions = r->team_regions,
-        .regions = g->regions,
-        .evacuations = &g->operator.evacuations,
-    };
+    in.placement = qr_relay_placement(r);
     in.model = service ? &service->engine : NULL;
     in.min_version = qr_relay_min_version(
         r, r->answer_started ? REMAINDER_MARGIN_MS : SEND_MARGIN_MS);
