--- a/src/gateway/qr_relay_end.c
+++ b/src/gateway/qr_relay_end.c
@@ -164,6 +164,16 @@
     return found;
 }
 
+static unsigned count_open_calls(const QRRelay *r)
+{
+    const GPtrArray *list = qr_engines_of(&r->g->engines, r->service);
+    unsigned open = 0;
+
+    for (unsigned i = 0; list && i < list->len; i++)
+        open += ((const QREngine *)list->pdata[i])->own;
+    return open;
+}
+
 /* Decides when the caller returns, from the slots that become free or the
    engines that become ready. Sets 'delay_ms' unless nothing is known. */
 static QRTurn take_turn(QRRelay *r, QRCounter counter, unsigned *delay_ms)
@@ -175,6 +185,7 @@
         .now_ms = now,
         .left_ms = r->deadline_ms > passed ? r->deadline_ms - passed : 0,
         .mean_call_ms = stats->mean_call_ms,
+        .open_calls = count_open_calls(r),
         .random = next_random(r->g),
     };
 
--- a/src/gateway/qr_retry_after.c
+++ b/src/gateway/qr_retry_after.c
@@ -18,6 +18,7 @@
 /* Slots in the window above which a rate counts as known. With fewer, a turn
    would come less than once in 4 s. */
 #define MIN_FREED 4
+#define RISE_MAX 2          /* expected rate over the one of the window */
 #define MIN_OBSERVED_MS 500 /* calls may all end at once after a start */
 /* No turn comes earlier than this part of a call's duration: in less time few
    of the calls that fill the engines end. */
@@ -55,6 +56,19 @@
            (RATE_WINDOW_MS * (1 - exp(-observed_ms / RATE_WINDOW_MS)));
 }
 
+/*
+ * Slots that become free per second from now on. When demand has just risen,
+ * the calls that are open now end at a higher rate than those before. Calls
+ * that hang end at no rate, so the rise that is believed is bounded.
+ */
+static double expected_rate(const QRRetryAfter *t, const QRRefusedCaller *c)
+{
+    double rate = qr_retry_after_rate(t, c->now_ms);
+    double open_rate = 1000.0 * c->open_calls / MAX(c->mean_call_ms, 1);
+
+    return CLAMP(open_rate, rate, rate * RISE_MAX);
+}
+
 /* Turns that each bucket adds. */
 static double bucket_share(double per_s)
 {
@@ -175,7 +189,7 @@
 QRTurn qr_retry_after_take_turn(QRRetryAfter *t, const QRRefusedCaller *c,
                                 unsigned *delay_ms)
 {
-    double share = bucket_share(qr_retry_after_rate(t, c->now_ms));
+    double share = bucket_share(expected_rate(t, c));
     QRTurn turn = QR_TURN_FREE;
     unsigned i;
     Span s;
--- a/src/gateway/qr_retry_after.h
+++ b/src/gateway/qr_retry_after.h
@@ -42,6 +42,7 @@
     uint64_t now_ms;
     uint64_t left_ms;    /* until its deadline */
     double mean_call_ms; /* of calls of the service */
+    unsigned open_calls; /* of this gateway, at engines of the service */
     uint64_t random;
 } QRRefusedCaller;
 
--- a/tests/unit_retry.c
+++ b/tests/unit_retry.c
@@ -157,6 +157,32 @@
 }
 END_TEST
 
+/* Load: demand rises from half of the capacity to all of it. Guards against
+   turns by the rate of the time before, and against belief in calls that
+   hang. */
+START_TEST(retry_rate_rises_with_open_calls)
+{
+    static const struct {
+        unsigned open, least, most; /* open calls, callers given turns in 3 s */
+    } rows[] = {{0, 12, 17}, {20, 12, 17}, {30, 18, 25}, {5000, 25, 33}};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(rows); i++) {
+        Service s = service_at(20);
+        unsigned given = 0, delay_ms;
+
+        for (unsigned n = 0; n < 100; n++) {
+            QRRefusedCaller c = caller_at(&s, 9000);
+
+            c.open_calls = rows[i].open;
+            given += qr_retry_after_take_turn(&s.turns, &c, &delay_ms) ==
+                     QR_TURN_FREE;
+        }
+        ck_assert_msg(given >= rows[i].least && given <= rows[i].most,
+                      "%u turns with %u open", given, rows[i].open);
+    }
+}
+END_TEST
+
 /*
  * Load: 1.3 times as many calls as end, for 60 s. Guards against promises of
  * more than the share: first tries would find no slot, and each answer would
@@ -335,6 +361,7 @@
     tcase_add_test(c, retry_burst_is_spread_over_free_slots);
     tcase_add_test(c, retry_return_is_within_a_third_of_the_time_left);
     tcase_add_test(c, retry_callers_without_room_are_spread);
+    tcase_add_test(c, retry_rate_rises_with_open_calls);
     tcase_add_test(c, retry_overload_gets_no_more_than_the_share);
     tcase_add_test(c, retry_unknown_rate_gives_no_turn);
     tcase_add_test(c, retry_absurd_input);
