--- a/tests/test_retry_turns.py
+++ b/tests/test_retry_turns.py
@@ -9,7 +9,9 @@
 import time
 
 from bench import wait_for
-from fleet import Fleet
+from fleet import MODEL, Fleet
+from gen import fleet_pb2
+from peer import Peer, hello
 from standin_platform import answer
 
 WORK_S = 0.1
@@ -116,3 +118,56 @@
     assert metrics["quayring_turns_given_total"] == 0
     assert metrics["quayring_turns_full_total"] == 0
     assert "turn=free" not in log and "turn=none" in log
+
+
+def test_callers_return_when_an_engine_is_ready():
+    """Guards against a random Retry-After while the sidecars know when their
+    engines have the version, and against one by what was said long ago."""
+    with Fleet(plain=0) as f:
+        engine = f.add_engine("e0", "engines", MODEL)
+        f.wait_ready()
+        wait_for("engine", lambda: "e0" in f.log("g0"))
+        sidecar = Peer(f.peers[0], hello())
+
+        def refuse(ident, ready_ms=None):
+            if ready_ms is not None:
+                sidecar.send(engine_state=fleet_pb2.EngineState(
+                    engine_address=engine.address, model=MODEL, name="peer",
+                    reachable=True, ready_ms=ready_ms))
+                time.sleep(0.2)
+            status, headers, _ = f.call("/model/x", ident, deadline=9000)
+            assert status == 503
+            [line] = [l for l in f.log("g0").splitlines()
+                      if "id=%s " % ident in l]
+            return float(headers["Retry-After"]), line
+
+        rest, line = refuse("r1", 1 + 600)
+        assert 0 < rest < 1.0 and "turn=ready" in line, (rest, line)
+        rest, line = refuse("r2", 2 ** 32 - 1)  # later than it can use
+        assert 2.2 <= rest < 3.0 and "turn=full" in line, (rest, line)
+        rest, line = refuse("r3", 0)
+        assert 1.5 <= rest < 2.5 and "turn=none" in line, (rest, line)
+        refuse("r4", 1 + 600)
+        time.sleep(2.2)  # no news
+        rest, line = refuse("r5")
+        assert 1.5 <= rest < 2.5 and "turn=none" in line, (rest, line)
+
+
+def test_rejected_calls_free_no_slots():
+    """Guards against a rate learned from engines that reject every call: it
+    would be high, and all callers would return to them at once."""
+    def reject(engine, conn, request):
+        answer(conn, 503, b"", engine.head(request)
+               + [("X-Not-Executed", "1")])
+        return True
+
+    with Fleet() as f:
+        for e in f.engines:
+            e.behave = reject
+        f.wait_ready()
+        for i in range(40):
+            assert f.call("/unsafe/x", "j%d" % i, deadline=9000)[0] == 503
+            time.sleep(0.03)
+        assert f.metrics()["quayring_sendings_total"] > 10
+        refused = [l for l in f.log("g0").splitlines() if "call: refused" in l]
+        assert len(refused) == 40 and all("turn=none" in l for l in refused)
--- a/tests/unit_retry.c
+++ b/tests/unit_retry.c
@@ -30,8 +30,10 @@
     for (unsigned i = 0; i < ms; i++) {
         s->now_ms++;
         s->freed_due += per_s / 1000;
-        for (; s->freed_due >= 1; s->freed_due -= 1)
+        while (s->freed_due >= 1) {
+            s->freed_due -= 1;
             qr_retry_after_slot_freed(&s->turns, s->now_ms);
+        }
     }
 }
 
@@ -204,7 +206,8 @@
             run(&s, rates[k], 100);
             /* of 1.3 arriving, 0.3 find no slot, and 0.25 returned before */
             refused_due += 0.55 * rates[k] / 10;
-            for (; refused_due >= 1; refused_due -= 1) {
+            while (refused_due >= 1) {
+                refused_due -= 1;
                 if (refuse(&s, 9000, &delay_ms) != QR_TURN_FREE)
                     continue;
                 promised[(s.now_ms + delay_ms) / 100 - origin]++;
@@ -278,6 +281,28 @@
 }
 END_TEST
 
+/* Guards against a turn in front of others that makes them too many: 10 slots
+   a second, one turn each 400 ms. */
+START_TEST(retry_turns_keep_their_distance)
+{
+    Service s = service_at(10);
+    QRRefusedCaller late = caller_at(&s, 40000), soon = late;
+    unsigned late_ms, soon_ms, n = 0;
+
+    late.mean_call_ms = 8000; /* not before 2 s */
+    ck_assert_int_eq(qr_retry_after_take_turn(&s.turns, &late, &late_ms),
+                     QR_TURN_FREE);
+    do {
+        ck_assert_int_eq(qr_retry_after_take_turn(&s.turns, &soon, &soon_ms),
+                         QR_TURN_FREE);
+        n++;
+        ck_assert_msg(soon_ms + 200 < late_ms || soon_ms > late_ms + 200,
+                      "%u beside %u", soon_ms, late_ms);
+    } while (soon_ms < late_ms);
+    ck_assert_uint_le(n, 7);
+}
+END_TEST
+
 /* Guards against a counter of a bucket that wraps around to none. */
 START_TEST(retry_crowd_is_bounded)
 {
@@ -365,6 +390,7 @@
     tcase_add_test(c, retry_overload_gets_no_more_than_the_share);
     tcase_add_test(c, retry_unknown_rate_gives_no_turn);
     tcase_add_test(c, retry_absurd_input);
+    tcase_add_test(c, retry_turns_keep_their_distance);
     tcase_add_test(c, retry_crowd_is_bounded);
     tcase_add_test(c, retry_when_the_first_engine_is_ready);
     tcase_add_test(c, retry_expected_version_counts_down);
