Mutants of turns: four rows that did not build or stayed green

Cause: of the 16 rows, three did not compile (unused variable or function) and one, turns-wrap-around, was not noticed by its test.

--- a/tests/unit_retry.c
+++ b/tests/unit_retry.c
@@ -307,12 +307,15 @@
 START_TEST(retry_crowd_is_bounded)
 {
     Service s = service_at(2);
-    unsigned delay_ms;
+    unsigned delay_ms, crowd = 0;
 
     for (unsigned n = 0; n < 300000; n++)
         (void)refuse(&s, 600, &delay_ms);
-    for (unsigned i = 0; i < QR_RETRY_BUCKETS; i++)
+    for (unsigned i = 0; i < QR_RETRY_BUCKETS; i++) {
         ck_assert_uint_le(s.turns.turns[i], 1);
+        crowd = MAX(crowd, s.turns.surplus[i]);
+    }
+    ck_assert_uint_eq(crowd, UINT16_MAX);
     ck_assert_uint_le(delay_ms, 180);
 }
 END_TEST
