--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -31,7 +31,7 @@
     LIMIT(config_apply_ms, 1, 3600000, 2000)                                   \
     LIMIT(drain_ms, 1, 3600000, 2000)                                          \
     DEF(operator_wait_ms, 0, 30000, 2000)  /* longest long poll for records */ \
-    DEF(retry_turns, 0, 1, 1) /* 1: refused callers get turns */               \
+    DEF(retry_turns, 0, 1, 1)              /* 1: refused callers get turns */  \
     LIMIT(retry_allowance, 0, 1000000, 10) /* per window, all gateways */
 
 typedef struct QRFleetSettings {
--- a/src/gateway/qr_retry_after.c
+++ b/src/gateway/qr_retry_after.c
@@ -120,7 +120,7 @@
     s->now_ms = c->now_ms;
     s->max_ms = (unsigned)MIN(heeded - WAY_MS, most);
     s->min_ms =
-        (unsigned)CLAMP(c->mean_call_ms * MIN_DELAY_SHARE, 0, s->max_ms / 2.0);
+        (unsigned)CLAMP(c->mean_call_ms * MIN_DELAY_SHARE, 1, s->max_ms / 2.0);
     s->first = (unsigned)((offset + s->min_ms) / QR_RETRY_BUCKET_MS);
     s->last = (unsigned)((offset + s->max_ms) / QR_RETRY_BUCKET_MS);
     return true;
@@ -216,6 +216,8 @@
 
     if (!usable_span(c, &s))
         return QR_TURN_NONE;
+    /* also if it is overdue */
+    ready_ms = MAX(ready_ms, s.min_ms);
     if (ready_ms < s.max_ms) {
         last = (unsigned)MIN(s.max_ms - ready_ms, READY_SPREAD_MS);
         *delay_ms = (unsigned)(ready_ms + c->random % (last + 1));
