--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -31,6 +31,7 @@
 #define OBSERVED_PACE_MAX 8.0 /* a long pause does not make it unusable */
 /* Smaller differences come from load that the model does not describe. */
 #define OBSERVED_PACE_MIN 1.5
+#define READY_VALID_MS 2000 /* sidecars report once a second */
 
 void qr_engine_record_free(QREngineRecord *r)
 {
@@ -472,6 +473,21 @@
                                  : e->record->version;
 }
 
+bool qr_engine_expects_version(const QREngine *e, uint64_t version,
+                               uint64_t now_ms, uint64_t *left_ms)
+{
+    uint64_t age_ms = now_ms - MIN(e->sidecar_report_ms, now_ms);
+    bool serves = !e->sidecar_switching && e->sidecar_version > 0 &&
+                  e->sidecar_version >= version;
+
+    if (e->gone || e->superseded || e->unreadable || qr_engine_is_leaving(e) ||
+        !e->has_sidecar_report || e->sidecar_unreachable ||
+        e->sidecar_ready_ms == 0 || age_ms > READY_VALID_MS || serves)
+        return false;
+    *left_ms = e->sidecar_ready_ms - 1 - MIN(age_ms, e->sidecar_ready_ms - 1);
+    return true;
+}
+
 static bool outcome_failure(QREngine *e, unsigned weight, uint64_t now_ms)
 {
     uint64_t pause;
--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -37,7 +37,8 @@
     LIMIT(memory_mb, 0, 1048576, 0)        /* of the process; 0: no limit */   \
     /* whether a stream that cannot end in time is resumed at another engine   \
      */                                                                        \
-    DEF(move_slow_streams, 0, 1, 1)
+    DEF(move_slow_streams, 0, 1, 1)                                            \
+    DEF(retry_turns, 0, 1, 1) /* 1: refused callers get turns */
 
 typedef struct QRFleetSettings {
     char *role; /* "gateway" or "sidecar" */
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -259,6 +259,7 @@
     g->set->retry_allowance = new->retry_allowance;
     g->set->memory_mb = new->memory_mb;
     g->set->move_slow_streams = new->move_slow_streams;
+    g->set->retry_turns = new->retry_turns;
     qr_logf(QR_LEVEL_INFO, "gateway", "reloaded file=%s", g->settings_file);
 }
 
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -23,6 +23,7 @@
 #include "qr_startup_calls.h"
 #include "qr_stream_pace.h"
 #include "qr_requests.h"
+#include "qr_retry_after.h"
 
 #include <uv.h>
 
@@ -37,6 +38,7 @@
     QRDeadlines deadlines; /* of its calls */
     QRUsualPause usual_pause;   /* between events of its streams */
     GHashTable *stream_lengths; /* name of a route -> QRStreamLengths * */
+    QRRetryAfter turns;         /* of its refused callers */
     /* Queues of QRRelay *, in order of arrival. */
     GQueue waiting;      /* calls that may still be answered in time */
     GQueue late_waiting; /* calls refused before, with no known try left */
