--- a/tests/cost.c
+++ b/tests/cost.c
@@ -4,6 +4,8 @@
  */
 #include "core/qr_agent.h"
 #include "core/qr_entry.h"
+#include "gateway/qr_balance.h"
+#include "gateway/qr_call_forecast.h"
 #include "gateway/qr_suspects.h"
 
 #include <malloc.h>
@@ -341,6 +343,79 @@
     qr_suspects_clear(&s);
 }
 
+static void fill_engines(QREngines *t, unsigned n)
+{
+    qr_engines_init(t);
+    for (unsigned i = 0; i < n; i++) {
+        QREngineRecord *r = g_new0(QREngineRecord, 1);
+        QREngine *e;
+
+        r->id = g_strdup_printf("e%u", i);
+        r->service = g_strdup("s");
+        r->address = g_strdup_printf("10.0.%u.%u:80", i / 250, i % 250);
+        r->zone = g_strdup("z");
+        r->slots = 12;
+        r->model = g_strdup("m");
+        r->version = 1;
+        qr_engines_update(t, r, 1);
+        e = qr_engines_get(t, r->id);
+        e->slots.coordinator_kind = QR_COORDINATOR_SIDECAR;
+        e->own = i % 12;
+    }
+}
+
+/* The choice of an engine, with the decisions about the call itself if it is
+   admitted by forecast. */
+static void cost_choice(unsigned n, bool by_forecast)
+{
+    static const QREngineModel model = {.model = (char *)"m",
+                                        .step_ms = 20,
+                                        .read_per_s = 41500,
+                                        .admission_interval_steps = 5};
+    g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+    QRCallCorrections corrections = {0};
+    QRBalanceInput in = {.service = "s",
+                         .zone = "z",
+                         .region = "r",
+                         .regions = regions,
+                         .model = &model,
+                         .prompt_tokens = 1290,
+                         .first_byte_objective_ms = 400,
+                         .gap_objective_ms = 400,
+                         .by_forecast = by_forecast,
+                         .route_objective_ms = 500};
+    QREngines engines;
+    unsigned found = 0;
+    double t;
+
+    fill_engines(&engines, n);
+    qr_call_corrections_learn(&corrections, "team", "route", 100, 100, 1);
+    t = seconds();
+    for (unsigned i = 0; i < CALLS; i++) {
+        QRCallTime call = {&model, 1290, 0, i % 2, 6000};
+        QRCallNeeds needs;
+        double end_ms;
+
+        in.now_ms = 1000 + i;
+        in.random = i;
+        in.spare_only = i % 2;
+        if (by_forecast) {
+            qr_call_needs_parse("1290,300", "150", &model, &needs);
+            call.expected_tokens = qr_call_expected_tokens(
+                &needs, &model,
+                qr_call_corrections_factor(&corrections, "team", "route"));
+            found += qr_call_cannot_end(&call, &end_ms);
+        }
+        found += qr_balance_choose(&engines, &in).engine != NULL;
+    }
+    print_row(by_forecast ? "choice_by_forecast" : "choice", n,
+              (seconds() - t) * 1e6 / CALLS, "us");
+    if (found == 0)
+        exit(EXIT_FAILURE);
+    qr_call_corrections_clear(&corrections);
+    qr_engines_clear(&engines);
+}
+
 int main(void)
 {
     static const unsigned sizes[] = {16, 64, 256, 930, 1500};
@@ -352,6 +427,10 @@
     cost_part_fingerprint();
     cost_suspects(QR_FINGERPRINT_REQUEST);
     cost_suspects(QR_FINGERPRINT_PART);
+    for (unsigned i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        cost_choice(sizes[i], false);
+        cost_choice(sizes[i], true);
+    }
     qr_findings_init(&f, "settings");
     set = qr_settings_read(SETTINGS, strlen(SETTINGS), &f);
     if (!set)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,15 +8,19 @@
 
 import fleet as fleet_module
 from bench import wait_for
-from fleet import MODEL, Fleet
-from standin_platform import answer
+from fleet import MODEL, ROUTES, Fleet
+from standin_platform import answer, events, send_chunk, start_stream
 
 STEP_MS = 10  # of the engine, so that 500 tokens take 5 s
 LEFT_MS = 300
 
 
+TALK = {"name": "talk", "path-prefix": "/talk/", "route-type": "streaming",
+        "service": "engines", "max-attempts": 1}
+
+
 def slow_policy(version, origin):
-    config = fleet_module.policy(version, origin)
+    config = fleet_module.policy(version, origin, routes=ROUTES + [TALK])
     for service in config["services"]:
         if service["name"] == "engines":
             service["engine"] |= {"step_ms": STEP_MS, "per_seq_ms": 0.1}
@@ -42,13 +46,14 @@
     return f, engine
 
 
-def ask(f, ident, path="/model/x", usage="100,1000", hint=None):
-    """(status, seconds) of a call with little time left."""
+def ask(f, ident, path="/model/x", usage="100,1000", hint=None,
+        deadline=LEFT_MS):
+    """(status, seconds) of a call."""
     headers = {"X-Token-Usage": usage}
     if hint is not None:
         headers["X-Length-Hint"] = hint
     began = time.monotonic()
-    status, _, _ = f.call(path, ident, headers=headers, deadline=LEFT_MS)
+    status, _, _ = f.call(path, ident, headers=headers, deadline=deadline)
     return status, time.monotonic() - began
 
 
@@ -88,3 +93,24 @@
     with f:
         assert ask(f, "hopeless", hint="500")[0] == 200
         assert "hopeless" in engine.ran
+
+
+def test_a_team_with_false_hints_is_forecast_by_what_its_answers_take():
+    """The hints say 5 s, the answers take 10 ms. The gateway learns that from
+    the streams that it relays."""
+    f, engine = start()
+
+    def talk(_, conn, request):
+        start_stream(engine, conn, request)
+        send_chunk(conn, events(0, 1))
+        time.sleep(0.01)
+        send_chunk(conn, events(2, 3))
+        conn.sendall(b"0\r\n\r\n")
+        return True
+
+    with f:
+        engine.behave = talk
+        for i in range(80):
+            assert ask(f, "first-%d" % i, "/talk/x", hint="500",
+                       deadline=6000)[0] == 200
+        assert ask(f, "late", "/talk/x", hint="500")[0] == 200
