Late calls with long prompts leave slots to first tries

Cause: with admission by forecast, late calls whose prompts exceed what first tries leave spare took engines with nothing unread, which first tries prefer.

Change: such calls go to engines at which two in five slots are free.

--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -40,6 +40,10 @@
    come first. */
 #define REMOTE_SLOTS_DIVISOR 4
 #define SPARE_FIRST_BYTE_SHARE 0.6
+/* A late call whose prompt takes longer to read than that leaves goes to
+   engines at which two in five slots are free: first tries prefer an engine
+   with nothing unread, too, and the others have to take them meanwhile. */
+#define LONG_LATE_SLOTS_SHARE 0.6
 /* Half of the current pass and one whole pass. */
 #define PASSES_TO_FIRST_BYTE 1.5
 #define NO_LIMIT_MS 1e6          /* longer than any call */
@@ -186,6 +190,24 @@
                : NO_LIMIT_MS;
 }
 
+/* Whether the call's own prompt takes longer than the tightest objective allows
+   for it and all ahead of it. */
+static bool is_prompt_too_long(const QRBalanceInput *in, double pass_ms)
+{
+    return own_reading_ms(in) > tightest_budget_ms(in, pass_ms);
+}
+
+/* Returns how many of the slots of an engine a late call may find in use at
+   most, with its own. */
+static unsigned late_slots(const QRBalanceInput *in, unsigned slots)
+{
+    unsigned most = slots - slots / SPARE_SLOTS_DIVISOR;
+
+    if (in->by_forecast && is_prompt_too_long(in, pass_ms_of(in->model, slots)))
+        most = MIN(most, MAX((unsigned)(slots * LONG_LATE_SLOTS_SHARE), 1));
+    return most;
+}
+
 /*
  * Returns the time left to read the prompts ahead of the call and its own, by
  * forecast. An engine with nothing unread takes a prompt of any length, unless
@@ -245,8 +267,7 @@
     unsigned slots = slot_count(e, in);
     double tokens;
 
-    l->max_open_calls =
-        in->spare_only ? slots - slots / SPARE_SLOTS_DIVISOR : slots;
+    l->max_open_calls = in->spare_only ? late_slots(in, slots) : slots;
     if (leaves_region(e, in))
         l->max_open_calls =
             MIN(l->max_open_calls, slots - slots / REMOTE_SLOTS_DIVISOR);
@@ -305,7 +326,7 @@
     bool keeps_gap =
         !in->gap_objective_ms || f->gap_ms <= in->gap_objective_ms * GAP_SHARE;
 
-    if (in->spare_only && f->open + f->slots / SPARE_SLOTS_DIVISOR >= f->slots)
+    if (in->spare_only && f->open >= late_slots(in, f->slots))
         return false;
     if (!in->spare_only && in->route_objective_ms &&
         f->first_ms + in->waited_ms > in->route_objective_ms * FIRST_BYTE_SHARE)
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -160,6 +160,11 @@
         o->largest += is_long(m, c);
         o->largest_served += is_long(m, c) && served;
         o->refused += !served;
+        if (m->s->outage_end_ms > 0 && c->arrived_ms >= m->s->outage_end_ms) {
+            o->after_callers++;
+            o->after_in_objective += served && c->in_time && !c->gap_missed;
+            o->after_refused += !served;
+        }
         o->size_callers[size_of(c)]++;
         o->size_refused[size_of(c)] += !served;
         o->in_objective += served && c->in_time && !c->gap_missed;
@@ -258,6 +263,8 @@
     for (unsigned k = 1; k < LOAD_KINDS; k++)
         in.first_byte_objective_ms =
             MIN(in.first_byte_objective_ms, s->kinds[k].objective_ms);
+    if (m->now_ms >= s->outage_start_ms && m->now_ms < s->outage_end_ms)
+        in.min_version = 2; /* engines have version 1 */
     in.random = (uint64_t)(random_unit(m) * 1e15);
     return in;
 }
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -38,6 +38,8 @@
        as share of all */
     double returned_share;
     unsigned returned_waited_ms; /* by these callers, since their first try */
+    /* in this time no engine may serve; 0: always some may */
+    unsigned outage_start_ms, outage_end_ms;
     bool by_forecast;    /* the setting admission_forecast of the gateways */
     unsigned message_ms; /* delay of a message between processes */
     unsigned gateway_extra_ms; /* further delay between gateways */
@@ -54,6 +56,8 @@
     unsigned kind_callers[LOAD_KINDS], kind_in_objective[LOAD_KINDS];
     unsigned largest, largest_served; /* the longest tenth of prompts */
     unsigned first_tries_refused;
+    /* callers that arrived after an outage */
+    unsigned after_callers, after_in_objective, after_refused;
     unsigned size_callers[LOAD_SIZES], size_refused[LOAD_SIZES];
 } LoadOutcome;
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,9 @@
      "budget_ms = MAX(own_ms, MIN(gap_ms, "
      "tightest_budget_ms(in, pass_ms)));",
      "budget_ms = MIN(gap_ms, tightest_budget_ms(in, pass_ms));", "unit"),
+    ("long-late-prompts-take-all-slots", 3, "gateway/qr_balance.c",
+     "if (in->by_forecast && is_prompt", "if (false && is_prompt",
+     "unit"),
     ("pauses-of-others-do-not-count", 3, "gateway/qr_balance.c",
      "if (own_ms > gap_ms && !in->waited_on)", "if (false)", "unit"),
     ("waits-count-for-the-tightest-route", 3, "gateway/qr_balance.c",
--- a/tests/unit_call_forecast.c
+++ b/tests/unit_call_forecast.c
@@ -283,12 +283,18 @@
     Choice c;
 
     choice_init(&c, _i);
-    c.engine->own = SLOTS - 1;
     c.in.prompt_tokens = 3370;
     c.in.spare_only = true;
     c.in.waited_ms = 900;
     ck_assert(is_taken(&c));
     ck_assert(!_i || unread_limit(&c) == 0);
+    c.engine->own = SLOTS - 1;
+    /* first tries have to find slots beside the engines that read long prompts
+     */
+    ck_assert(_i || !is_taken(&c));
+    ck_assert(!_i ||
+              qr_balance_choose(&c.engines, &c.in).limits.max_open_calls <=
+                  SLOTS * 2 / 3);
     c.in.by_forecast = false;
     ck_assert(!is_taken(&c));
     c.in.by_forecast = true;
