--- a/src/cmd/qr_cmd_explain.c
+++ b/src/cmd/qr_cmd_explain.c
@@ -45,6 +45,9 @@
     DEF("as unread answers exceed their memory",                               \
         "The caller read its answer too slowly; memory for it ran out.")       \
     DEF("call: answered", "The caller got an engine's whole answer.")          \
+    DEF("why=cannot end in time",                                              \
+        "The call was not run: its answer would not have been complete "       \
+        "before its deadline.")                                                \
     DEF("call: refused", "The call was not run; the caller was told so.")      \
     DEF("call: failed", "The call may have run; no whole answer came.")        \
     DEF("call: cut", "The answer had begun and was broken off.")               \
@@ -55,6 +58,8 @@
     DEF("call: slow stream stays",                                             \
         "The stream is too slow to end in time, and could not be moved.")      \
     DEF("call: back", "An engine that had paused goes on with the call.")      \
+    DEF("call: waits on",                                                      \
+        "The call waits beyond its usual wait, as slots are free.")            \
     DEF("call: rest waits", "The rest of a stream waited for an engine.")
 
 static const char *outcome_of(const char *line)
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -260,6 +260,7 @@
     g->set->memory_mb = new->memory_mb;
     g->set->move_slow_streams = new->move_slow_streams;
     g->set->retry_turns = new->retry_turns;
+    g->set->admission_forecast = new->admission_forecast;
     qr_logf(QR_LEVEL_INFO, "gateway", "reloaded file=%s", g->settings_file);
 }
 
@@ -322,6 +323,7 @@
     g_queue_clear(&s->waiting);
     g_queue_clear(&s->late_waiting);
     g_hash_table_unref(s->stream_lengths);
+    qr_call_corrections_clear(&s->corrections);
     g_free(s);
 }
 
