Slots are shared fairly among ranks, teams and retrying callers

Cause: the coordinator of an engine's slots knew nobody's team or priority.

SlotRequest.rank and .team are filled with a request for a slot only. Setting share_slots, 1 by default.

--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -17,6 +17,7 @@
     LIMIT(version_ms, 500, 3600000, 8000)     /* until a version is live */    \
     DEF(heartbeat_ms, 20, 10000, 100)         /* interval, to peers */         \
     DEF(lease_ms, 100, 600000, 1000) /* silence until a peer is down */        \
+    DEF(share_slots, 0, 1, 1)        /* among ranks and teams */               \
     DEF(log_level, 0, 2, 2)          /* 0 errors, 1 warnings, 2 all */
 
 #define QR_FLEET_SETTINGS_SIDECAR                                              \
--- a/src/fleet/qr_slots.c
+++ b/src/fleet/qr_slots.c
@@ -2,6 +2,7 @@
  * The slots of one engine, which a coordinator reserves for gateways.
  */
 #include "qr_slots.h"
+#include "io/qr_log.h"
 
 #include <math.h>
 
@@ -101,14 +102,42 @@
     return s->backlog;
 }
 
-/* Whether a caller's retry must leave a free slot to first attempts. During a
-   shortage, retries would take all slots that become free, because retries wait
-   for slots longer. */
-static bool must_yield(const QRSlots *s, const QRSlotCall *call,
-                       uint64_t now_ms)
+static bool is_short(const QRSlots *s, uint64_t now_ms)
 {
-    return call->is_caller_retry && s->shortage_ms > 0 &&
-           now_ms < s->shortage_ms + YIELD_MS;
+    return s->shortage_ms > 0 && now_ms < s->shortage_ms + YIELD_MS;
+}
+
+/* Whether a request must leave a free slot to others. Without sharing, all
+   retries by callers leave it to first attempts: they would take all slots that
+   become free, because they wait for slots longer. */
+static QRShareVerdict decide(const QRSlots *s, const QRSlotCall *call,
+                             const QRShareRequest *share, uint64_t now_ms)
+{
+    if (!is_short(s, now_ms))
+        return QR_SHARE_TAKES;
+    if (s->shares_slots)
+        return qr_shares_decide(&s->shares, share, now_ms);
+    return call->is_caller_retry ? QR_SHARE_YIELDS_TO_FIRST : QR_SHARE_TAKES;
+}
+
+static void note_yielded(QRSlots *s, const QRShareRequest *share,
+                         uint64_t now_ms)
+{
+    s->yielded++;
+    if (!s->shares_slots)
+        return;
+    qr_shares_note_denied(&s->shares, share, now_ms);
+    qr_shares_note_yielded(&s->shares, share, s->last_verdict, now_ms);
+}
+
+static void note_full(QRSlots *s, const QRSlotCall *call,
+                      const QRShareRequest *share, uint64_t now_ms)
+{
+    if (!call->is_caller_retry && call->denials >= SHORTAGE_DENIALS)
+        s->shortage_ms = MAX(now_ms, 1);
+    s->denied++;
+    if (s->shares_slots)
+        qr_shares_note_denied(&s->shares, share, now_ms);
 }
 
 uint64_t qr_slots_backoff_ms(const QRSlots *s, const char *gateway,
@@ -144,19 +173,25 @@
 {
     Holder *h = holder_of(s, gateway);
     QRSlotLoad load = load_of_others(s, gateway, now_ms);
-
+    QRShareRequest share = {.rank = call->rank,
+                            .team = call->team,
+                            .denials = call->denials,
+                            .is_caller_retry = call->is_caller_retry};
+
+    s->last_verdict = QR_SHARE_TAKES;
+    if (s->shares_slots)
+        qr_shares_begin(&s->shares, &share, now_ms);
     load.open += h->load.open;
     load.reading = (unsigned)backlog(s, load.reading + h->load.reading, now_ms);
     /* an idle engine accepts a prompt of any length: no wait is shorter */
     if (load.open >= call->max_open ||
         (load.open > 0 && load.reading > call->max_reading)) {
-        if (!call->is_caller_retry && call->denials >= SHORTAGE_DENIALS)
-            s->shortage_ms = MAX(now_ms, 1);
-        s->denied++;
+        note_full(s, call, &share, now_ms);
         return false;
     }
-    if (must_yield(s, call, now_ms)) {
-        s->yielded++;
+    s->last_verdict = decide(s, call, &share, now_ms);
+    if (s->last_verdict >= QR_SHARE_YIELDS_TO_RANK) {
+        note_yielded(s, &share, now_ms);
         return false;
     }
     if (!call->ignores_backoff && qr_slots_backoff_ms(s, gateway, now_ms) > 0) {
@@ -168,6 +203,8 @@
         return false;
     }
     s->granted++;
+    if (s->shares_slots)
+        qr_shares_note_granted(&s->shares, &share, s->last_verdict, now_ms);
     h->load.open++;
     h->load.reading += call->prompt;
     s->backlog += call->prompt;
@@ -175,6 +212,25 @@
     return true;
 }
 
+void qr_slots_log_sharing(QRSlots *s, const char *engine, uint64_t now_ms)
+{
+    QRShareNotice n;
+
+    if (!s->shares_slots || !qr_shares_take_notice(&s->shares, now_ms, &n))
+        return;
+    if (n.starts)
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "slots shared engine=%s yields_to=%s rank=%u team=%08x "
+                "ranks=%u teams=%u yielded=%" G_GUINT64_FORMAT,
+                engine, qr_share_verdict_name(n.verdict), n.rank, n.team,
+                n.ranks, n.teams, n.yielded);
+    else
+        qr_logf(QR_LEVEL_INFO, "engines",
+                "slots shared no longer engine=%s ranks=%u teams=%u "
+                "yielded=%" G_GUINT64_FORMAT,
+                engine, n.ranks, n.teams, n.yielded);
+}
+
 QRSlotLoad qr_slots_held_by_others(QRSlots *s, const char *gateway,
                                    uint64_t now_ms)
 {
@@ -260,7 +316,8 @@
     QRSlotLoad holds = {request->open, request->reading}, others;
     QRSlotCall call = {request->prompt,       request->open_most,
                        request->reading_most, request->returned,
-                       request->denials,      !request->heeds_rest};
+                       request->denials,      !request->heeds_rest,
+                       request->rank,         request->team};
     QRAnnouncedLimit limit;
 
     qr_slots_report(s, gateway, &holds, now_ms);
--- a/src/fleet/qr_slots.h
+++ b/src/fleet/qr_slots.h
@@ -21,6 +21,7 @@
 #include "base/qr_base.h"
 #include "qr_notices.h"
 #include "qr_rate.h"
+#include "qr_shares.h"
 #include "wire/fleet.pb-c.h"
 
 /* Load that gateways hold at the engine. */
@@ -45,6 +46,9 @@
     uint64_t rate_limited;             /* denied for the rate limit alone */
     uint64_t backed_off; /* denied as the engine asked another gateway to
                             back off */
+    bool shares_slots;   /* among ranks and teams; else only retries yield */
+    QRShares shares;     /* used if shares_slots */
+    QRShareVerdict last_verdict; /* on the last request for a slot */
 } QRSlots;
 
 /* A call for which a gateway requests a slot. */
@@ -55,6 +59,7 @@
     bool is_caller_retry; /* the caller was refused before */
     unsigned denials;     /* by coordinators of engines so far */
     bool ignores_backoff; /* granted even if another gateway backs off */
+    uint32_t rank, team;  /* see QRShareRequest */
 } QRSlotCall;
 
 void qr_slots_init(QRSlots *s);
@@ -67,6 +72,9 @@
 /* Reserves a slot for a call of 'gateway'. Returns false if denied. */
 bool qr_slots_reserve(QRSlots *s, const char *gateway, const QRSlotCall *call,
                       uint64_t now_ms);
+/* Logs that sharing among ranks and teams has started or ended at the engine
+   'engine', at most once a second. */
+void qr_slots_log_sharing(QRSlots *s, const char *engine, uint64_t now_ms);
 /* Load held by all gateways other than 'gateway'. */
 QRSlotLoad qr_slots_held_by_others(QRSlots *s, const char *gateway,
                                    uint64_t now_ms);
--- a/src/gateway/qr_counters.h
+++ b/src/gateway/qr_counters.h
@@ -47,6 +47,12 @@
     DEF(waited, "calls that waited for an engine")                             \
     DEF(slots_asked, "slots requested for calls")                              \
     DEF(slots_denied, "of these, denied")                                      \
+    DEF(slots_yielded_rank,                                                    \
+        "denied here as coordinator, in favour of a more urgent rank")         \
+    DEF(slots_yielded_team,                                                    \
+        "denied here as coordinator, in favour of teams below their share")    \
+    DEF(slots_yielded_first,                                                   \
+        "retries denied here as coordinator, in favour of first tries")        \
     DEF(slots_paced, "of these, denied because of the engine's rate limit")    \
     DEF(slots_unanswered, "of these, without a reply")                         \
     DEF(directory, "address queries answered")
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -354,6 +354,7 @@
     bool returned;
     unsigned denials;
     bool ignores_backoff;
+    uint32_t rank, team;
 } QRSlotRequest;
 
 /* Asks the coordinator of the engine's slots for one. The coordinator must
--- a/src/gateway/qr_gateway_slots.c
+++ b/src/gateway/qr_gateway_slots.c
@@ -36,6 +36,7 @@
     if (!s) {
         s = g_new0(QRSlots, 1);
         qr_slots_init(s);
+        s->shares_slots = g->set->share_slots != 0;
         g_hash_table_insert(g->slots_coordinated, g_strdup(engine), s);
     }
     return s;
@@ -57,6 +58,27 @@
     return qr_engine_limit(e)->is_set || qr_gateway_cold_rate(g, e) > 0;
 }
 
+/* Handles a message to this gateway as the coordinator of the engine's slots.
+   Returns whether 'reply' was filled. */
+static bool coordinate(QRGateway *g, const char *engine, const char *gateway,
+                       const Qr__Fleet__SlotRequest *request,
+                       QRSlotReply *reply)
+{
+    static const QRCounter counters[QR_SHARE_VERDICT_COUNT] = {
+        [QR_SHARE_YIELDS_TO_RANK] = QR_COUNTER_slots_yielded_rank,
+        [QR_SHARE_YIELDS_TO_TEAM] = QR_COUNTER_slots_yielded_team,
+        [QR_SHARE_YIELDS_TO_FIRST] = QR_COUNTER_slots_yielded_first,
+    };
+    QRSlots *s = get_coordinated_slots(g, engine);
+    uint64_t now = qr_gateway_now(g);
+    bool asked = qr_slots_request(s, gateway, request, now, reply);
+
+    if (asked && s->last_verdict >= QR_SHARE_YIELDS_TO_RANK)
+        g->counters.counts[counters[s->last_verdict]]++;
+    qr_slots_log_sharing(s, engine, now);
+    return asked;
+}
+
 /* Sends the coordinator of the engine's slots what this gateway holds there,
    what the engine stated, and the slot request, if there is one (wish.call is
    not 0). */
@@ -75,6 +97,8 @@
     request.reading_most = wish->max_reading;
     request.returned = wish->returned;
     request.denials = wish->denials;
+    request.rank = wish->rank;
+    request.team = wish->team;
     request.heeds_rest = !wish->ignores_backoff;
     request.open = qr_engine_held(e);
     request.reading = qr_engine_held_reading(e);
@@ -91,8 +115,7 @@
     e->slots.unreported = false;
     e->slots.reported_ms = now;
     if (e->slots.coordinator_kind == QR_COORDINATOR_SELF) {
-        if (qr_slots_request(get_coordinated_slots(g, e->record->id),
-                             g->set->host, &request, now, &reply))
+        if (coordinate(g, e->record->id, g->set->host, &request, &reply))
             qr_gateway_slot_reply(g, &reply.head);
         return;
     }
@@ -155,8 +178,7 @@
 
     /* only for known engines: invented ids must not use memory */
     if (!qr_engines_get(&g->engines, request->engine) ||
-        !qr_slots_request(get_coordinated_slots(g, request->engine),
-                          member->name, request, qr_gateway_now(g), &reply))
+        !coordinate(g, request->engine, member->name, request, &reply))
         return;
     frame.body_case = QR__FLEET__FRAME__BODY_SLOT_REPLY;
     frame.slot_reply = &reply.head;
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -10,6 +10,8 @@
 #include "qr_relay.h"
 #include "qr_sse.h"
 
+#include "fleet/qr_shares.h"
+
 /* What is done with the body of an engine's answer. */
 typedef enum AnswerMode {
     ANSWER_NONE,    /* the head has not arrived */
@@ -77,6 +79,7 @@
        replaces that of the call's arrival. */
     GPtrArray *route_regions, *team_regions;
     QRRouteKind kind;
+    uint32_t rank; /* see qr_share_rank() */
     bool repeatable;
     unsigned runs_max;
     uint32_t objective_ms, gap_objective_ms;
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -80,6 +80,8 @@
         .returned = r->late,
         .denials = r->slot.full_denials,
         .ignores_backoff = r->slot.ignores_backoff,
+        .rank = r->rank,
+        .team = qr_share_team(r->team),
     };
 
     /* 0 means no request */
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -286,11 +286,17 @@
         "quayring_sidecar_slots_granted_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_denied_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_yielded_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_slots_yielded_rank_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_slots_yielded_team_total %" G_GUINT64_FORMAT "\n"
+        "quayring_sidecar_slots_yielded_first_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_paced_total %" G_GUINT64_FORMAT "\n"
         "quayring_sidecar_slots_rested_total %" G_GUINT64_FORMAT "\n",
         s->origin_bytes, s->peer_pieces, s->orders, s->report.version,
         qr_sidecar_newest_version(s), s->slots.granted, s->slots.denied,
-        s->slots.yielded, s->slots.rate_limited, s->slots.backed_off);
+        s->slots.yielded, s->slots.shares.yielded[QR_SHARE_YIELDS_TO_RANK],
+        s->slots.shares.yielded[QR_SHARE_YIELDS_TO_TEAM],
+        s->slots.shares.yielded[QR_SHARE_YIELDS_TO_FIRST],
+        s->slots.rate_limited, s->slots.backed_off);
     qr_traffic_append_metrics(qr_peers_traffic(s->peers), text);
     qr_exchange_reply(x, 200, NULL, text->str, text->len);
 }
@@ -329,6 +335,7 @@
     qr_operator_init(&s->operator, s->platform, operator_changed, s);
     qr_members_init(&s->members);
     qr_slots_init(&s->slots);
+    s->slots.shares_slots = set->share_slots != 0;
     sidecar_add_self(s);
 }
 
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -215,10 +215,13 @@
     QRFrame frame = QR__FLEET__FRAME__INIT;
     QRSlotReply reply;
     const QRService *service = qr_sidecar_service(s);
+    bool asked;
 
     s->slots.read_per_ms = service ? service->engine.read_per_s / 1000 : 0;
-    if (!qr_slots_request(&s->slots, gateway, request, qr_sidecar_now(s),
-                          &reply))
+    asked = qr_slots_request(&s->slots, gateway, request, qr_sidecar_now(s),
+                             &reply);
+    qr_slots_log_sharing(&s->slots, s->set->engine, qr_sidecar_now(s));
+    if (!asked)
         return;
     frame.body_case = QR__FLEET__FRAME__BODY_SLOT_REPLY;
     frame.slot_reply = &reply.head;
