--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -29,7 +29,7 @@
 typedef struct Gateway Gateway;
 
 typedef struct Call {
-    unsigned kind, prompt, events;
+    unsigned kind, prompt, events, team;
     uint64_t arrived_ms; /* at the first try */
     uint64_t try_ms;     /* start of the current try */
     bool returned, waiting;
@@ -156,6 +156,11 @@
         o->refused += !served;
         o->in_objective += served && c->in_time && !c->gap_missed;
         o->kind_in_objective[c->kind] += served && c->in_time && !c->gap_missed;
+        o->kind_served[c->kind] += served;
+        o->team_callers[c->team]++;
+        o->team_served[c->team] += served;
+        o->retries += c->returned;
+        o->retries_served += c->returned && served;
         o->late += served && (!c->in_time || c->gap_missed);
     }
     g_free(c);
@@ -167,6 +172,8 @@
         RETRY_DELAY_MS + (unsigned)(random_unit(m) * RETRY_SPREAD_MS);
     Message msg = {.kind = MESSAGE_CALLER_ARRIVES, .call = c};
 
+    if (m->s->teams > 0 && m->s->team[c->team].retries_at_once)
+        retry_ms = 0;
     m->out.first_tries_refused += !c->returned && is_counted(c);
     if (c->returned) {
         finish_call(m, c, false);
@@ -178,6 +185,22 @@
     post_message(m, retry_ms, &msg);
 }
 
+static unsigned random_team(Model *m)
+{
+    double which, sum = 0;
+    unsigned team = 0;
+
+    if (m->s->teams == 0)
+        return 0;
+    which = random_unit(m);
+    for (; team + 1 < m->s->teams; team++) {
+        sum += m->s->team[team].share;
+        if (which < sum)
+            break;
+    }
+    return team;
+}
+
 /* Approximates a Poisson process by many trials of a small probability. */
 static void callers_arrive(Model *m)
 {
@@ -197,6 +220,7 @@
             if (which < sum)
                 break;
         }
+        c->team = random_team(m);
         c->arrived_ms = m->now_ms;
         c->prompt =
             (unsigned)(-log(1 - random_unit(m)) * m->s->kinds[c->kind].prompt);
@@ -286,7 +310,9 @@
         .engine = index_of(e),
         .load = {qr_engine_held(e), qr_engine_held_reading(e)},
         .slot_call = {c->prompt, limits.max_open_calls,
-                      limits.max_unread_tokens, c->returned, c->denials},
+                      limits.max_unread_tokens, c->returned, c->denials, false,
+                      m->s->kinds[c->kind].rank,
+                      m->s->teams > 0 ? c->team + 1 : 0},
     };
 
     c->awaits_slot = true;
@@ -656,6 +682,7 @@
         m->engines[i].in_pass = g_ptr_array_new();
         qr_slots_init(&m->engines[i].slots);
         m->engines[i].slots.read_per_ms = s->read_per_ms;
+        m->engines[i].slots.shares_slots = s->shares_slots;
     }
     for (unsigned i = 0; i < s->gateways; i++)
         gateway_init(m, i);
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -13,6 +13,7 @@
 #include "base/qr_base.h"
 
 #define LOAD_KINDS 3
+#define LOAD_TEAMS_MAX 16
 
 /* How gateways learn which slots of engines other gateways use. */
 typedef enum LoadMode {
@@ -30,7 +31,14 @@
         double prompt;   /* tokens, mean */
         unsigned events; /* of an answer, one in each pass */
         unsigned objective_ms, gap_ms;
+        uint32_t rank;
     } kinds[LOAD_KINDS];
+    bool shares_slots; /* coordinators share slots among ranks and teams */
+    unsigned teams;    /* 0: calls name no team */
+    struct {
+        double share; /* of all calls */
+        bool retries_at_once;
+    } team[LOAD_TEAMS_MAX];
     double calls_per_s;
     unsigned message_ms;       /* delay of a message between processes */
     unsigned gateway_extra_ms; /* further delay between gateways */
@@ -47,6 +55,9 @@
     unsigned kind_callers[LOAD_KINDS], kind_in_objective[LOAD_KINDS];
     unsigned largest, largest_served; /* the longest tenth of prompts */
     unsigned first_tries_refused;
+    unsigned kind_served[LOAD_KINDS];
+    unsigned team_callers[LOAD_TEAMS_MAX], team_served[LOAD_TEAMS_MAX];
+    unsigned retries, retries_served;
 } LoadOutcome;
 
 /* The engines and the mix of calls of the users' largest site. */
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -9,6 +9,7 @@
 #include "unit_neighbours.h"
 #include "unit_notices.h"
 #include "unit_placement.h"
+#include "unit_shares.h"
 #include "unit_sources.h"
 #include "unit_parts.h"
 #include "unit_suspects.h"
@@ -422,6 +423,7 @@
     suite_add_tcase(s, unit_parts_case());
     suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
+    suite_add_tcase(s, unit_shares_case());
     suite_add_tcase(s, unit_notices_case());
     suite_add_tcase(s, unit_sources_case());
     suite_add_tcase(s, unit_neighbours_case());
