--- a/tests/cost.c
+++ b/tests/cost.c
@@ -4,6 +4,7 @@
  */
 #include "core/qr_agent.h"
 #include "core/qr_entry.h"
+#include "fleet/qr_slots.h"
 #include "gateway/qr_suspects.h"
 
 #include <malloc.h>
@@ -341,6 +342,38 @@
     qr_suspects_clear(&s);
 }
 
+/* A request for a slot, one in three of them denied while slots are short, at a
+   coordinator that 'gateways' and, if slots are shared, 24 teams ask. */
+static void cost_slot_request(unsigned gateways, bool shares)
+{
+    Qr__Fleet__SlotRequest request = QR__FLEET__SLOT_REQUEST__INIT;
+    char names[64][16];
+    QRSlotReply reply;
+    QRSlots s;
+    double t;
+
+    qr_slots_init(&s);
+    s.shares_slots = shares;
+    s.read_per_ms = 20;
+    for (unsigned i = 0; i < gateways; i++)
+        g_snprintf(names[i], sizeof(names[i]), "gateway-%u", i);
+    request.call = 1;
+    request.reading_most = 10000;
+    request.prompt = 900;
+    t = seconds();
+    for (unsigned i = 0; i < CALLS * ROUNDS; i++) {
+        request.open_most = i % 3 == 0 ? 0 : 12 * gateways;
+        request.denials = i % 5;
+        request.rank = i % 24 % 3;
+        request.team = i % 24 + 1;
+        request.returned = i % 11 == 0;
+        qr_slots_request(&s, names[i % gateways], &request, i / 4, &reply);
+    }
+    print_row(shares ? "slot_request_shared" : "slot_request", gateways,
+              (seconds() - t) * 1e9 / (CALLS * ROUNDS), "ns");
+    qr_slots_clear(&s);
+}
+
 int main(void)
 {
     static const unsigned sizes[] = {16, 64, 256, 930, 1500};
@@ -352,6 +385,10 @@
     cost_part_fingerprint();
     cost_suspects(QR_FINGERPRINT_REQUEST);
     cost_suspects(QR_FINGERPRINT_PART);
+    for (unsigned gateways = 16; gateways <= 64; gateways *= 2) {
+        cost_slot_request(gateways, false);
+        cost_slot_request(gateways, true);
+    }
     qr_findings_init(&f, "settings");
     set = qr_settings_read(SETTINGS, strlen(SETTINGS), &f);
     if (!set)
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -20,7 +20,6 @@
 #define RETRY_SPREAD_MS 900 /* ... and a random time of at most this */
 #define WARM_UP_MS 1000
 #define MAX_SLOT_REQUESTS 6
-#define DENIED_PAUSE_MS 25
 #define MAX_QUEUED 24 /* calls that an engine without a free slot queues */
 /* Times the mean: a tenth of an exponential distribution is longer. */
 #define LONG_PROMPT_FACTOR 2.3
@@ -233,6 +232,16 @@
 
 /* -- gateways ------------------------------------------------------------ */
 
+static uint32_t call_rank(const Model *m, const Call *c)
+{
+    return m->s->shares_slots ? m->s->kinds[c->kind].rank : 0;
+}
+
+static uint32_t call_team(const Model *m, const Call *c)
+{
+    return m->s->shares_slots && m->s->teams > 0 ? c->team + 1 : 0;
+}
+
 static QRBalanceInput balance_input(Model *m, const Call *c)
 {
     const LoadSetup *s = m->s;
@@ -243,6 +252,9 @@
         .regions = m->regions,
         .model = &m->costs,
         .prompt_tokens = c->prompt,
+        .rank = call_rank(m, c),
+        .team = call_team(m, c),
+        .is_queued = c->waiting,
         .first_byte_objective_ms = s->kinds[0].objective_ms,
         .gap_objective_ms = s->kinds[c->kind].gap_ms,
         .waited_ms = (uint32_t)(m->now_ms - c->arrived_ms),
@@ -269,10 +281,13 @@
 {
     Gateway *g = c->gateway;
     GQueue *queue = c->returned ? &g->late_waiting : &g->waiting;
+    GList *before = queue->tail;
 
     if (m->now_ms < wait_until(m, c)) {
+        while (before && call_rank(m, before->data) > call_rank(m, c))
+            before = before->prev;
         if (!c->waiting)
-            g_queue_push_tail(queue, c);
+            g_queue_insert_after(queue, before, c);
         c->waiting = true;
         return;
     }
@@ -311,8 +326,7 @@
         .load = {qr_engine_held(e), qr_engine_held_reading(e)},
         .slot_call = {c->prompt, limits.max_open_calls,
                       limits.max_unread_tokens, c->returned, c->denials, false,
-                      m->s->kinds[c->kind].rank,
-                      m->s->teams > 0 ? c->team + 1 : 0},
+                      call_rank(m, c), call_team(m, c)},
     };
 
     c->awaits_slot = true;
@@ -345,6 +359,13 @@
         send(m, c, choice.engine);
 }
 
+static bool has_room(const QREngine *e, const Message *denied)
+{
+    return denied->load.open + qr_engine_held(e) < denied->slot_call.max_open &&
+           denied->load.reading + qr_engine_held_reading(e) <=
+               denied->slot_call.max_reading;
+}
+
 static void handle_slot_reply(Model *m, const Message *msg)
 {
     Call *c = msg->call;
@@ -363,7 +384,8 @@
     }
     m->out.denied++;
     c->denials += c->has_full_limits;
-    e->slots.denied_until_ms = m->now_ms + DENIED_PAUSE_MS;
+    qr_engine_note_denied(e, call_rank(m, c), call_team(m, c), has_room(e, msg),
+                          m->now_ms);
     if (c->asked > MAX_SLOT_REQUESTS)
         wait_or_refuse(m, c);
     else
--- a/tests/unit_shares.c
+++ b/tests/unit_shares.c
@@ -5,6 +5,7 @@
 #include "unit_shares.h"
 
 #include "load_model.h"
+#include "fleet/qr_engines.h"
 #include "fleet/qr_shares.h"
 #include "fleet/qr_slots.h"
 
@@ -151,9 +152,13 @@
     /* only the large team itself lacks slots */
     deny(&s, 0, 1, START_MS + 1);
     ck_assert(ask(&s, &large, START_MS + 2));
-    /* Another as large lacks slots, too. Each may have 20 of the 50 grants; an
-       equal part would be 4. */
-    for (unsigned i = 0; i < 19; i++)
+    /* Another lacks slots, too. The two share what the others leave: 13 each
+       of 36 grants, where an equal part would be 3. */
+    for (unsigned i = 0; i < 5; i++)
+        ck_assert(ask(&s, &other, START_MS + 3));
+    deny(&s, 0, 2, START_MS + 3);
+    ck_assert(!ask(&s, &large, START_MS + 3));
+    for (unsigned i = 0; i < 14; i++)
         ck_assert(ask(&s, &other, START_MS + 3));
     deny(&s, 0, 2, START_MS + 3);
     ck_assert(ask(&s, &other, START_MS + 4));
@@ -359,6 +364,30 @@
 }
 END_TEST
 
+/* A gateway requests no slot for 25 ms after a denial. A call in its queue that
+   is more urgent, or of another team where slots were free, is not held up by
+   denials of others. */
+START_TEST(pauses_hold_for_like_calls)
+{
+    QREngine e = {0};
+
+    qr_engine_note_denied(&e, 1, 7, false, START_MS);
+    ck_assert_uint_gt(e.slots.denied_until_ms, START_MS);
+    ck_assert(!qr_engine_was_denied(&e, 0, 7));
+    ck_assert(qr_engine_was_denied(&e, 1, 8));
+    ck_assert(qr_engine_was_denied(&e, 2, 7));
+    /* the denial of a less urgent call leaves that of the other in force */
+    qr_engine_note_denied(&e, 2, 7, true, START_MS + 1);
+    ck_assert(qr_engine_was_denied(&e, 1, 8));
+    /* slots were free: only the team that was denied has to wait */
+    qr_engine_note_denied(&e, 1, 7, true, START_MS + 1000);
+    ck_assert(qr_engine_was_denied(&e, 1, 7));
+    ck_assert(!qr_engine_was_denied(&e, 1, 8));
+    qr_engine_note_denied(&e, 1, 8, true, START_MS + 1001);
+    ck_assert(qr_engine_was_denied(&e, 1, 9));
+}
+END_TEST
+
 /* -- under load ---------------------------------------------------------- */
 
 /* The first deployment of the page: 34 engines, 16 gateways; ten teams. */
@@ -555,6 +584,7 @@
     tcase_add_test(t, messages_of_other_builds);
     tcase_add_test(t, ranks_and_teams_of_calls);
     tcase_add_test(t, log_lines_are_few);
+    tcase_add_test(t, pauses_hold_for_like_calls);
     tcase_add_loop_test(t, surge_of_one_team_leaves_others_alone, 1, 3);
     tcase_add_test(t, large_team_gets_what_others_leave);
     tcase_add_loop_test(t, ranks_are_served_in_order, 0, 3);
