--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -12,6 +12,7 @@
 
 /* A call that has used up the objective divided by this is late. */
 #define LATE_DIVISOR 2
+#include "fleet/qr_shares.h"
 
 /* What is done with the body of an engine's answer. */
 typedef enum AnswerMode {
@@ -63,7 +64,8 @@
     char *engine;     /* id; NULL: no request is open */
     uint32_t request; /* its number */
     uint64_t requested_ms;
-    unsigned requests, denied; /* requests so far; denied ones */
+    unsigned requests, denied;      /* requests so far; denied ones */
+    unsigned max_open, max_reading; /* the last one: its limits */
     bool at_full_limits;   /* the last one: its limits were the full ones, see
                               qr_balance_tighten_limits() */
     bool ignores_backoff;  /* the last one: also during the engine's backoff */
@@ -82,6 +84,8 @@
        replaces that of the call's arrival. */
     GPtrArray *route_regions, *team_regions;
     QRRouteKind kind;
+    /* see qr_share_rank(), qr_share_team(); 0 if slots are not shared */
+    uint32_t rank, share_team;
     bool repeatable;
     unsigned runs_max;
     uint32_t objective_ms, gap_objective_ms;
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -21,7 +21,6 @@
 #define RETRY_SPREAD_MS 900 /* ... and a random time of at most this */
 #define WARM_UP_MS 1000
 #define MAX_SLOT_REQUESTS 6
-#define DENIED_PAUSE_MS 25
 #define MAX_QUEUED 24 /* calls that an engine without a free slot queues */
 /* Times the mean: a tenth of an exponential distribution is longer. */
 #define LONG_PROMPT_FACTOR 2.3
@@ -30,7 +29,7 @@
 typedef struct Gateway Gateway;
 
 typedef struct Call {
-    unsigned kind, prompt, events;
+    unsigned kind, prompt, events, team;
     uint64_t arrived_ms; /* at the first try */
     uint64_t try_ms;     /* start of the current try */
     bool returned, waiting, waited_on;
@@ -169,6 +168,11 @@
         o->size_refused[size_of(c)] += !served;
         o->in_objective += served && c->in_time && !c->gap_missed;
         o->kind_in_objective[c->kind] += served && c->in_time && !c->gap_missed;
+        o->kind_served[c->kind] += served;
+        o->team_callers[c->team]++;
+        o->team_served[c->team] += served;
+        o->retries += c->returned;
+        o->retries_served += c->returned && served;
         o->late += served && (!c->in_time || c->gap_missed);
     }
     g_free(c);
@@ -180,6 +184,8 @@
         RETRY_DELAY_MS + (unsigned)(random_unit(m) * RETRY_SPREAD_MS);
     Message msg = {.kind = MESSAGE_CALLER_ARRIVES, .call = c};
 
+    if (m->s->teams > 0 && m->s->team[c->team].retries_at_once)
+        retry_ms = 0;
     m->out.first_tries_refused += !c->returned && is_counted(c);
     if (c->returned) {
         finish_call(m, c, false);
@@ -191,6 +197,22 @@
     post_message(m, retry_ms, &msg);
 }
 
+static unsigned random_team(Model *m)
+{
+    double which, sum = 0;
+    unsigned team = 0;
+
+    if (m->s->teams == 0)
+        return 0;
+    which = random_unit(m);
+    for (; team + 1 < m->s->teams; team++) {
+        sum += m->s->team[team].share;
+        if (which < sum)
+            break;
+    }
+    return team;
+}
+
 /* Approximates a Poisson process by many trials of a small probability. */
 static void callers_arrive(Model *m)
 {
@@ -210,6 +232,7 @@
             if (which < sum)
                 break;
         }
+        c->team = random_team(m);
         c->arrived_ms = m->now_ms;
         c->prompt =
             (unsigned)(-log(1 - random_unit(m)) * m->s->kinds[c->kind].prompt);
@@ -240,6 +263,16 @@
     return is_late(c) ? &c->gateway->late_waiting : &c->gateway->waiting;
 }
 
+static uint32_t call_rank(const Model *m, const Call *c)
+{
+    return m->s->shares_slots ? m->s->kinds[c->kind].rank : 0;
+}
+
+static uint32_t call_team(const Model *m, const Call *c)
+{
+    return m->s->shares_slots && m->s->teams > 0 ? c->team + 1 : 0;
+}
+
 static QRBalanceInput balance_input(Model *m, const Call *c)
 {
     const LoadSetup *s = m->s;
@@ -250,6 +283,9 @@
         .regions = m->regions,
         .model = &m->costs,
         .prompt_tokens = c->prompt,
+        .rank = call_rank(m, c),
+        .team = call_team(m, c),
+        .is_queued = c->waiting,
         .first_byte_objective_ms = s->kinds[0].objective_ms,
         .gap_objective_ms = s->kinds[c->kind].gap_ms,
         .waited_ms = (uint32_t)(m->now_ms - c->arrived_ms),
@@ -294,6 +330,17 @@
     return m->s->by_forecast && qr_call_may_wait_on(&t, &room, &start_ms);
 }
 
+/* Queues the call behind those that are at least as urgent. */
+static void queue_call(const Model *m, Call *c)
+{
+    GQueue *queue = queue_of(c);
+    GList *before = queue->tail;
+
+    while (before && call_rank(m, before->data) > call_rank(m, c))
+        before = before->prev;
+    g_queue_insert_after(queue, before, c);
+}
+
 static void wait_or_refuse(Model *m, Call *c, const QRBalanceChoice *choice)
 {
     bool in_time = m->now_ms < wait_until(m, c);
@@ -305,7 +352,7 @@
         }
         c->waited_on = c->waited_on || !in_time;
         if (!c->waiting)
-            g_queue_push_tail(queue_of(c), c);
+            queue_call(m, c);
         c->waiting = true;
         return;
     }
@@ -342,7 +389,8 @@
         .engine = index_of(e),
         .load = {qr_engine_held(e), qr_engine_held_reading(e)},
         .slot_call = {c->prompt, limits.max_open_calls,
-                      limits.max_unread_tokens, is_late(c), c->denials},
+                      limits.max_unread_tokens, is_late(c), c->denials, false,
+                      call_rank(m, c), call_team(m, c)},
     };
 
     c->awaits_slot = true;
@@ -375,6 +423,13 @@
         send(m, c, choice.engine);
 }
 
+static bool has_room(const QREngine *e, const Message *denied)
+{
+    return denied->load.open + qr_engine_held(e) < denied->slot_call.max_open &&
+           denied->load.reading + qr_engine_held_reading(e) <=
+               denied->slot_call.max_reading;
+}
+
 static void handle_slot_reply(Model *m, const Message *msg)
 {
     Call *c = msg->call;
@@ -393,7 +448,8 @@
     }
     m->out.denied++;
     c->denials += c->has_full_limits;
-    e->slots.denied_until_ms = m->now_ms + DENIED_PAUSE_MS;
+    qr_engine_note_denied(e, call_rank(m, c), call_team(m, c), has_room(e, msg),
+                          m->now_ms);
     if (c->asked > MAX_SLOT_REQUESTS) {
         QRBalanceInput in = balance_input(m, c);
         QRBalanceChoice choice = qr_balance_choose(&c->gateway->engines, &in);
@@ -469,7 +525,8 @@
                        i % HEARTBEAT_MS / TICK_MS * TICK_MS + i % TICK_MS);
 }
 
-/* -- engines ------------------------------------------------------------- */
+/* -- engines -------------------------------------------------------------
+ */
 
 static void write_event(Model *m, unsigned at, Call *c)
 {
@@ -573,7 +630,8 @@
     }
 }
 
-/* -- messages and steps -------------------------------------------------- */
+/* -- messages and steps --------------------------------------------------
+ */
 
 static void handle_call_progress(Model *m, const Message *msg)
 {
@@ -716,6 +774,7 @@
         m->engines[i].in_pass = g_ptr_array_new();
         qr_slots_init(&m->engines[i].slots);
         m->engines[i].slots.read_per_ms = s->read_per_ms;
+        m->engines[i].slots.shares_slots = s->shares_slots;
     }
     for (unsigned i = 0; i < s->gateways; i++)
         gateway_init(m, i);
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -14,6 +14,7 @@
 
 #define LOAD_KINDS 3
 #define LOAD_SIZES 3 /* of prompts: under 1,500 tokens, under 3,000, others */
+#define LOAD_TEAMS_MAX 16
 
 /* How gateways learn which slots of engines other gateways use. */
 typedef enum LoadMode {
@@ -31,7 +32,14 @@
         double prompt;   /* tokens, mean */
         unsigned events; /* of an answer, one in each pass */
         unsigned objective_ms, gap_ms;
+        uint32_t rank;
     } kinds[LOAD_KINDS];
+    bool shares_slots; /* coordinators share slots among ranks and teams */
+    unsigned teams;    /* 0: calls name no team */
+    struct {
+        double share; /* of all calls */
+        bool retries_at_once;
+    } team[LOAD_TEAMS_MAX];
     double calls_per_s;
     unsigned max_prompt; /* tokens; 0: no limit */
     /* callers that gateways without engines have refused at their first try,
@@ -59,6 +67,9 @@
     /* callers that arrived after an outage */
     unsigned after_callers, after_in_objective, after_refused;
     unsigned size_callers[LOAD_SIZES], size_refused[LOAD_SIZES];
+    unsigned kind_served[LOAD_KINDS];
+    unsigned team_callers[LOAD_TEAMS_MAX], team_served[LOAD_TEAMS_MAX];
+    unsigned retries, retries_served;
 } LoadOutcome;
 
 /* The engines and the mix of calls of the users' largest site. */
