A sidecar tries a returned origin before it lets another root fetch

Only failures after the first report count, and roots that stand in for an owner are waited for 3 s.

--- a/src/sidecar/qr_origin.c
+++ b/src/sidecar/qr_origin.c
@@ -13,11 +13,11 @@
 #define JITTER_DIVISOR 4
 /* After a report the owners start within this time, not all at once. */
 #define RESUME_SPREAD_MS 60
-/* Failures for so long, while the origin answers others, mean that only this
-   host cannot reach it. One lost packet costs less. */
+/* So many failures in so long, while the origin answers others, mean that only
+   this host cannot reach it. One lost packet costs less. Failures before the
+   first report count for nothing: the origin may have been away for all. */
+#define YIELD_FAILURES 2
 #define UNREACHABLE_AFTER_MS 700
-/* A report as old as the first failure says nothing about the time since. */
-#define REPORT_MARGIN_MS 300
 #define YIELD_MS 3000
 /* A sidecar that still fetches tries again within this time. */
 #define FAILURES_EXPIRE_MS 5000
@@ -32,13 +32,21 @@
     return now_ms >= o->retry_ms;
 }
 
+/* Forgets failures: the origin has answered, or another fetch begins. */
+static void clear_failures(QROrigin *o)
+{
+    o->failing_since_ms = 0;
+    o->failures = 0;
+    o->peer_answered_ms = 0;
+    o->failures_after_peer = 0;
+}
+
 void qr_origin_note_answer(QROrigin *o, uint64_t now_ms)
 {
     if (o->failures > 1)
         o->reported_ms = 0;
+    clear_failures(o);
     o->answered_ms = now_ms;
-    o->failing_since_ms = 0;
-    o->failures = 0;
     o->retry_ms = 0;
     o->yield_until_ms = 0;
 }
@@ -59,9 +67,10 @@
 
     /* failures of an earlier fetch say nothing about this one */
     if (now_ms > o->retry_ms + FAILURES_EXPIRE_MS)
-        o->failures = 0;
+        clear_failures(o);
     if (o->failures++ == 0)
         o->failing_since_ms = MAX(now_ms, 1);
+    o->failures_after_peer += o->peer_answered_ms > 0;
     delay_ms = MAX(retry_delay_ms(o, f->probes), f->retry_after_ms);
     o->retry_ms = now_ms + delay_ms + f->random % (delay_ms / JITTER_DIVISOR);
 }
@@ -69,8 +78,11 @@
 void qr_origin_note_peer_answer(QROrigin *o, uint64_t answered_ms,
                                 uint64_t random, uint64_t now_ms)
 {
-    o->peer_answered_ms = MAX(o->peer_answered_ms, answered_ms);
-    if (o->failures > 0 && answered_ms > o->failing_since_ms)
+    if (o->failures == 0 || answered_ms <= o->failing_since_ms)
+        return;
+    if (o->peer_answered_ms == 0)
+        o->peer_answered_ms = MAX(now_ms, 1);
+    if (o->failures_after_peer == 0)
         o->retry_ms = MIN(o->retry_ms, now_ms + random % RESUME_SPREAD_MS);
 }
 
@@ -78,14 +90,13 @@
 {
     if (now_ms < o->yield_until_ms)
         return true;
-    if (o->failures < 2 || now_ms > o->retry_ms + FAILURES_EXPIRE_MS ||
-        now_ms < o->failing_since_ms + UNREACHABLE_AFTER_MS ||
-        o->peer_answered_ms < o->failing_since_ms + REPORT_MARGIN_MS)
+    if (o->failures_after_peer < YIELD_FAILURES ||
+        now_ms < o->peer_answered_ms + UNREACHABLE_AFTER_MS ||
+        now_ms > o->retry_ms + FAILURES_EXPIRE_MS)
         return false;
     o->yield_until_ms = now_ms + YIELD_MS;
     /* the next decision needs new failures and a new report */
-    o->failures = 0;
-    o->failing_since_ms = 0;
+    clear_failures(o);
     return true;
 }
 
--- a/src/sidecar/qr_origin.h
+++ b/src/sidecar/qr_origin.h
@@ -17,9 +17,12 @@
     uint64_t failing_since_ms; /* first failure since that answer; 0: none */
     unsigned failures;         /* since that answer */
     uint64_t retry_ms;         /* no request before this time */
-    uint64_t peer_answered_ms; /* last answer reported by a peer; 0: none */
-    uint64_t yield_until_ms;   /* other owners fetch for this sidecar */
-    uint64_t reported_ms;      /* last report to the other owners */
+    /* when a peer first reported an answer later than 'failing_since_ms'; 0:
+       none has */
+    uint64_t peer_answered_ms;
+    unsigned failures_after_peer; /* since that report */
+    uint64_t yield_until_ms;      /* other owners fetch for this sidecar */
+    uint64_t reported_ms;         /* last report to the other owners */
 } QROrigin;
 
 /* A failed request. */
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -29,10 +29,13 @@
 #define PEER_TIMEOUT_MS 4000      /* for a peer to deliver a piece */
 #define PEER_REPLY_TIMEOUT_MS 900 /* for a peer to send any reply at all */
 #define PENDING_TIMEOUT_MS 1000   /* since a peer last reported PENDING */
-/* While other pieces arrive, a relay is waited for no longer. A root is waited
-   for as long as it reports PENDING: it knows by itself that it cannot reach
-   the origin, and another root would fetch the piece a second time. */
+/* While other pieces arrive, a relay is waited for no longer. The owner of a
+   piece is waited for as long as it reports PENDING: it knows by itself that it
+   cannot reach the origin, and another root would fetch the piece a second
+   time. Roots that stand in for it are waited for a limited time, as two of
+   them could wait for each other. */
 #define RELAY_TIMEOUT_MS 9000
+#define ROOT_TIMEOUT_MS 3000
 #define MEMBER_VIEWS_SETTLE_MS 1500 /* until sidecars see the same members */
 #define PENDING_NOTICE_MS 400 /* between PENDING messages to a waiting peer */
 /* The manifest is small: its peer timeouts are divided by this number. */
@@ -463,9 +466,10 @@
         return false;
     if (p->pending)
         return now > p->asked_ms + PENDING_TIMEOUT_MS ||
-               (!p->from_root &&
-                qr_progress_is_source_overdue(&t->progress, p->first_asked_ms,
-                                              RELAY_TIMEOUT_MS, now));
+               ((!p->from_root || p->attempts.roots > 0) &&
+                qr_progress_is_source_overdue(
+                    &t->progress, p->first_asked_ms,
+                    p->from_root ? ROOT_TIMEOUT_MS : RELAY_TIMEOUT_MS, now));
     if (!p->answered)
         return now > p->asked_ms + PEER_REPLY_TIMEOUT_MS / divisor;
     if (now > p->asked_ms + PEER_TIMEOUT_MS / divisor)
