Retries get no more than their share in a lasting overload

Grants between shortages now count against the share, and one retry at most goes first at once. Also: pieces of an older version are sent before those of a newer one, to relays too.

--- a/src/fleet/qr_shares.c
+++ b/src/fleet/qr_shares.c
@@ -26,7 +26,10 @@
 /* Bounds the calls of a rank that go first at once after a long wait. */
 #define CREDIT_MAX 4
 /* Bounds the retries that go before first tries at once. */
-#define RETRY_CREDIT_MAX 2
+#define RETRY_CREDIT_MAX 1.0
+/* Grants to retries that later first tries make up for: as many as an engine
+   has slots. */
+#define RETRY_DEBT_MAX 12.0
 #define PRIORITY_LAST 15
 #define TEAM_SEED 23       /* of the hash of a team's name */
 #define NOTICE_GAP_MS 1000 /* least time between two notices */
@@ -85,8 +88,7 @@
     }
     if (s->ranks_len < QR_SHARE_RANKS_MAX)
         oldest = s->ranks_len++;
-    s->ranks[oldest] =
-        (QRShareRank){.rank = rank, .asked_ms = now_ms, .retry_credit = 1};
+    s->ranks[oldest] = (QRShareRank){.rank = rank, .asked_ms = now_ms};
     return oldest;
 }
 
@@ -241,7 +243,9 @@
 
     s->teams[request->team_at].used += s->scale;
     if (request->is_caller_retry)
-        rank->retry_credit = MAX(rank->retry_credit - 1, 0);
+        /* grants between two shortages count too: in a lasting overload their
+           number would not be bounded */
+        rank->retry_credit = MAX(rank->retry_credit - 1, -RETRY_CREDIT_MAX);
     else
         rank->retry_credit =
             MIN(rank->retry_credit +
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -67,25 +67,25 @@
 }
 
 /*
- * The rank of an upload; lower ranks are sent first. First come peers that
- * forward the piece (relays, and peers of other regions), then the older
- * version, whose bound comes first, then the group of sidecars that switches
- * first. Within a group all have the same rank, because a few peers alone
- * cannot receive as much as this sidecar may send.
+ * The rank of an upload; lower ranks are sent first. The older version, whose
+ * bound comes first, precedes the newer one. Of a version first come peers that
+ * forward the piece (relays, and peers of other regions), then the group of
+ * sidecars that switches first. Within a group all have the same rank, because
+ * a few peers alone cannot receive as much as this sidecar may send.
  */
 static unsigned upload_rank(const QRSidecar *s, const QRWaiter *w)
 {
     const QRFleetMember *to = qr_peer_data(w->peer);
     g_auto(QRSourcePlan) plan = {0};
+    unsigned first = target_position(s, w->target) * (SWITCH_GROUPS + 2);
     unsigned place;
 
     qr_sidecar_plan(s, w->target->version, &plan);
     if (to && (g_strcmp0(to->region, s->set->region) != 0 ||
                qr_source_is_relay(&plan, w->index, to)))
-        return 0;
+        return first;
     place = to ? qr_source_rank(&plan, to->name) : plan.all->len;
-    return 1 + target_position(s, w->target) * (SWITCH_GROUPS + 1) +
-           place * SWITCH_GROUPS / MAX(plan.all->len, 1);
+    return first + 1 + place * SWITCH_GROUPS / MAX(plan.all->len, 1);
 }
 
 /* Queues a piece for a peer, behind those of the same rank. */
