A root that leaves does not move the pieces of other roots

Cause: roots took the first free place from the one that their name hashes to. When a root left, those that had been placed after it moved up, and their pieces had new owners, which asked the origin for them again. With 45, 110 and 440 sidecars, a unit test finds such a departure for each size.

Ruled out: a rendezvous hash for each place alone. One sidecar may then have two places, and the origin has fewer requests open than it can serve.

Change: the name of a member hashes to one place, and the best member of a place is its root. A place to which no name hashes gets a substitute.

Conclusion: only the pieces of the sidecar that left change owners. If a place has a substitute and that one becomes the root of its own place, two change.

--- a/src/sidecar/qr_sources.c
+++ b/src/sidecar/qr_sources.c
@@ -70,50 +70,63 @@
     return strcmp(a->member->name, b->member->name) < 0;
 }
 
-/* Inserts 'c' into the best 'max' candidates. Returns their number. */
-static unsigned insert_candidate(RootCandidate *best, unsigned n, unsigned max,
-                                 const RootCandidate *c)
+/* Returns the best candidate for the place whose members all have another
+   place by their names; it is none of the roots so far. */
+static QRFleetMember *choose_substitute(const GPtrArray *members,
+                                        GPtrArray *roots, bool staying,
+                                        const char *key, unsigned place)
 {
-    unsigned at = n;
-
-    while (at > 0 && is_better_root(c, &best[at - 1]))
-        at--;
-    if (at >= max)
-        return n;
-    n = MIN(n + 1, max);
-    memmove(&best[at + 1], &best[at], (n - 1 - at) * sizeof(*best));
-    best[at] = *c;
-    return n;
+    g_autofree char *place_key = g_strdup_printf("%s/%u", key, place);
+    RootCandidate best = {0};
+
+    for (unsigned i = 0; i < members->len; i++) {
+        RootCandidate c = {.member = members->pdata[i]};
+
+        if ((staying && c.member->leaving) ||
+            g_ptr_array_find(roots, c.member, NULL))
+            continue;
+        c.weight = qr_rendezvous(place_key, c.member->name);
+        if (!best.member || is_better_root(&c, &best))
+            best = c;
+    }
+    return best.member;
 }
 
-/* Returns up to 'max' roots. Each keeps its place when others come or go: it
-   takes the first free place from the one that its name hashes to. */
+/*
+ * Returns up to 'max' roots. The name of each member hashes to one place, which
+ * the best of these members takes: when a member comes or goes, no other place
+ * has a new root. Only a place to which no name hashes gets a substitute from
+ * the others.
+ */
 static GPtrArray *choose_roots(const GPtrArray *members, unsigned max,
                                const char *model)
 {
-    RootCandidate best[ROOTS_MAX];
+    RootCandidate best[ROOTS_MAX] = {0};
     g_autofree char *key = g_strdup_printf("root/%s", model);
     GPtrArray *roots = g_ptr_array_new();
-    unsigned n = 0;
-    bool staying = false;
+    unsigned staying = 0, n;
 
     for (unsigned i = 0; i < members->len; i++)
-        staying = staying || !((QRFleetMember *)members->pdata[i])->leaving;
+        staying += !((QRFleetMember *)members->pdata[i])->leaving;
+    n = MIN(max, staying ? staying : members->len);
     for (unsigned i = 0; i < members->len; i++) {
         RootCandidate c = {.member = members->pdata[i]};
+        RootCandidate *held;
 
         if (staying && c.member->leaving)
             continue;
         c.weight = qr_rendezvous(key, c.member->name);
-        n = insert_candidate(best, n, max, &c);
+        held = &best[c.weight % n];
+        if (!held->member || is_better_root(&c, held))
+            *held = c;
     }
     g_ptr_array_set_size(roots, (int)n);
+    for (unsigned i = 0; i < n; i++)
+        roots->pdata[i] = best[i].member;
     for (unsigned i = 0; i < n; i++) {
-        unsigned at = (unsigned)(best[i].weight % n);
-
-        while (roots->pdata[at])
-            at = (at + 1) % n;
-        roots->pdata[at] = best[i].member;
+        if (!roots->pdata[i])
+            roots->pdata[i] =
+                choose_substitute(members, roots, staying > 0, key, i);
     }
     return roots;
 }
