A version that is skipped itself does not replace an older one

Cause: of three versions the second could replace the first, and the third the second. Nobody fetched the first or the second then, although the third was late for the bound of the first.

Change: the decision is made from the newest version to the oldest, and only versions that are fetched replace others. Two versions are decided as before.

Conclusion: what is skipped is served by a version that is fetched.

--- a/src/sidecar/qr_version_schedule.c
+++ b/src/sidecar/qr_version_schedule.c
@@ -61,16 +61,20 @@
         }
         return;
     }
+    /* a skipped version is not fetched, so that it replaces no other */
+    for (unsigned i = n; i > 0; i--) {
+        bool skipped = false;
+
+        for (unsigned k = i; k < n && !skipped; k++)
+            skipped = !versions[k].skipped &&
+                      replaces(&versions[k], &versions[i - 1], rates, now_ms);
+        versions[i - 1].skipped = skipped;
+    }
     for (unsigned i = 0; i < n; i++) {
         QRScheduledVersion *v = &versions[i];
-        bool skipped = false;
-        double complete_ms;
+        double complete_ms = at_ms + transfer_ms(v, rates);
 
-        for (unsigned k = i + 1; k < n && !skipped; k++)
-            skipped = replaces(&versions[k], v, rates, now_ms);
-        v->skipped = skipped;
-        complete_ms = at_ms + transfer_ms(v, rates);
-        if (!skipped)
+        if (!v->skipped)
             at_ms = complete_ms;
         v->complete_ms = (uint64_t)complete_ms;
         v->in_time = is_served_by(v, complete_ms, rates);
