Unit tests of the weights schedule, access to the origin, and owners

Cause: the modules had no tests of their own.

Change: tests/unit_schedule.c covers which version is fetched first or skipped, the switch window, backoff, prober, reports and yields at the origin, and the owners of pieces with 45, 110 and 440 sidecars.

Conclusion: faults in the decisions show without a network.

--- a/tests/unit.c
+++ b/tests/unit.c
@@ -13,6 +13,7 @@
 #include "unit_stream_pace.h"
 #include "unit_parts.h"
 #include "unit_retry.h"
+#include "unit_schedule.h"
 #include "unit_suspects.h"
 #include "unit_fleet.h"
 
@@ -427,6 +428,7 @@
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_notices_case());
     suite_add_tcase(s, unit_sources_case());
+    suite_add_tcase(s, unit_schedule_case());
     suite_add_tcase(s, unit_neighbours_case());
     suite_add_tcase(s, unit_placement_case());
     suite_add_tcase(s, unit_stream_pace_case());
