An owner that cannot reach the origin does not stop a version

Cause: three faults, found by tests/test_weights_schedule.py. (1) An owner that yielded a piece chose its source anew as any sidecar does: a relay, which waited for this owner as its root. The pieces never came: 20 s after its naming a version lacked 8 of 48 pieces. (2) When an origin returned, the first report made each owner yield that had not tried it again since, for 3 s. (3) The owner of the manifest yields only if peers are answered, but before the manifest has come nobody else asks the origin: a version whose manifest's owner could not reach the origin did not begin.

Ruled out: yielding the manifest without a limit, which would log and pass it on at each tick once all roots were tried. An immediate role for pieces, as for the manifest: a relay with a bad link to one root would cause a second copy.

Change: what a root yields it asks of the next root. An owner yields after two failures since the origin answered a peer: the first may be an attempt that began before. The manifest is passed on after 0.7 s of failures, once by each root, and who fetches it probes the origin, as nobody else does.

--- a/src/sidecar/qr_origin.c
+++ b/src/sidecar/qr_origin.c
@@ -18,6 +18,8 @@
 #define UNREACHABLE_AFTER_MS 700
 /* A report as old as the first failure says nothing about the time since. */
 #define REPORT_MARGIN_MS 300
+/* The first of them may have begun before the origin was reachable. */
+#define FAILURES_HERE_MIN 2
 #define YIELD_MS 3000
 /* A sidecar that still fetches tries again within this time. */
 #define FAILURES_EXPIRE_MS 5000
@@ -38,7 +40,7 @@
         o->reported_ms = 0;
     o->answered_ms = now_ms;
     o->failing_since_ms = 0;
-    o->failures = 0;
+    o->failures = o->failures_here = 0;
     o->retry_ms = 0;
     o->yield_until_ms = 0;
 }
@@ -59,9 +61,11 @@
 
     /* failures of an earlier fetch say nothing about this one */
     if (now_ms > o->retry_ms + FAILURES_EXPIRE_MS)
-        o->failures = 0;
+        o->failures = o->failures_here = 0;
     if (o->failures++ == 0)
         o->failing_since_ms = MAX(now_ms, 1);
+    else if (o->peer_answered_ms >= o->failing_since_ms + REPORT_MARGIN_MS)
+        o->failures_here++;
     delay_ms = MAX(retry_delay_ms(o, f->probes), f->retry_after_ms);
     o->retry_ms = now_ms + delay_ms + f->random % (delay_ms / JITTER_DIVISOR);
 }
@@ -78,17 +82,23 @@
 {
     if (now_ms < o->yield_until_ms)
         return true;
-    if (o->failures < 2 || now_ms > o->retry_ms + FAILURES_EXPIRE_MS ||
-        now_ms < o->failing_since_ms + UNREACHABLE_AFTER_MS ||
-        o->peer_answered_ms < o->failing_since_ms + REPORT_MARGIN_MS)
+    if (o->failures_here < FAILURES_HERE_MIN ||
+        now_ms > o->retry_ms + FAILURES_EXPIRE_MS ||
+        now_ms < o->failing_since_ms + UNREACHABLE_AFTER_MS)
         return false;
     o->yield_until_ms = now_ms + YIELD_MS;
     /* the next decision needs new failures and a new report */
-    o->failures = 0;
+    o->failures = o->failures_here = 0;
     o->failing_since_ms = 0;
     return true;
 }
 
+bool qr_origin_is_failing(const QROrigin *o, uint64_t now_ms)
+{
+    return o->failures > 1 && now_ms <= o->retry_ms + FAILURES_EXPIRE_MS &&
+           now_ms >= o->failing_since_ms + UNREACHABLE_AFTER_MS;
+}
+
 bool qr_origin_take_report(QROrigin *o, uint64_t now_ms)
 {
     if (o->answered_ms == 0 || o->failures > 0 ||
--- a/src/sidecar/qr_origin.h
+++ b/src/sidecar/qr_origin.h
@@ -16,6 +16,7 @@
     uint64_t answered_ms;      /* last answer to this sidecar; 0: none */
     uint64_t failing_since_ms; /* first failure since that answer; 0: none */
     unsigned failures;         /* since that answer */
+    unsigned failures_here;    /* of these, after the origin answered a peer */
     uint64_t retry_ms;         /* no request before this time */
     uint64_t peer_answered_ms; /* last answer reported by a peer; 0: none */
     uint64_t yield_until_ms;   /* other owners fetch for this sidecar */
@@ -39,6 +40,9 @@
 /* Whether other owners have to fetch the pieces of this sidecar: the origin
    answers them, but not this sidecar. */
 bool qr_origin_must_yield(QROrigin *o, uint64_t now_ms);
+/* Whether the origin has not answered this sidecar for so long that another one
+   has to try, although nobody is known to be answered. */
+bool qr_origin_is_failing(const QROrigin *o, uint64_t now_ms);
 /* Whether to report to the other owners that the origin answers. If so, the
    report counts as sent. */
 bool qr_origin_take_report(QROrigin *o, uint64_t now_ms);
--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -148,7 +148,8 @@
     };
 
     qr_sidecar_plan(s, t->version, &plan);
-    f.probes = qr_source_is_prober(&plan);
+    /* until one sidecar has the manifest, the others have nothing to ask for */
+    f.probes = qr_source_is_prober(&plan) || index == QR_MANIFEST_INDEX;
     qr_origin_note_failure(&s->origin, &f, now);
     s->origin_failures++;
     qr_logf(QR_LEVEL_WARN, "weights",
@@ -496,15 +497,36 @@
  * members than the peers that ask for the piece do. At first it uses its own
  * order, because most sidecars see the same members a moment later. If the
  * piece stays pending, its source may be one of the asking peers, which wait
- * for this sidecar; the role that those peers assigned is then used.
+ * for this sidecar; the role that those peers assigned is then used. A root
+ * that yields asks the next root: the relays wait for this sidecar.
  */
 static QRPieceRole effective_role(QRPiece *p, uint64_t now_ms)
 {
+    if (p->yielded)
+        return QR_PIECE_ROLE_FIRST_RELAY;
     if (p->pending && now_ms > p->first_asked_ms + MEMBER_VIEWS_SETTLE_MS)
         p->uses_role = true;
     return p->uses_role ? p->role : QR_PIECE_ROLE_NONE;
 }
 
+/*
+ * Whether another root has to fetch the piece. Nobody reports that the origin
+ * answers before the manifest has come: it is passed on, once by each root, to
+ * find one whose host reaches the origin.
+ */
+static bool must_yield(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
+                       uint64_t now)
+{
+    QROrigin *origin = &t->sidecar->origin;
+
+    if (plan->roots->len < 2)
+        return false;
+    if (index == QR_MANIFEST_INDEX)
+        return !qr_piece(t, index)->yielded &&
+               qr_origin_is_failing(origin, now);
+    return qr_origin_must_yield(origin, now);
+}
+
 /* Fetches the piece from the origin, or lets another root do so if the origin
    does not answer this host. */
 static void fetch_as_root(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
@@ -513,14 +535,13 @@
     QRSidecar *s = t->sidecar;
     QRPiece *p = qr_piece(t, index);
 
-    if (plan->roots->len < 2 || !qr_origin_must_yield(&s->origin, now)) {
+    if (!must_yield(t, index, plan, now)) {
         request_from_origin(t, index, plan, now);
         return;
     }
     s->origin_yields++;
     p->attempts.roots++;
-    p->uses_role = false;
-    p->role = QR_PIECE_ROLE_NONE;
+    p->yielded = true;
     qr_logf(QR_LEVEL_INFO, "weights",
             "origin unreachable from here, another root fetches index=%d "
             "version=%" G_GUINT64_FORMAT " roots_tried=%u",
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -37,6 +37,7 @@
     QRSourceAttempts attempts;
     QRPieceRole role;          /* role in which peers ask this sidecar for it */
     bool uses_role;            /* its source follows 'role': waiting failed */
+    bool yielded;              /* another root fetches it for this sidecar */
     bool owned_at_first;       /* this sidecar owned it when it was named */
     uint64_t holders_asked_ms; /* when relays were asked whether they hold it,
                                   before it is fetched again; 0: never */
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -306,6 +306,11 @@
     if (role == QR_PIECE_ROLE_ROOT)
         tried.roots = MAX(tried.roots, want->root_attempt);
     p->role = MAX(p->role, role);
+    /* no version begins without its manifest, which is small: a second copy
+       from the origin costs less than the time until views agree */
+    if (role == QR_PIECE_ROLE_ROOT && want->root_attempt > 0 &&
+        want->index == QR_MANIFEST_INDEX)
+        p->uses_role = true;
     if (p->fetch || (tried.relays == p->attempts.relays &&
                      tried.roots == p->attempts.roots))
         return;
