--- a/src/gateway/qr_balance.c
+++ b/src/gateway/qr_balance.c
@@ -44,6 +44,10 @@
    engines at which two in five slots are free: first tries prefer an engine
    with nothing unread, too, and the others have to take them meanwhile. */
 #define LONG_LATE_SLOTS_SHARE 0.6
+/* At first one in four: after an outage all that had arrived meanwhile is late,
+   and those that arrive now can still meet their objective. */
+#define LONG_LATE_FIRST_SHARE 0.1
+#define LONG_LATE_FIRST_MS 350
 /* Half of the current pass and one whole pass. */
 #define PASSES_TO_FIRST_BYTE 1.5
 #define NO_LIMIT_MS 1e6          /* longer than any call */
@@ -233,9 +237,11 @@
 static unsigned late_slots(const QRBalanceInput *in, unsigned slots)
 {
     unsigned most = slots - slots / SPARE_SLOTS_DIVISOR;
+    double share = in->queued_ms < LONG_LATE_FIRST_MS ? LONG_LATE_FIRST_SHARE
+                                                      : LONG_LATE_SLOTS_SHARE;
 
     if (in->by_forecast && is_prompt_too_long(in, pass_ms_of(in->model, slots)))
-        most = MIN(most, MAX((unsigned)(slots * LONG_LATE_SLOTS_SHARE), 1));
+        most = MIN(most, MAX((unsigned)(slots * share), 1));
     return most;
 }
 
--- a/src/gateway/qr_balance.h
+++ b/src/gateway/qr_balance.h
@@ -24,6 +24,7 @@
     uint32_t first_byte_objective_ms; /* 0: none */
     uint32_t gap_objective_ms;        /* for pauses between events; 0: none */
     uint32_t waited_ms;               /* by the caller so far */
+    uint32_t queued_ms;               /* of these, since the call arrived */
     bool spare_only; /* use only slots beyond those kept in reserve */
     /*
      * Admission by forecast. The wait counts against the objective of the
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -213,7 +213,8 @@
     in.by_forecast = r->by_forecast && !r->answer_started;
     in.route_objective_ms = r->objective_ms;
     in.waited_on = r->waited_on && in.spare_only;
-    in.waited_ms = r->waited_before_ms + (uint32_t)(now - r->arrived_ms);
+    in.queued_ms = (uint32_t)(now - r->arrived_ms);
+    in.waited_ms = r->waited_before_ms + in.queued_ms;
     in.tried = r->tried;
     in.now_ms = now;
     g->random = qr_hash64(&g->random, sizeof(g->random), 2);
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -289,6 +289,7 @@
         .first_byte_objective_ms = s->kinds[0].objective_ms,
         .gap_objective_ms = s->kinds[c->kind].gap_ms,
         .waited_ms = (uint32_t)(m->now_ms - c->arrived_ms),
+        .queued_ms = (uint32_t)(m->now_ms - c->try_ms),
         .spare_only = is_late(c),
         .by_forecast = s->by_forecast,
         .route_objective_ms = s->kinds[c->kind].objective_ms,
