Mutants of the weights schedule; an owner with and without the manifest

The test of an owner without origin met the owner of the manifest by chance.

Change: rows, and the test runs for the manifest's owner and for another one.

--- a/tests/test_weights_schedule.py
+++ b/tests/test_weights_schedule.py
@@ -40,6 +40,7 @@
         self.slices = []   # (time, bytes) as sent
         self.refused = []  # times of connections reset
         self.blocked = set()
+        self.manifest_by = None  # process that asked for the last manifest
         super().__init__()
 
     def reset(self, conn):
@@ -61,6 +62,7 @@
     def handle(self, conn, request):
         version = int(request.query["version"])
         if request.path.startswith("/manifest/"):
+            self.manifest_by = owner_of(conn)
             answer_json(conn, {
                 "model": request.path[10:], "version": version,
                 "chunk-bytes": PIECE_BYTES, "layers": 4,
@@ -245,10 +247,12 @@
     assert fleet.origin.copies(version) <= COPIES_MAX
 
 
-def test_owner_without_origin_is_replaced(fleet):
+@pytest.mark.parametrize("owns_manifest", [False, True])
+def test_owner_without_origin_is_replaced(fleet, owns_manifest):
     """The host of an owner cannot reach the origin. Other hosts can, and fetch
-    its pieces."""
-    victim = fleet.owners()[0]
+    its pieces. If it owned the manifest, no version began."""
+    victim = next(n for n in fleet.owners() if owns_manifest ==
+                  (fleet.procs[n].pid == fleet.origin.manifest_by))
     yields = fleet.sidecar_metric(victim, "origin_yields_total")
     fleet.origin.block(fleet.procs[victim].pid)
     try:
@@ -259,7 +263,9 @@
     finally:
         fleet.origin.blocked.clear()
     print("copies", fleet.origin.copies(version), "s", round(took, 2))
-    assert "origin unreachable from here" in fleet.log(victim)
+    rows = [r for r in fleet.log(victim).splitlines()
+            if "origin unreachable from here" in r]
+    assert any("index=-1 " in r for r in rows) == owns_manifest
     assert fleet.sidecar_metric(victim, "origin_yields_total") > yields
     assert fleet.origin.copies(version) <= COPIES_MAX
     assert took < PIECES * PIECE_BYTES / BYTES_PER_S + 4
--- a/tests/unit_schedule.c
+++ b/tests/unit_schedule.c
@@ -155,6 +155,9 @@
     /* what is left of the older one is complete 2 s before the newer one */
     ck_assert(!v[0].skipped && !v[1].skipped);
     ck_assert_uint_lt(v[0].complete_ms, v[1].complete_ms);
+    /* what this costs: see "Open" in docs/design/weights-schedule.md */
+    ck_assert_uint_le(v[0].complete_ms + SWITCH_MS, v[1].due_ms + 300);
+    ck_assert_uint_le(v[1].complete_ms, w[1].complete_ms + 3200);
     /* of an older one that had not begun, nothing is fetched */
     ck_assert(w[0].skipped && !w[1].skipped);
 }
