Test of lost owners identifies processes by both ends of a connection

Alone, the test knew no owners and two mutants were red for that only.

Change: rows of the kernel's table match by both ports. The fixture fetches a version first. The follower in the test of neighbours keeps its connection, so that the mutant fails on the missing names.

--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -187,7 +187,8 @@
         early = early and "gateways settled" not in f.log("g0")
         names, end = set(), time.monotonic() + 3
         while time.monotonic() < end and len(names) < first:
-            teller.send(load=fleet_pb2.Load(whole=True))
+            for p in (side, teller):  # else their connections are closed
+                p.send(load=fleet_pb2.Load(whole=True))
             names |= {m.name for x in side.frames_for(0.1)
                       for m in x.members.members if m.name.startswith("far")}
         for p in (side, teller):
--- a/tests/test_weights_schedule.py
+++ b/tests/test_weights_schedule.py
@@ -103,12 +103,24 @@
 
 
 def owner_of(conn):
-    """Returns the process at the other end of a connection on this host."""
-    port = "%04X" % conn.getpeername()[1]
+    """Returns the process at the other end of a connection on this host. The
+    kernel's table may lack rows while others are added, so that it is read
+    again."""
+    for _ in range(20):
+        pid = find_owner(":%04X" % conn.getpeername()[1],
+                         ":%04X" % conn.getsockname()[1])
+        if pid is not None:
+            return pid
+        time.sleep(0.002)
+    return None
+
+
+def find_owner(local, remote):
+    """Connections to several servers may share a local port."""
     with open("/proc/net/tcp", encoding="ascii") as f:
         rows = [line.split() for line in f.readlines()[1:]]
     inodes = {"socket:[%s]" % r[9] for r in rows
-              if r[1].endswith(":" + port) and r[9] != "0"}
+              if r[1].endswith(local) and r[2].endswith(remote)}
     for pid in NarrowFleet.pids:
         try:
             for fd in os.listdir(f"/proc/{pid}/fd"):
@@ -197,7 +209,10 @@
 
 @pytest.fixture(scope="module", name="fleet")
 def narrow_fleet():
+    """Owners are the same for all versions; the first shows who they are."""
     with NarrowFleet() as f:
+        f.wait_whole(f.name_version())
+        assert len(f.owners()) > 1
         yield f
 
 
