Test of skipped versions allows for those that are dropped unstarted

Cause: the test asked that each sidecar counts a skipped version.

Change: a sidecar counts one, or has dropped it with no piece; none has the whole version, which was not tested before.

--- a/tests/test_weights_schedule.py
+++ b/tests/test_weights_schedule.py
@@ -230,8 +230,12 @@
     assert fleet.origin.copies(second) <= COPIES_MAX
     assert fleet.origin.copies(first) < 0.6
     assert took < PIECES * PIECE_BYTES / BYTES_PER_S + 2
-    assert all(fleet.sidecar_metric(n, "versions_skipped_total") == 1
-               for n in fleet.alive())
+    # a sidecar that has no piece of a version drops it, and skips nothing
+    for n in fleet.alive():
+        skipped = fleet.sidecar_metric(n, "versions_skipped_total")
+        dropped = f"dropped version={first} held=0 " in fleet.log(n)
+        assert skipped == 1 or (skipped == 0 and dropped), n
+        assert f"all pieces received version={first} " not in fleet.log(n)
 
 
 def test_origin_that_returns_is_used(fleet):
