Test of a returned long prompt names the time in which it leaves engines to others

The bound after an outage (load model) needs that such a call takes an almost idle engine only for 350 ms; the test asserts both, and its other assertions hold unchanged after that time.

--- a/tests/unit_call_forecast.c
+++ b/tests/unit_call_forecast.c
@@ -286,6 +286,15 @@
     c.in.prompt_tokens = 3370;
     c.in.spare_only = true;
     c.in.waited_ms = 900;
+    /* at first only an engine that runs at most one call, so that calls which
+       can meet their objective go before it */
+    ck_assert(_i ? qr_balance_choose(&c.engines, &c.in).limits.max_open_calls <=
+                       1
+                 : !is_taken(&c));
+    c.engine->own = 0;
+    ck_assert(is_taken(&c));
+    c.engine->own = 5;
+    c.in.queued_ms = 350;
     ck_assert(is_taken(&c));
     ck_assert(!_i || unread_limit(&c) == 0);
     c.engine->own = SLOTS - 1;
