--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -8,7 +8,7 @@
 #define WINDOW_INITIAL_PIECES 3
 #define PROGRESS_LOG_MS 1000
 #define SCHEDULE_INTERVAL_MS 100
-#define SCHEDULED_MAX 8 /* the newest versions; more are never fetched */
+#define SCHEDULED_MAX 8 /* the newest versions; older ones stay as decided */
 /* For the engines of all sidecars to switch one after the other: each is
    drained for up to 1.2 s, and a third of them at once are too many. */
 #define SWITCH_SPREAD_MS 3500
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -278,8 +278,8 @@
      "is_exhausted(plan, tried))",
      "if (!root || role == QR_PIECE_ROLE_ROOT)", "unit"),
     ("all-draw-from-the-origin", 1, "sidecar/qr_sources.c",
-     "plan->roots = MIN(MAX(roots, 1), staying ? staying : members->len);",
-     "plan->roots = staying ? staying : members->len;", "unit"),
+     "choose_roots(members, CLAMP(roots, 1, ROOTS_MAX), model)",
+     "choose_roots(members, ROOTS_MAX, model)", "unit"),
     ("first-holder-sends-to-all", 1, "sidecar/qr_sources.c",
      "plan->local_holders->len * HOLDERS_FRACTION >= "
      "plan->local->len)",
@@ -406,7 +406,7 @@
      "if (p->asked && !p->pending)", "if (p->asked)",
      "sidecar::wait_for_departed_source_ends"),
     ("holder-waits-for-what-it-lacks", 1, "sidecar/qr_uploads.c",
-     "if (is_missing(w.target, w.index)) {", "if (false) {",
+     "if (is_missing(w.target, w.index) ||", "if (",
      "sidecar::empty_engine_among"),
     ("one-unread-upload-holds-all", 1, "sidecar/qr_uploads.c",
      "        if (has_in_flight(s, w->peer))\n"
@@ -424,7 +424,7 @@
      "older->version >= due)\n            (void)0;",
      "sidecar::version_continues_when_next_is_named"),
     ("unheard-versions-are-absent", 1, "sidecar/qr_uploads.c",
-     "if (is_unknown_version(s, want)) {", "if (false) {",
+     "if (is_unknown_version(s, want) &&", "if (false &&",
      "sidecar::request_for_unknown_version_is_pending"),
     ("retry-budget-does-not-slide", 4, "gateway/qr_budget.c",
      "if (b->slices[i].slice + QR_BUDGET_SLICES < newest)", "if (false)",
