Requests to the origin have a file of their own

Only moved: qr_pieces_origin.c holds what asks the origin and reports it; qr_piece_accept and qr_piece_request_from_origin are shared now.

--- a/src/fleet/qr_shares.c
+++ b/src/fleet/qr_shares.c
@@ -9,7 +9,7 @@
 #define ASKED_MS 2000
 /* A rank or team that was denied wants slots for this time, in which a team
    with few calls is denied here again if it still lacks slots. Longer, slots
-   would stay free in vain. */
+   would stay unused. */
 #define WANTS_MS 300
 /* A denial shows that a rank or team wants slots only if other engines have
    denied the call so often before: otherwise it may find a slot elsewhere. */
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -28,6 +28,10 @@
 
 typedef struct QRSidecar QRSidecar;
 
+/* A sidecar learns within this time after its start which others there are.
+   Before that it would own the pieces of others. */
+#define QR_MEMBERS_KNOWN_MS 1000
+
 /* One piece of a version's weights, or its manifest. */
 typedef struct QRPiece {
     GBytes *data;         /* its digest has been verified; or NULL */
@@ -187,6 +191,17 @@
    on the link. */
 bool qr_link_is_slow(QRSidecar *s, uint64_t now_ms);
 void qr_link_note_slow(QRSidecar *s, uint64_t now_ms);
+/*
+ * Checks and stores a received piece and notifies the peers that wait for it.
+ * 'from' names the source for the log. Returns false if the bytes are not the
+ * piece.
+ */
+bool qr_piece_accept(QRTarget *t, uint32_t index, const void *data, size_t len,
+                     const char *from);
+/* Requests the piece from the origin if the origin, the other requests and the
+   members that are known allow. */
+void qr_piece_request_from_origin(QRTarget *t, uint32_t index,
+                                  const QRSourcePlan *plan, uint64_t now_ms);
 /* Reports to the other roots that the origin answers, if that is due. */
 void qr_pieces_report_origin(QRSidecar *s, uint64_t now_ms);
 /* A peer reports that the origin answers it. */
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -284,7 +284,7 @@
      "plan->local_holders->len * HOLDERS_FRACTION >= "
      "plan->local->len)",
      "plan->local_holders->len > 0)", "unit"),
-    ("resting-connections-stay", 1, "sidecar/qr_pieces.c",
+    ("resting-connections-stay", 1, "sidecar/qr_pieces_origin.c",
      "s->origin_used_ms == 0 || now_ms", "true || now_ms",
      "sidecar::few_connections"),
     ("any-number-of-pieces-on-their-way", 1, "sidecar/qr_uploads.c",
@@ -868,7 +868,7 @@
     ("the-manifest-waits-for-its-owner", 1, "sidecar/qr_pieces.c",
      "               qr_origin_is_failing(origin, now);",
      "               false;", "weights_schedule::owner_without_origin"),
-    ("nobody-reports-the-origin", 1, "sidecar/qr_pieces.c",
+    ("nobody-reports-the-origin", 1, "sidecar/qr_pieces_origin.c",
      "    qr_pieces_report_origin(s, now);\n", "",
      "weights_schedule::owner_without_origin"),
     ("early-sidecars-are-told-nothing", 6,
