--- a/tests/test_retry_turns.py
+++ b/tests/test_retry_turns.py
@@ -138,8 +138,10 @@
                 time.sleep(0.2)
             status, headers, _ = f.call("/model/x", ident, deadline=9000)
             assert status == 503
-            [line] = [l for l in f.log("g0").splitlines()
-                      if "id=%s " % ident in l]
+            # the line may be written after the answer
+            [line] = wait_for("line of " + ident, lambda: [
+                l for l in f.log("g0").splitlines() if "id=%s " % ident in l],
+                              2)
             return float(headers["Retry-After"]), line
 
         rest, line = refuse("r1", 1 + 600)
