--- a/review/1/case.py
+++ b/review/1/case.py
@@ -111,7 +111,9 @@
         self.slots = 6
 
     def work(self, conn, request):
-        self.case.reached.add(request.headers["x-attempt-id"])
+        ident = request.headers["x-attempt-id"]
+        self.case.reached.add(ident)
+        self.case.record("engine=%s runs id=%s", self.id, ident)
         time.sleep(WORK_S)
         return super().work(conn, request)
 
@@ -299,10 +301,9 @@
                 self.kept[status] = self.kept.get(status, 0) + 1
                 if status == 0 and used > 1 and ident in case.reached:
                     self.lost.append("%s at g%d" % (ident, gateway))
-            if status != 200:
-                self.record("client id=%s gateway=g%d kept=%d reached=%d "
-                            "status=%d", ident, gateway, used > 1,
-                            ident in case.reached, status)
+            self.record("client id=%s gateway=g%d kept=%d reached=%d "
+                        "status=%d", ident, gateway, used > 1,
+                        ident in case.reached, status)
             if not stays:
                 s.close()
                 s = None
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -138,6 +138,8 @@
         body = json.dumps({"by": self.id, "version": self.version,
                            "layers_with_bad_pieces": over}).encode()
         self.ran.append(ident)
+        self.case.record("engine=%s runs id=%s version=%d", self.id, ident,
+                         self.version)
         answer(conn, 200, body, self.head(request) +
                [("X-Weight-Versions", str(self.version))])
         return True
@@ -228,10 +230,11 @@
         if status != 200:
             self.record("client id=%s status=%d", ident, status)
             return
-        told = json.loads(body)
-        if told["layers_with_bad_pieces"]:
-            self.broken.append("%s: %s" % (ident, body.decode()))
-            self.record("client id=%s WRONG %s", ident, body.decode())
+        wrong = bool(json.loads(body)["layers_with_bad_pieces"])
+        if wrong:
+            self.broken.append(ident)
+        self.record("client id=%s status=200 %s%s", ident, body.decode(),
+                    " WRONG" if wrong else "")
 
 
 def play(case, record, callers):
