--- a/review/1/case.py
+++ b/review/1/case.py
@@ -68,6 +68,7 @@
     def __init__(self, case, ident):
         self.case = case
         super().__init__(ident, "engines", MODEL, 1)
+        self.born = int(time.time() * 1000)
         self.slots = 16
 
     def work(self, conn, request):
@@ -108,6 +109,7 @@
     def __init__(self, case, ident):
         self.case = case
         super().__init__(ident, "ledger")
+        self.born = int(time.time() * 1000)
         self.slots = 6
 
     def work(self, conn, request):
@@ -124,7 +126,7 @@
         self.reached = set()  # ids that arrived at sound ledger engines
         self.roles, self.refused, self.role_lock = {}, {}, threading.Lock()
         self.limited = None
-        super().__init__(gateways=0, plain=0)
+        super().__init__(gateways=0, plain=0, version_ms=8000, grace_s=8)
         config = policy(2, self.origin.address, ROUTES, timeout_ms=6000)
         config["services"][1]["engine"]["slots"] = 16
         self.store.put("keyed.op", "config", config)
@@ -146,6 +148,12 @@
                 "told engine=e%d version=1" % k in self.log("g%d" % i)
                 for k in range(3)), 20)
 
+    def heartbeats(self, ended):
+        while not ended.wait(1.2):
+            for e in self.engines:
+                e.settle()
+                self.store.put("keyed.servers", e.id, e.record())
+
     def role(self, engine, ident):
         """The first engine of a trial stalls, the second one is full."""
         with self.role_lock:
@@ -318,6 +326,8 @@
 
 def play(case, record, results):
     ended = threading.Event()
+    threading.Thread(target=case.heartbeats, args=(ended,),
+                     daemon=True).start()
 
     def streams(gateway, k):
         n = 0
@@ -354,10 +364,10 @@
         print("no program to run")
         return 2
     record = Record(os.path.join(HERE, "record.txt"))
-    results, case = Results(record), None
+    results, case = Results(record), Case.__new__(Case)
     record("trouble=%d", TROUBLE)
     try:
-        case = Case(record)
+        case.__init__(record)
         play(case, record, results)
         lost = dead(case)
     except Exception as e:
@@ -365,18 +375,17 @@
         print("could not run: %r" % e)
         return 2
     finally:
-        if case:
-            for p in case.procs.values():
-                if p.poll() is None:
-                    p.send_signal(signal.SIGCONT)
-                    p.kill()
-                    p.wait(10)
-            for server in [case.store, case.origin] + case.engines:
-                server.close()
-            if os.environ.get("KEEP"):
-                print(case.dir)
-            else:
-                shutil.rmtree(case.dir, ignore_errors=True)
+        made = vars(case)
+        for p in made.get("procs", {}).values():
+            if p.poll() is None:
+                p.send_signal(signal.SIGCONT)
+                p.kill()
+                p.wait(10)
+        for server in ([made[k] for k in ("store", "origin") if k in made] +
+                       made.get("engines", [])):
+            server.close()
+        if "dir" in made:
+            shutil.rmtree(made["dir"], ignore_errors=True)
     record("streams %s", json.dumps(results.count))
     record("dockets by status %s (0: none, connection ended)",
            json.dumps(results.kept))
