--- a/review/2/case.py
+++ b/review/2/case.py
@@ -257,10 +257,10 @@
         print("no program to run")
         return 2
     record = Record(os.path.join(HERE, "record.txt"))
-    case = None
+    case = Case.__new__(Case)  # so that a start that fails is cleared up
     record("trouble=%d", TROUBLE)
     try:
-        case = Case(record)
+        case.__init__(record)
         callers = Callers(case, record)
         play(case, record, callers)
         lost = {n: p.returncode for n, p in case.procs.items()
@@ -270,18 +270,17 @@
         print("could not run: %r" % e)
         return 2
     finally:
-        if case:
-            for p in case.procs.values():
-                if p.poll() is None:
-                    p.send_signal(signal.SIGCONT)
-                    p.kill()
-                    p.wait(10)
-            for server in [case.store, case.origin] + case.engines:
-                server.close()
-            if os.environ.get("KEEP"):
-                print(case.dir)
-            else:
-                shutil.rmtree(case.dir, ignore_errors=True)
+        made = vars(case)
+        for p in made.get("procs", {}).values():
+            if p.poll() is None:
+                p.send_signal(signal.SIGCONT)
+                p.kill()
+                p.wait(10)
+        for server in ([made[k] for k in ("store", "origin") if k in made] +
+                       made.get("engines", [])):
+            server.close()
+        if "dir" in made:
+            shutil.rmtree(made["dir"], ignore_errors=True)
     record("answers by status %s, freezes %d, processes ended %s",
            json.dumps(callers.count), case.freezes, lost)
     record("answers with a token of a layer taken with a bad piece: %d",
