A stream that goes on at its first engine drops the slot request of its retry

Cause: a stream stalls, the second engine is full, and the only engine left has a rate limit, so the retry asks for a slot there. If the first engine goes on before the reply, qr_relay_resume_stalled() made its attempt current again and left the slot request open. Its reply or timeout continued the call as if no attempt were open; qr_relay_send() overwrote the handle of the answer in progress, which was never cancelled and outlived the call.

A caller that leaves and a cancelled retry as causes are ruled out: there is a second sending while both the caller and the first engine stay.

Fix: the slot request ends where a stalled attempt becomes current, the one place for stalled, slow and denied retries. Its late reply finds no call. docs/design/relay-states.md has all states and events.

--- a/src/gateway/qr_relay_attempt.c
+++ b/src/gateway/qr_relay_attempt.c
@@ -92,6 +92,10 @@
 
 void qr_relay_resume_stalled(QRRelay *r, const char *why)
 {
+    bool had_slot_request = r->slot.engine != NULL;
+
+    /* its reply would send the call to a second engine */
+    qr_relay_drop_slot_request(r);
     qr_attempt_clear(r, &r->current);
     r->current = r->stalled;
     memset(&r->stalled, 0, sizeof(r->stalled));
@@ -102,7 +106,7 @@
     qr_relay_count(r->g, QR_COUNTER_taken_back);
     qr_logf(QR_LEVEL_INFO, "call",
             "back id=%s engine=%s why=%s runs=%u started=%d "
-            "silent_ms=%" G_GUINT64_FORMAT,
+            "silent_ms=%" G_GUINT64_FORMAT " slot_request_dropped=%d",
             r->id, r->current.engine, why, r->runs, r->answer_started,
-            r->current.progress_ms - r->current.sent_ms);
+            r->current.progress_ms - r->current.sent_ms, had_slot_request);
 }
--- a/src/gateway/qr_relay_parts.h
+++ b/src/gateway/qr_relay_parts.h
@@ -61,6 +61,7 @@
 /* The request for a slot at an engine, made before the call is sent there. An
    engine is in backoff while it asks some gateway to send no requests. */
 typedef struct QRRelaySlot {
+    /* open only while no attempt is current; see docs/design/relay-states.md */
     char *engine;     /* id; NULL: no request is open */
     uint32_t request; /* its number */
     uint64_t requested_ms;
@@ -160,7 +161,8 @@
 void qr_relay_keep_stalled(QRRelay *r);
 /* Cancels the stalled attempt, if there is one. */
 void qr_relay_drop_stalled(QRRelay *r);
-/* Cancels the current attempt and makes the stalled one current again. */
+/* Cancels the current attempt and the slot request of a further one, and makes
+   the stalled attempt current again. */
 void qr_relay_resume_stalled(QRRelay *r, const char *why);
 /* The same, and forwards the events that were held of a slow one. May free
    'r'. */
