A check of a staged piece is as old as its request

Cause: the check of a staged piece counted from when its answer was handled. A sidecar that was suspended for 4 s while the answer waited in its socket took it for new, and ordered the engine to start.

A clock that leaves the suspension out is ruled out: SIGSTOP is enough.

Fix: the time of the request counts. An order whose connection opens too late is not sent (send_within_ms of the client, unit_client: red with the limit switched off), and an order times out after 0.9 s in place of 1.5 s, so that check and order together stay under the 3 s.

--- a/src/net/qr_buffered_call.c
+++ b/src/net/qr_buffered_call.c
@@ -119,6 +119,7 @@
     r.len = text->len;
     r.connect_ms = request->connect_ms;
     r.timeout_ms = request->timeout_ms;
+    r.send_within_ms = request->send_within_ms;
     r.pause_ms = request->pause_ms;
     b->call = qr_client_send(client, &r, &call_handlers, b);
     return b;
--- a/src/net/qr_buffered_call.h
+++ b/src/net/qr_buffered_call.h
@@ -28,7 +28,8 @@
     const char *content_type;            /* of the body, or NULL */
     const void *body;                    /* NULL: none */
     size_t body_len;
-    uint32_t connect_ms, timeout_ms, pause_ms; /* as in QRClientRequest */
+    /* as in QRClientRequest */
+    uint32_t connect_ms, timeout_ms, send_within_ms, pause_ms;
 } QRBufferedRequest;
 
 /* Starts a request. The content of 'request' is copied; 'owner' is borrowed. */
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -247,7 +247,9 @@
     l->opened_ms = qr_clock_ms(l->client->loop);
     qr_socket_tune(&l->tcp, UNACKED_TIMEOUT_MS);
     uv_read_start((uv_stream_t *)&l->tcp, qr_socket_buffer, link_read);
-    if (l->call && link_send(l) < 0) {
+    if (l->call && l->call->send_by_ms && l->opened_ms >= l->call->send_by_ms) {
+        link_break(l, QR_CALL_FAULT_UNSENT, "too late to send");
+    } else if (l->call && link_send(l) < 0) {
         link_break(l, QR_CALL_FAULT_UNSENT, "write failed right after connect");
     } else if (l->probe_done) {
         l->idle_since_ms = l->opened_ms;
@@ -374,6 +376,8 @@
     call->id = g_strdup(request->id);
     call->head_only = request->head_only;
     call->pause_ms = request->pause_ms;
+    if (request->send_within_ms)
+        call->send_by_ms = qr_clock_ms(c->loop) + request->send_within_ms;
     if (request->timeout_ms)
         call->due_ms = qr_clock_ms(c->loop) + request->timeout_ms;
     call_start(call, request->address, request->connect_ms,
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -19,9 +19,10 @@
     GByteArray *request;
     char *id;
     bool head_only, answered;
-    bool unresponsive; /* the connection worked before, then went silent */
-    uint64_t sent_ms;  /* when the request was written; 0: not yet */
-    uint64_t due_ms;   /* deadline of the answer; 0: none */
+    bool unresponsive;   /* the connection worked before, then went silent */
+    uint64_t sent_ms;    /* when the request was written; 0: not yet */
+    uint64_t due_ms;     /* deadline of the answer; 0: none */
+    uint64_t send_by_ms; /* for a connection that is being opened; 0: none */
     uint32_t pause_ms;
 };
 
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -37,7 +37,7 @@
     GBytes *data;         /* its digest has been verified; or NULL */
     bool staged;          /* stored at the engine, as far as known */
     bool verified;        /* read back after staging and found intact */
-    uint64_t verified_ms; /* when it was read back */
+    uint64_t verified_ms; /* when the request that read it back was sent */
     QRSourceAttempts attempts;
     QRPieceRole role;          /* role in which peers ask this sidecar for it */
     bool uses_role;            /* its source follows 'role': waiting failed */
@@ -58,6 +58,7 @@
     QRBufferedCall *fetch;     /* request to the origin, or NULL */
     QRBufferedCall *stage;     /* request to the engine, or NULL */
     bool stage_is_read;        /* 'stage' reads the piece back */
+    uint64_t stage_ms;         /* when 'stage' was sent */
 } QRPiece;
 
 /*
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -10,9 +10,12 @@
 #define STAGE_TIMEOUT_MS 2000
 /* The engine is on the same host: 64 pieces are staged in a few ticks. */
 #define STAGE_REQUESTS_MAX 8
-#define ORDER_TIMEOUT_MS 1500
+#define ORDER_TIMEOUT_MS 900
 #define ORDER_RETRY_MS 300
-#define VERIFY_VALID_MS 2000 /* a read-back check is valid for so long */
+/* A read-back check is valid for so long after its request was sent. With
+   ORDER_TIMEOUT_MS less than the 3 s for which the platform allows a piece to
+   be damaged unnoticed. */
+#define VERIFY_VALID_MS 2000
 /* Time for the announcement to reach gateways, and for calls that they have
    already sent to reach the engine. */
 #define ANNOUNCE_DELAY_MS 80
@@ -43,7 +46,7 @@
                 "staged piece is missing or damaged index=%u status=%u", index,
                 a->status);
     p->staged = p->verified = valid;
-    p->verified_ms = qr_sidecar_now(t->sidecar);
+    p->verified_ms = p->stage_ms;
     if (valid && !p->data) {
         p->data = g_bytes_new(a->data, a->len);
         t->held_pieces++;
@@ -91,6 +94,7 @@
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = STAGE_TIMEOUT_MS;
     p->stage_is_read = !put;
+    p->stage_ms = qr_sidecar_now(s);
     p->stage =
         qr_buffered_send(s->engine_client, &r, handle_stage_answer, t, index);
     if (put)
@@ -245,7 +249,17 @@
            s->report.active <= CUT_STREAMS_MAX;
 }
 
-static void send_start_order(QRSidecar *s, const QRTarget *t)
+static uint64_t oldest_check_ms(const QRTarget *t)
+{
+    uint64_t oldest = UINT64_MAX;
+
+    for (unsigned i = 0; i < t->pieces->len; i++)
+        oldest = MIN(oldest, qr_piece(t, i)->verified_ms);
+    return oldest;
+}
+
+/* The checks of all pieces are valid. */
+static void send_start_order(QRSidecar *s, const QRTarget *t, uint64_t now_ms)
 {
     g_autofree char *path = s->platform->order_path();
     g_autofree char *body = s->platform->start_order(s->model, t->version,
@@ -260,6 +274,8 @@
     r.body_len = strlen(body);
     r.connect_ms = CONNECT_MS;
     r.timeout_ms = ORDER_TIMEOUT_MS;
+    r.send_within_ms =
+        (uint32_t)(oldest_check_ms(t) + VERIFY_VALID_MS + 1 - now_ms);
     s->announced_ms = 0;
     s->ordered_version = t->version;
     s->order_call =
@@ -356,7 +372,7 @@
         announce_order(s, now_ms);
     /* pieces are read back again while the engine drains */
     if (invalidate_old_checks(t, now_ms) && may_send_order(s, now_ms))
-        send_start_order(s, t);
+        send_start_order(s, t, now_ms);
 }
 
 /* Scans the engine's pieces of each version that it serves, because peers may
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -2,6 +2,7 @@
  * Unit tests of the pure modules, by check.
  */
 #include "unit_budget.h"
+#include "unit_client.h"
 #include "unit_entries.h"
 #include "unit_limits.h"
 #include "unit_load.h"
@@ -421,6 +422,7 @@
     suite_add_tcase(s, t);
     suite_add_tcase(s, unit_fleet_case());
     suite_add_tcase(s, unit_budget_case());
+    suite_add_tcase(s, unit_client_case());
     suite_add_tcase(s, unit_entries_case());
     suite_add_tcase(s, unit_epochs_case());
     suite_add_tcase(s, unit_suspects_case());
