Requests that an engine may still execute are waited for before others are staged

Cause: a version that is dropped took its open put with it and reset the connection.

Fix: puts outlive their version. No other version reads or puts at an index until the put there is answered, or, without an answer, 2.5 s after it was sent. Same cause on related paths: a put whose connection breaks, a put of a sidecar that was killed (its successor orders nothing within 2.5 s of its start), and an order without an answer, over which a newer version was staged.

--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -333,7 +333,7 @@
     QRPiece *p = qr_piece(t, index);
     QRPieceSource source;
 
-    if (p->data || p->fetch || p->stage)
+    if (p->data || p->fetch || p->read_back)
         return;
     if (p->asked_ms == 0)
         note_first_owner(t, index, plan, now_ms);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -118,6 +118,8 @@
                          (new->born_ms && s->report.born_ms &&new->born_ms !=
                                               s->report.born_ms)))
         qr_stage_reset(s);
+    if (reachable)
+        qr_stage_note_report(s, new);
     qr_engine_report_clear(&s->report);
     s->report = *new;
     s->reachable = reachable;
@@ -362,6 +364,7 @@
     g_queue_init(&s->uploads);
     s->unconfirmed_uploads = qr_upload_in_flight_new();
     s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
+    s->stage_puts = qr_stage_puts_new();
     qr_operator_init(&s->operator, s->platform, operator_changed, s);
     qr_members_init(&s->members);
     qr_slots_init(&s->slots);
@@ -404,6 +407,7 @@
 static void sidecar_clear(QRSidecar *s)
 {
     qr_weights_clear(s);
+    g_ptr_array_unref(s->stage_puts);
     qr_buffered_cancel(s->report_call);
     qr_buffered_cancel(s->order_call);
     qr_follower_free(s->operator_follower);
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -32,6 +32,13 @@
    Before that it would own the pieces of others. */
 #define QR_MEMBERS_KNOWN_MS 1000
 
+#define QR_STAGE_CONNECT_MS 500
+#define QR_STAGE_TIMEOUT_MS 2000
+/* The engine may execute a request that it has not answered for so long after
+   the request was sent. Longer than QR_STAGE_TIMEOUT_MS: a slower engine gets
+   no piece staged at all. */
+#define QR_ENGINE_SETTLE_MS 2500
+
 /* One piece of a version's weights, or its manifest. */
 typedef struct QRPiece {
     GBytes *data;         /* its digest has been verified; or NULL */
@@ -56,11 +63,22 @@
     char *source;              /* name of the peer asked */
     const void *asked_conn;    /* connection to it; not owned, may be closed */
     QRBufferedCall *fetch;     /* request to the origin, or NULL */
-    QRBufferedCall *stage;     /* request to the engine, or NULL */
-    bool stage_is_read;        /* 'stage' reads the piece back */
-    uint64_t stage_ms;         /* when 'stage' was sent */
+    QRBufferedCall *read_back; /* request to the engine, or NULL */
+    uint64_t read_back_ms;     /* when it was sent */
 } QRPiece;
 
+/*
+ * A piece that is being stored at the engine. It outlives its target: the
+ * engine may store what it has received after the request was cancelled.
+ */
+typedef struct QRStagePut {
+    QRSidecar *sidecar;
+    uint64_t version;
+    unsigned index;
+    QRBufferedCall *call; /* NULL: ended without an answer */
+    uint64_t settled_ms;  /* without an answer: not stored later than this */
+} QRStagePut;
+
 /*
  * A version that this sidecar fetches. A newer version may be named while an
  * older one is being fetched; each version has its own deadline, so the fetch
@@ -128,6 +146,7 @@
     GPtrArray *targets; /* QRTarget *, older first; the last is the newest */
     uint64_t staged_version;  /* last one staged at the engine; 0: not known */
     uint64_t staging_version; /* version that is being staged */
+    GPtrArray *stage_puts;    /* QRStagePut *: owned */
     GArray *waiters;          /* QRWaiter: for pieces not held yet */
     GQueue uploads; /* QRWaiter *: pieces to send, by upload_priority */
     GArray *unconfirmed_uploads; /* sent, not yet confirmed by the peer */
@@ -145,7 +164,10 @@
     /* the order to the engine to start a version */
     QRBufferedCall *order_call;
     uint64_t order_next_ms, order_answered_ms;
-    uint64_t ordered_version;
+    uint64_t ordered_version, ordered_sequence; /* of the last order */
+    uint64_t order_sent_ms;
+    uint64_t order_settled_ms; /* an order without an answer is not executed
+                                  later than this; 0: none is open */
     bool switching;        /* an order has been announced to gateways, was sent,
                               or is being executed by the engine */
     uint64_t announced_ms; /* when gateways were told; 0: no order is due */
@@ -260,6 +282,19 @@
 void qr_stage_tick(QRSidecar *s, uint64_t now_ms);
 /* Resets the staging state after a restart of the engine. */
 void qr_stage_reset(QRSidecar *s);
+/* A report shows whether an order without an answer was executed. */
+void qr_stage_note_report(QRSidecar *s, const QREngineReport *report);
+GPtrArray *qr_stage_puts_new(void);
+/* Stores a piece that is in memory at the engine. */
+void qr_stage_put_send(QRTarget *t, unsigned index);
+/* Number of requests in progress, of any version. */
+unsigned qr_stage_puts_open(const QRSidecar *s);
+/* Whether the place of the piece at the engine must be left alone: a request
+   that stores there is in progress, or the engine may still execute one of
+   another version. */
+bool qr_stage_put_blocks(const QRTarget *t, unsigned index);
+/* Forgets requests that the engine can no longer execute. */
+void qr_stage_puts_tick(QRSidecar *s, uint64_t now_ms);
 
 /* Connections to gateways and other sidecars. */
 extern const QRPeerHandlers qr_sidecar_peer_handlers;
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -6,8 +6,6 @@
 
 #include <string.h>
 
-#define CONNECT_MS 500
-#define STAGE_TIMEOUT_MS 2000
 /* The engine is on the same host: 64 pieces are staged in a few ticks. */
 #define STAGE_REQUESTS_MAX 8
 #define ORDER_TIMEOUT_MS 900
@@ -46,7 +44,7 @@
                 "staged piece is missing or damaged index=%u status=%u", index,
                 a->status);
     p->staged = p->verified = valid;
-    p->verified_ms = p->stage_ms;
+    p->verified_ms = p->read_back_ms;
     if (valid && !p->data) {
         p->data = g_bytes_new(a->data, a->len);
         t->held_pieces++;
@@ -54,51 +52,34 @@
     }
 }
 
-static void handle_stage_answer(void *owner, unsigned index,
-                                const QRBufferedAnswer *a)
+static void handle_read_back(void *owner, unsigned index,
+                             const QRBufferedAnswer *a)
 {
     QRTarget *t = owner;
     QRPiece *p = qr_piece(t, index);
 
-    p->stage = NULL;
-    if (a->status == 0) { /* no answer: what the engine holds is unknown */
+    p->read_back = NULL;
+    if (a->status == 0) /* no answer: what the engine holds is unknown */
         p->verified = false;
-        p->staged = p->stage_is_read && p->staged;
-        return;
-    }
-    if (p->stage_is_read) {
+    else
         check_read_back(t, index, a);
-        return;
-    }
-    p->staged = a->status / 100 == 2;
-    p->verified = false;
-    if (!p->staged)
-        qr_logf(QR_LEVEL_WARN, "stage",
-                "engine refused to stage piece index=%u status=%u", index,
-                a->status);
 }
 
-static void send_stage_request(QRTarget *t, unsigned index, bool put)
+static void read_back(QRTarget *t, unsigned index)
 {
     QRSidecar *s = t->sidecar;
     QRPiece *p = qr_piece(t, index);
-    g_autofree char *path = s->platform->stage_path(s->model, index, put);
+    g_autofree char *path = s->platform->stage_path(s->model, index, false);
     QRBufferedRequest r = {0};
-    gsize len = 0;
 
     r.address = s->set->engine;
-    r.method = put ? "PUT" : "GET";
+    r.method = "GET";
     r.path = path;
-    r.body = put ? g_bytes_get_data(p->data, &len) : NULL;
-    r.body_len = len;
-    r.connect_ms = CONNECT_MS;
-    r.timeout_ms = STAGE_TIMEOUT_MS;
-    p->stage_is_read = !put;
-    p->stage_ms = qr_sidecar_now(s);
-    p->stage =
-        qr_buffered_send(s->engine_client, &r, handle_stage_answer, t, index);
-    if (put)
-        s->staged_version = t->version;
+    r.connect_ms = QR_STAGE_CONNECT_MS;
+    r.timeout_ms = QR_STAGE_TIMEOUT_MS;
+    p->read_back_ms = qr_sidecar_now(s);
+    p->read_back =
+        qr_buffered_send(s->engine_client, &r, handle_read_back, t, index);
 }
 
 /* Marks all pieces as staged or not. Reading back verifies the mark. */
@@ -126,22 +107,22 @@
  */
 static bool stage_pieces(QRTarget *t, bool may_put)
 {
-    unsigned in_flight = 0, verified = 0;
+    unsigned in_flight = qr_stage_puts_open(t->sidecar), verified = 0;
 
     for (unsigned i = 0; i < t->pieces->len; i++) {
-        in_flight += qr_piece(t, i)->stage != NULL;
+        in_flight += qr_piece(t, i)->read_back != NULL;
         verified += qr_piece(t, i)->staged && qr_piece(t, i)->verified;
     }
     for (unsigned i = 0; i < t->pieces->len && in_flight < STAGE_REQUESTS_MAX;
          i++) {
         QRPiece *p = qr_piece(t, i);
 
-        if (p->stage || p->verified)
+        if (p->read_back || p->verified || qr_stage_put_blocks(t, i))
             continue;
         if (p->staged)
-            send_stage_request(t, i, false);
+            read_back(t, i);
         else if (p->data && may_put)
-            send_stage_request(t, i, true);
+            qr_stage_put_send(t, i);
         else
             continue;
         in_flight++;
@@ -154,7 +135,7 @@
     for (unsigned i = 0; i < t->pieces->len; i++) {
         const QRPiece *p = qr_piece(t, i);
 
-        if (p->stage || (p->staged && !p->verified))
+        if (p->read_back || (p->staged && !p->verified))
             return false;
     }
     return true;
@@ -198,6 +179,9 @@
     s->order_call = NULL;
     s->order_answered_ms = qr_sidecar_now(s);
     s->orders++;
+    s->order_settled_ms = a->status == 0 && a->maybe_executed
+                              ? s->order_sent_ms + QR_ENGINE_SETTLE_MS
+                              : 0;
     s->order_next_ms = qr_sidecar_now(s) + ORDER_RETRY_MS;
     s->report_next_ms = 0;
     qr_logf(QR_LEVEL_INFO, "order",
@@ -272,12 +256,14 @@
     r.content_type = "application/json";
     r.body = body;
     r.body_len = strlen(body);
-    r.connect_ms = CONNECT_MS;
+    r.connect_ms = QR_STAGE_CONNECT_MS;
     r.timeout_ms = ORDER_TIMEOUT_MS;
     r.send_within_ms =
         (uint32_t)(oldest_check_ms(t) + VERIFY_VALID_MS + 1 - now_ms);
     s->announced_ms = 0;
     s->ordered_version = t->version;
+    s->ordered_sequence = s->report.sequence;
+    s->order_sent_ms = now_ms;
     s->order_call =
         qr_buffered_send(s->engine_client, &r, handle_order_answer, s, 0);
 }
@@ -350,12 +336,14 @@
    there are none. */
 static bool invalidate_old_checks(QRTarget *t, uint64_t now_ms)
 {
+    uint64_t settled_ms = t->sidecar->started_ms + QR_ENGINE_SETTLE_MS;
     bool all_valid = true;
 
     for (unsigned i = 0; i < t->pieces->len; i++) {
         QRPiece *p = qr_piece(t, i);
 
-        if (now_ms <= p->verified_ms + VERIFY_VALID_MS)
+        if (now_ms <= p->verified_ms + VERIFY_VALID_MS &&
+            p->verified_ms >= settled_ms)
             continue;
         p->verified = false;
         all_valid = false;
@@ -363,8 +351,24 @@
     return all_valid;
 }
 
+/* Whether the engine may still execute an order. */
+static bool is_order_open(const QRSidecar *s, uint64_t now_ms)
+{
+    return s->order_call || now_ms < s->order_settled_ms;
+}
+
+void qr_stage_note_report(QRSidecar *s, const QREngineReport *report)
+{
+    /* the engine then denies the order, by the sequence named in it */
+    if (report->sequence != s->ordered_sequence)
+        s->order_settled_ms = 0;
+}
+
 static void order_tick(QRSidecar *s, QRTarget *t, uint64_t now_ms)
 {
+    /* the process before this one may have left requests at the engine */
+    if (now_ms < s->started_ms + QR_ENGINE_SETTLE_MS)
+        return;
     if (s->order_call || s->report.busy || (s->switching && !s->announced_ms) ||
         now_ms < s->order_next_ms || now_ms < start_due_ms(t, now_ms))
         return;
@@ -391,6 +395,7 @@
 {
     QRTarget *t;
 
+    qr_stage_puts_tick(s, now_ms);
     if (!s->model || !s->reachable)
         return;
     scan_served(s);
@@ -403,6 +408,8 @@
     s->staging_version = t->version;
     if (!scan_stage(t))
         return;
-    if (stage_pieces(t, true))
+    /* an open order takes what is staged when the engine executes it */
+    if (stage_pieces(t, t->version == s->ordered_version ||
+                            !is_order_open(s, now_ms)))
         order_tick(s, t, now_ms);
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -18,7 +18,7 @@
     QRPiece *piece = p;
 
     qr_buffered_cancel(piece->fetch);
-    qr_buffered_cancel(piece->stage);
+    qr_buffered_cancel(piece->read_back);
     g_clear_pointer(&piece->data, g_bytes_unref);
     g_free(piece->source);
 }
--- a/tests/test_staged_pieces.py
+++ b/tests/test_staged_pieces.py
@@ -1,14 +1,21 @@
 """An engine starts a version with exactly the pieces of that version, and with none
 that was damaged for long.
 
+Two faults, each shown by an order for which the engine took a wrong piece:
+
 A check of a staged piece counted from the moment at which its answer was handled.
 A sidecar that was suspended while the answers were on their way took them for new
 and ordered the engine to start, though a piece had been damaged for over 4 s.
 
+A request whose connection is closed may still be executed: the engine reads what it
+has received. A put of an older version, cancelled with its version, replaced a piece
+of the newer one after that piece had been checked.
+
 The victim holds no version, so it is ordered to start as soon as its pieces are
 checked. The program before the fix fails each test below.
 """
 import signal
+import socket
 import threading
 import time
 
@@ -20,6 +27,8 @@
 
 FREEZE_S = 4.0
 DAMAGE_ALLOWED_S = 3.0  # of a piece, before the engine takes the order
+READ_S = 1.8            # in which an engine reads one request
+SLOW_READ_S = 2.4       # the same for one whose connection was closed
 
 
 def whole(version):
@@ -27,7 +36,7 @@
 
 
 class Victim(Engine):
-    """Notes what it takes, and calls back before it takes a request."""
+    """Can hold a request that it has received, and take it later."""
 
     def __init__(self, ident):
         self.damaged = {}  # index of a piece -> when it was damaged
@@ -45,6 +54,14 @@
             self.on_read(index)
         return super().staged(conn, request)
 
+    def reset_open(self):
+        """Ends all connections; requests that were received go on."""
+        for conn in list(self.open):
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:  # the other side has closed it
+                pass
+
     def damage(self, index):
         self.stage[index] = b"x" + self.stage[index][1:]
         self.damaged[index] = time.monotonic()
@@ -64,6 +81,26 @@
             now - self.damaged.get(i, 0) > DAMAGE_ALLOWED_S]))
 
 
+class Held:
+    """A request that the engine takes after 'read_s', or as soon as 'now' is
+    set. The engine's thread waits in 'wait'."""
+
+    def __init__(self, read_s=READ_S):
+        self.read_s = read_s
+        self.begun, self.now = threading.Event(), threading.Event()
+        self.taken = threading.Event()
+
+    def wait(self):
+        self.begun.set()
+        self.now.wait(self.read_s)
+
+    def take_now(self):
+        """Before anything that the engine does next."""
+        if self.begun.is_set():
+            self.now.set()
+            self.taken.wait(1)
+
+
 @pytest.fixture
 def fleet():
     with Fleet(plain=0, version_ms=12000) as f:
@@ -81,6 +118,11 @@
         yield f
 
 
+def name_version(fleet, version):
+    fleet.store.put("keyed.op", "version/" + MODEL,
+                    {"model": MODEL, "version": version})
+
+
 def check_orders(victim, version):
     wait_for("version %d" % version, lambda: victim.version == version, 15)
     assert victim.orders[-1][0] == version
@@ -112,3 +154,91 @@
     check_orders(victim, 1)
     assert ("staged piece is missing or damaged index=%d" % checked[0] in
             fleet.log("s9"))
+
+
+def hold_put(victim, held, version, index):
+    """Holds the put of that piece; it is taken before the next order."""
+    def put(i, body):
+        if i != index or body != chunk_of(version, i) or held.begun.is_set():
+            return
+        held.wait()
+        victim.stage[i] = body
+        held.taken.set()
+
+    victim.on_put = put
+    victim.on_order = lambda order: held.take_now()
+
+
+# Guards against staging a version while the engine may still store a piece of the
+# one before, whose put was cancelled with it.
+def test_late_put_of_a_dropped_version_is_waited_for(fleet):
+    victim, held = fleet.victim, Held()
+    hold_put(victim, held, 2, 3)
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the put", held.begun.is_set, 10)
+    name_version(fleet, 3)
+    check_orders(victim, 3)
+    assert held.taken.is_set()
+    assert "put of a dropped version ended index=3 version=2" in fleet.log("s9")
+
+
+def received(fleet, version, *sidecars):
+    wait_for("version %d" % version, lambda: all(
+        "all pieces received version=%d" % version in fleet.log(n)
+        for n in sidecars))
+
+
+# As above; the connection breaks, so that the put has no answer.
+def test_put_whose_connection_broke_is_waited_for(fleet):
+    victim, held = fleet.victim, Held(SLOW_READ_S)
+    hold_put(victim, held, 2, 3)
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the put", held.begun.is_set, 10)
+    name_version(fleet, 3)
+    received(fleet, 3, "s9")
+    victim.reset_open()
+    check_orders(victim, 3)
+
+
+# As above; the sidecar that sent the put was killed, and its successor knows nothing
+# of it. All pieces of the successor's version lie at the engine.
+def test_put_of_a_killed_sidecar_is_waited_for(fleet):
+    victim, held = fleet.victim, Held(SLOW_READ_S)
+    victim.stage = whole(1)
+    victim.on_order = lambda order: held.take_now()
+
+    def put_of_predecessor():
+        held.wait()
+        victim.stage[3] = chunk_of(2, 3)
+        held.taken.set()
+
+    threading.Thread(target=put_of_predecessor).start()
+    fleet.start_sidecar(9, victim)
+    check_orders(victim, 1)
+
+
+# Guards against staging a newer version while the engine may still execute an order
+# that it has not answered: it would start a mix of both.
+def test_nothing_is_staged_over_an_order_without_an_answer(fleet):
+    victim, held = fleet.victim, Held()
+
+    def order(_):
+        if not held.begun.is_set():
+            name_version(fleet, 3)
+            held.wait()
+            held.taken.set()
+
+    def put(index, body):
+        if body == chunk_of(3, index) and len(newer) == 0:
+            newer.append(index)
+            victim.stage[index] = body
+            held.take_now()
+
+    newer = []
+    victim.on_order, victim.on_put = order, put
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the order", held.begun.is_set, 10)
+    check_orders(victim, 3)
