A put also ends reads in progress of the piece that it replaces

Found by reading the diff: the answer of such a read could mark the piece of another version as staged after it had been replaced.

--- a/src/sidecar/qr_stage_puts.c
+++ b/src/sidecar/qr_stage_puts.c
@@ -61,16 +61,19 @@
         g_ptr_array_remove_fast(s->stage_puts, put);
 }
 
-/* The piece replaces that of any other version. */
+/* The piece replaces that of any other version. A read in progress may still
+   return the replaced one. */
 static void note_replaced(QRSidecar *s, uint64_t version, unsigned index)
 {
     for (unsigned i = 0; i < s->targets->len; i++) {
         QRTarget *t = s->targets->pdata[i];
+        QRPiece *p;
 
-        if (t->version == version || !t->pieces || index >= t->pieces->len)
+        if (t->version == version || !qr_target_has_index(t, index))
             continue;
-        qr_piece(t, index)->staged = false;
-        qr_piece(t, index)->verified = false;
+        p = qr_piece(t, index);
+        p->staged = p->verified = false;
+        g_clear_pointer(&p->read_back, qr_buffered_cancel);
     }
 }
 
