--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -271,7 +271,7 @@
      "return strcmp(digest, t->manifest->digests->pdata[index]) == 0;",
      "return true;", "sidecar::corrupt_pieces_are_fetched_again"),
     ("staged-pieces-not-read-again", 1, "sidecar/qr_stage.c",
-     "if (now_ms <= p->verified_ms + VERIFY_VALID_MS)", "if (true)",
+     "if (now_ms <= p->verified_ms + VERIFY_VALID_MS &&", "if (true &&",
      "sidecar::staged_piece_that_becomes_corrupt_is_staged_again"),
     ("dead-sidecars-own-pieces", 1, "sidecar/qr_sources.c",
      "if (!root || role == QR_PIECE_ROLE_ROOT || "
