Test of a damaged staged piece outlasts the wait after a sidecar's start

The test names its version after these 2.5 s now, and is red with the mutant again. Nothing else in it changes.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -84,6 +84,7 @@
 @pytest.mark.parametrize("fleet", [12000], indirect=True)
 def test_staged_piece_that_becomes_corrupt_is_staged_again(fleet):
     victim = fleet.models[0]
+    time.sleep(2.6)  # earlier checks don't count for a sidecar that has started
     name_version(fleet, 2)
     wait_for("all pieces staged", lambda: victim.stage == whole(2), 10)
     time.sleep(0.6)  # by now they have been read back
