A slot granted before a suspension is asked for again

A gateway that is suspended while the reply to a slot request waits in its socket sent the call on a grant of any age. The coordinator gives a slot to others after its lease of 2 s, so the call went to an engine that may be full, or beyond the engine's rate limit.

Evidence: slot_granted_before_a_suspension (test_retry_slots) suspends the gateway for 2.5 s before the reply: on the code before, the engine had the call after one request ([1] == [2]). Now the gateway asks again first.

--- a/src/fleet/qr_slots.c
+++ b/src/fleet/qr_slots.c
@@ -6,9 +6,6 @@
 
 #include <math.h>
 
-/* A gateway reports its load at least every 700 ms (REPORT_INTERVAL_MS in
-   qr_gateway_slots.c). The lease tolerates two late or lost messages. */
-#define LOAD_LEASE_MS 2000
 /* A caller's first attempt that was denied so often, by this engine and others,
    shows a shortage of slots. With a third of the slots free at random engines,
    fewer than 1 in 100 attempts are denied three times. */
@@ -74,7 +71,7 @@
     while (g_hash_table_iter_next(&it, &key, &value)) {
         const Holder *h = value;
 
-        if (now_ms > h->reported_ms + LOAD_LEASE_MS ||
+        if (now_ms > h->reported_ms + QR_SLOT_LEASE_MS ||
             g_str_equal(key, gateway))
             continue;
         sum.open += h->load.open;
--- a/src/fleet/qr_slots.h
+++ b/src/fleet/qr_slots.h
@@ -24,6 +24,10 @@
 #include "qr_shares.h"
 #include "wire/fleet.pb-c.h"
 
+/* A gateway reports its load at least every 700 ms (REPORT_INTERVAL_MS in
+   qr_gateway_slots.c). The lease tolerates two late or lost messages. */
+#define QR_SLOT_LEASE_MS 2000
+
 /* Load that gateways hold at the engine. */
 typedef struct QRSlotLoad {
     unsigned open;    /* slots */
--- a/src/gateway/qr_relay_slot.c
+++ b/src/gateway/qr_relay_slot.c
@@ -3,6 +3,8 @@
  */
 #include "qr_relay_parts.h"
 
+#include "fleet/qr_slots.h"
+
 /* A reply takes a round trip and an event loop turn of the coordinator: 1 to 10
    ms. Without one after this time, the coordinator is suspended or its link is
    full. */
@@ -146,13 +148,35 @@
     }
 }
 
+/* Ends a request without a usable reply. */
+static void give_up_slot_request(QRRelay *r)
+{
+    bool is_retry = r->slot.is_retry;
+
+    qr_relay_count(r->g, QR_COUNTER_slots_unanswered);
+    (void)end_slot_request(r);
+    if (is_retry)
+        qr_relay_retry_denied(r);
+    else
+        qr_relay_dispatch(r);
+}
+
 void qr_relay_slot_reply(QRRelay *r, const QRSlotResult *result)
 {
     uint64_t now = qr_gateway_now(r->g);
     bool is_retry = r->slot.is_retry;
-    QREngine *e = end_slot_request(r);
+    QREngine *e;
     QRBalanceChoice c = {0};
 
+    /* this process was suspended; others may hold the slot since */
+    if (now >= r->slot.requested_ms + QR_SLOT_LEASE_MS) {
+        qr_logf(QR_LEVEL_INFO, "call",
+                "slot reply too old id=%s engine=%s age_ms=%" G_GUINT64_FORMAT,
+                r->id, r->slot.engine, now - r->slot.requested_ms);
+        give_up_slot_request(r);
+        return;
+    }
+    e = end_slot_request(r);
     if (e) {
         qr_gateway_set_others_load(e, result->others_open,
                                    result->others_reading, now);
@@ -181,21 +205,15 @@
 
 void qr_relay_slot_tick(QRRelay *r, uint64_t now_ms)
 {
-    bool is_retry = r->slot.is_retry;
-    QREngine *e;
+    QREngine *e = slot_engine(r);
 
     if (now_ms < r->slot.requested_ms + SLOT_REPLY_TIMEOUT_MS)
         return;
-    qr_relay_count(r->g, QR_COUNTER_slots_unanswered);
-    e = end_slot_request(r);
     if (e) {
         e->slots.unresponsive_until_ms = now_ms + COORDINATOR_AVOID_MS;
         qr_logf(QR_LEVEL_WARN, "engines",
                 "slot request unanswered engine=%s id=%s", e->record->id,
                 r->id);
     }
-    if (is_retry)
-        qr_relay_retry_denied(r);
-    else
-        qr_relay_dispatch(r);
+    give_up_slot_request(r);
 }
--- a/src/sidecar/qr_stage_puts.c
+++ b/src/sidecar/qr_stage_puts.c
@@ -27,7 +27,7 @@
             put->index, put->version, a->error, a->maybe_executed);
 }
 
-/* Takes what is known of the piece at the engine; nothing without an answer. */
+/* 'status' is that of the put; 0: no answer, so the piece is put again. */
 static void note_stored(QRTarget *t, unsigned index, unsigned status)
 {
     QRPiece *p = qr_piece(t, index);
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -720,7 +720,7 @@
      "s->shares_slots = g->set->share_slots != 0;", "s->shares_slots = true;",
      "slots::test_sharing_can_be_switched_off"),
     ("slots-of-the-dead-are-held", 5, "fleet/qr_slots.c",
-     "if (now_ms > h->reported_ms + LOAD_LEASE_MS ||\n"
+     "if (now_ms > h->reported_ms + QR_SLOT_LEASE_MS ||\n"
      "            g_str_equal(key, gateway))",
      "if (g_str_equal(key, gateway))", "unit"),
     ("what-waits-to-be-read-is-no-matter", 5, "fleet/qr_slots.c",
@@ -948,6 +948,9 @@
     ("slot-requests-outlive-a-stall", 4, "gateway/qr_relay_attempt.c",
      "    qr_relay_drop_slot_request(r);\n", "",
      "retry_slots::goes_on_ends_slot_request"),
+    ("old-slots-are-used", 6, "gateway/qr_relay_slot.c",
+     "if (now >= r->slot.requested_ms + QR_SLOT_LEASE_MS) {", "if (false) {",
+     "retry_slots::slot_granted_before_a_suspension"),
     ("checks-count-from-their-answer", 6, "sidecar/qr_stage.c",
      "p->verified_ms = p->read_back_ms;",
      "p->verified_ms = qr_sidecar_now(t->sidecar);",
--- a/tests/test_retry_slots.py
+++ b/tests/test_retry_slots.py
@@ -11,6 +11,7 @@
 program before the fix fails the first test below.
 """
 import http.client
+import signal
 import socket
 import threading
 import time
@@ -56,22 +57,27 @@
             self.peer.send(**body)
 
     def report(self):
-        while not self.ended.wait(0.3):
-            self.send(engine_state=fleet_pb2.EngineState(
-                engine_address=self.engine.address, name="keeper",
-                reachable=True, others_open=self.others_open))
+        try:
+            while not self.ended.wait(0.3):
+                self.send(engine_state=fleet_pb2.EngineState(
+                    engine_address=self.engine.address, name="keeper",
+                    reachable=True, others_open=self.others_open))
+        except OSError:
+            pass  # the gateway has ended
 
     def read(self):
-        while True:
-            try:
+        try:
+            while True:
                 frame = self.peer.frame()
-            except (OSError, AssertionError):
-                return
-            if not frame.HasField("slot_request") or not frame.slot_request.call:
-                continue
-            granted = self.on_request(frame.slot_request)
-            if granted is not None:
-                self.reply(frame.slot_request.call, granted)
+                if frame.HasField("slot_request") and frame.slot_request.call:
+                    self.answer(frame.slot_request)
+        except (OSError, AssertionError):
+            pass
+
+    def answer(self, request):
+        granted = self.on_request(request)
+        if granted is not None:
+            self.reply(request.call, granted)
 
     def reply(self, call, granted):
         self.send(slot_reply=fleet_pb2.SlotReply(
@@ -257,3 +263,35 @@
         stall.fleet.log("g0")))
     time.sleep(0.3)
     assert stall.ident not in stall.limited_got
+
+
+SUSPENDED_S = 2.5  # longer than the lease of a slot
+
+
+# Guards against using a slot that was granted before the gateway was suspended: the
+# coordinator has given it to others since.
+def test_slot_granted_before_a_suspension_is_asked_for_again():
+    with Fleet(gateways=1, plain=1) as f:
+        f.wait_ready()
+        asked, arrived = [], []
+
+        def on_request(request):
+            asked.append(request.call)
+            if len(asked) == 1:
+                f.procs["g0"].send_signal(signal.SIGSTOP)
+                threading.Timer(SUSPENDED_S, f.procs["g0"].send_signal,
+                                [signal.SIGCONT]).start()
+            return True
+
+        def behave(engine, conn, request):
+            arrived.append(len(asked))
+            return engine.work(conn, request)
+
+        f.plain[0].behave = behave
+        keeper = SlotKeeper(f, f.plain[0], on_request)
+        try:
+            wait_for("the sidecar", lambda: "told engine=p0" in f.log("g0"))
+            assert f.call("/safe/x", "c1", deadline=6000)[0] == 200
+            assert arrived == [2]
+        finally:
+            keeper.close()
