--- a/src/fleet/qr_fleet_settings.h
+++ b/src/fleet/qr_fleet_settings.h
@@ -14,6 +14,7 @@
  */
 #define QR_FLEET_SETTINGS_BOTH                                                 \
     LIMIT(descriptors_max, 64, 1048576, 1024) /* sockets of the process */     \
+    LIMIT(memory_mb, 0, 1048576, 0)           /* of the process; 0: unknown */ \
     LIMIT(version_ms, 500, 3600000, 8000)     /* until a version is live */    \
     DEF(heartbeat_ms, 20, 10000, 100)         /* interval, to peers */         \
     DEF(lease_ms, 100, 600000, 1000) /* silence until a peer is down */        \
@@ -35,7 +36,6 @@
     LIMIT(drain_ms, 1, 3600000, 2000)                                          \
     DEF(operator_wait_ms, 0, 30000, 2000)  /* longest long poll for records */ \
     LIMIT(retry_allowance, 0, 1000000, 10) /* per window, all gateways */      \
-    LIMIT(memory_mb, 0, 1048576, 0)        /* of the process; 0: no limit */   \
     /* whether a stream that cannot end in time is resumed at another engine   \
      */                                                                        \
     DEF(move_slow_streams, 0, 1, 1)                                            \
--- a/src/gateway/qr_fingerprint.c
+++ b/src/gateway/qr_fingerprint.c
@@ -22,6 +22,19 @@
     return hash_bytes(ctx, text ? text : "", text ? strlen(text) : 0);
 }
 
+static bool hash_body(EVP_MD_CTX *ctx, const QRBody *body)
+{
+    uint64_t n = qr_body_len(body);
+    bool ok = EVP_DigestUpdate(ctx, &n, sizeof(n));
+
+    for (unsigned i = 0; ok && body && i < qr_body_segments(body); i++) {
+        const QRBodySegment *s = qr_body_segment(body, i);
+
+        ok = EVP_DigestUpdate(ctx, s->data, s->len);
+    }
+    return ok;
+}
+
 /* Ends the digest and fills 'out'. 'ok': everything was hashed so far. */
 static bool finish(EVP_MD_CTX *ctx, bool ok, QRFingerprintKind kind,
                    QRFingerprint *out)
@@ -46,7 +59,7 @@
     bool ok = ctx && EVP_DigestInit_ex(ctx, EVP_sha256(), NULL) &&
               hash_text(ctx, parts->method) && hash_text(ctx, parts->host) &&
               hash_text(ctx, parts->target) && hash_text(ctx, parts->team) &&
-              hash_bytes(ctx, parts->body, parts->body_len);
+              hash_body(ctx, parts->body);
 
     return finish(ctx, ok, QR_FINGERPRINT_REQUEST, out);
 }
--- a/src/gateway/qr_fingerprint.h
+++ b/src/gateway/qr_fingerprint.h
@@ -8,6 +8,7 @@
 #define QR_FINGERPRINT_H
 
 #include "fleet/qr_platform.h"
+#include "net/qr_body.h"
 
 #define QR_FINGERPRINT_BYTES 16
 #define QR_FINGERPRINT_PART_PREFIX "part."
@@ -26,8 +27,7 @@
 
 typedef struct QRFingerprintParts {
     const char *method, *host, *target, *team;
-    const void *body;
-    size_t body_len;
+    const QRBody *body; /* NULL: empty */
 } QRFingerprintParts;
 
 /*
--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -81,17 +81,23 @@
 void qr_gateway_apply_limits(QRGateway *g)
 {
     const QRPolicy *p = g->operator.policy;
-    QRServerLimits l;
+    QRServerLimits l = *qr_server_limits(g->callers);
+    size_t largest = qr_account_share(&g->clients, QR_ACCOUNT_LARGE);
 
-    if (!p)
-        return;
-    l.head_max = p->head_max_bytes;
-    l.body_max = p->body_max_bytes;
-    l.head_timeout_ms = p->head_timeout_ms;
-    l.idle_timeout_ms = p->idle_timeout_ms;
     l.connections_max =
         (unsigned)(g->set->descriptors_max - RESERVED_DESCRIPTORS) * 3 / 4;
+    if (p) {
+        l.head_max = p->head_max_bytes;
+        l.body_max = p->body_max_bytes;
+        l.head_timeout_ms = p->head_timeout_ms;
+        l.idle_timeout_ms = p->idle_timeout_ms;
+    }
     qr_server_set_limits(g->callers, &l);
+    if (l.body_max > largest)
+        qr_logf(QR_LEVEL_WARN, "callers",
+                "bodies over %zu bytes do not fit the memory of this process: "
+                "the configuration allows %zu",
+                largest, l.body_max);
 }
 
 static void gateway_stop_now(QRGateway *g)
@@ -178,11 +184,15 @@
     return true;
 }
 
+static uint64_t gateway_memory_bytes(const QRGateway *g)
+{
+    return (uint64_t)g->set->memory_mb * BYTES_PER_MB;
+}
+
 /* Aborts answers that callers do not read while too many bytes are unsent. */
 static void limit_unsent(QRGateway *g, uint64_t now)
 {
-    size_t limit =
-        (size_t)g->set->memory_mb * BYTES_PER_MB / UNSENT_MEMORY_DIVISOR;
+    size_t limit = (size_t)(gateway_memory_bytes(g) / UNSENT_MEMORY_DIVISOR);
 
     g->counters.counts[QR_COUNTER_unread_aborted] +=
         qr_server_limit_unsent(g->callers, limit, now);
@@ -258,6 +268,7 @@
     g->set->retry_ratio = new->retry_ratio;
     g->set->retry_allowance = new->retry_allowance;
     g->set->memory_mb = new->memory_mb;
+    qr_account_set_memory(&g->clients, gateway_memory_bytes(g));
     g->set->move_slow_streams = new->move_slow_streams;
     g->set->retry_turns = new->retry_turns;
     g->set->admission_forecast = new->admission_forecast;
@@ -267,7 +278,7 @@
 static QRServer *serve(QRGateway *g, const char *address,
                        const QRServerHandlers *handlers, GError **err)
 {
-    return qr_server_new(g->loop, address, handlers, g, err);
+    return qr_server_new(g->loop, address, &g->clients, handlers, g, err);
 }
 
 static bool gateway_listen(QRGateway *g, GError **err)
@@ -346,6 +357,8 @@
     g->settings_file = file;
     g->platform = qr_platform_find(set->platform);
     g->regions = qr_fleet_settings_regions(set);
+    qr_account_init(&g->clients);
+    qr_account_set_memory(&g->clients, gateway_memory_bytes(g));
     g->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stats_free);
     g->subscribers = g_ptr_array_new();
@@ -420,6 +433,7 @@
     uv_close((uv_handle_t *)&g->sighup, NULL);
     uv_run(g->loop, UV_RUN_DEFAULT);
     uv_loop_close(g->loop);
+    qr_account_clear(&g->clients);
     g_ptr_array_unref(g->subscribers);
     g_ptr_array_unref(g->sidecars);
     g_ptr_array_unref(g->relays);
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -126,6 +126,7 @@
     unsigned fleet_gateways; /* most gateways that any process has counted */
     GHashTable *regions;     /* zone -> region */
     GHashTable *services;    /* name -> QRServiceStats * */
+    QRAccount clients;       /* memory that clients of all listeners hold */
     QRServer *callers, *directory, *readiness, *metrics;
     QRClient *to_engines, *to_store;
     QRFollower *follow_operator, *follow_engines;
--- a/src/gateway/qr_relay_send.c
+++ b/src/gateway/qr_relay_send.c
@@ -76,15 +76,16 @@
                                        qr_gateway_now(g));
 }
 
-static GString *relay_request(const QRRelay *r, const QREngine *e)
+/* The request up to its body. */
+static GString *relay_request_head(const QRRelay *r, const QREngine *e)
 {
     uint64_t version =
         qr_relay_min_version(r, SEND_MARGIN_MS) ? qr_engine_version(e) : 0;
     const QRHeaderNames *names = &r->g->platform->headers;
-    const GByteArray *body = qr_exchange_body(r->x);
+    size_t len = qr_body_len(qr_exchange_body(r->x));
     const char *method = qr_exchange_method(r->x);
     uint64_t now = qr_gateway_now(r->g);
-    GString *out = g_string_sized_new(1024 + body->len);
+    GString *out = g_string_sized_new(1024);
 
     g_string_append_printf(out, "%s %s HTTP/1.1\r\n", method,
                            qr_exchange_target(r->x));
@@ -98,11 +99,10 @@
     if (version)
         g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n",
                                names->expect_version, version);
-    if (body->len > 0 || strcmp(method, "POST") == 0 ||
-        strcmp(method, "PUT") == 0 || strcmp(method, "PATCH") == 0)
-        g_string_append_printf(out, "Content-Length: %u\r\n", body->len);
+    if (len > 0 || strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+        strcmp(method, "PATCH") == 0)
+        g_string_append_printf(out, "Content-Length: %zu\r\n", len);
     g_string_append(out, "\r\n");
-    g_string_append_len(out, (const char *)body->data, body->len);
     return out;
 }
 
@@ -119,7 +119,7 @@
 void qr_relay_send(QRRelay *r, const QRBalanceChoice *c)
 {
     QREngine *e = c->engine;
-    g_autoptr(GString) text = relay_request(r, e);
+    g_autoptr(GString) text = relay_request_head(r, e);
     QRClientRequest request = {0};
 
     qr_relay_dequeue(r);
@@ -151,6 +151,7 @@
     request.address = e->record->address;
     request.data = text->str;
     request.len = text->len;
+    request.body = qr_exchange_body(r->x);
     request.id = r->id;
     request.head_only = strcmp(qr_exchange_method(r->x), "HEAD") == 0;
     request.connect_ms = CONNECT_MS;
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -38,14 +38,12 @@
    WHAT=cost). */
 static bool make_fingerprints(QRRelay *r)
 {
-    const GByteArray *body = qr_exchange_body(r->x);
     QRFingerprintParts parts = {
         .method = qr_exchange_method(r->x),
         .host = qr_headers_get(qr_exchange_headers(r->x), "Host"),
         .target = qr_exchange_target(r->x),
         .team = r->team,
-        .body = body->data,
-        .body_len = body->len,
+        .body = qr_exchange_body(r->x),
     };
     QRFingerprint f;
 
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -54,6 +54,7 @@
 static void call_free(QRClientCall *call)
 {
     g_byte_array_unref(call->request);
+    g_clear_pointer(&call->body, qr_body_unref);
     g_free(call->id);
     g_free(call);
 }
@@ -255,7 +256,8 @@
     GByteArray *data = l->call->request;
 
     qr_link_note_send(l);
-    return qr_socket_write(&l->tcp, data->data, data->len);
+    return qr_socket_write_request(&l->tcp, data->data, data->len,
+                                   l->call->body);
 }
 
 static void link_opened(uv_connect_t *req, int status)
@@ -400,6 +402,8 @@
     call->owner = owner;
     call->request = g_byte_array_sized_new((guint)request->len);
     g_byte_array_append(call->request, request->data, (guint)request->len);
+    if (request->body)
+        call->body = qr_body_ref(request->body);
     call->id = g_strdup(request->id);
     call->head_only = request->head_only;
     call->pause_ms = request->pause_ms;
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -5,6 +5,7 @@
 #ifndef QR_NET_CLIENT_H
 #define QR_NET_CLIENT_H
 
+#include "qr_body.h"
 #include "qr_message.h"
 
 #include <uv.h>
@@ -32,8 +33,9 @@
 
 typedef struct QRClientRequest {
     const char *address; /* "ip:port" */
-    const void *data;    /* complete request, head and body; copied */
+    const void *data;    /* the request, or what is before 'body'; copied */
     size_t len;
+    QRBody *body;        /* the rest, kept by reference; NULL: none */
     const char *id;      /* expected id of the answer; NULL: not checked */
     bool head_only;      /* HEAD request: the answer has no body */
     bool new_connection; /* never reuse an idle connection */
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -17,6 +17,7 @@
     const QRClientHandlers *handlers;
     void *owner;
     GByteArray *request;
+    QRBody *body; /* follows 'request'; NULL: nothing */
     char *id;
     bool head_only, answered;
     bool unresponsive;   /* the connection worked before, then went silent */
--- a/src/net/qr_exchange.c
+++ b/src/net/qr_exchange.c
@@ -6,10 +6,6 @@
 
 #include <string.h>
 
-/* Largest body buffer, in bytes, that a connection keeps for its next request.
- */
-#define BODY_KEPT_MAX (64u << 10)
-
 void qr_conn_write(QRConn *c, const void *data, size_t len)
 {
     if (c->closing)
@@ -25,7 +21,9 @@
     /* fewer than before and written since: the caller has read some */
     if (c->pending == 0 || now < c->pending + written)
         c->read_ms = qr_clock_ms(c->server->loop);
-    c->server->pending += now - c->pending;
+    c->server->pending = c->server->pending - c->pending + now;
+    qr_account_charge(c->server->account, QR_ACCOUNT_LARGE, now);
+    qr_account_release(c->server->account, QR_ACCOUNT_LARGE, c->pending);
     c->pending = now;
 }
 
@@ -72,7 +70,7 @@
     return &x->conn->message.headers;
 }
 
-const GByteArray *qr_exchange_body(const QRExchange *x)
+QRBody *qr_exchange_body(const QRExchange *x)
 {
     return x->body;
 }
@@ -105,13 +103,10 @@
         qr_conn_linger(c);
         return;
     }
-    if (x->body->len > BODY_KEPT_MAX) {
-        g_byte_array_unref(x->body);
-        x->body = g_byte_array_new();
-    }
-    g_byte_array_set_size(x->body, 0);
+    qr_conn_drop_body(c);
     qr_message_next(&c->message);
     c->request_begun = false;
+    qr_conn_update_charge(c);
     qr_conn_apply_limits(c);
     c->since_ms = qr_clock_ms(c->server->loop);
     c->idle_limit_ms = c->server->limits.idle_timeout_ms;
--- a/src/net/qr_message.c
+++ b/src/net/qr_message.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define MESSAGE_HEAD_MAX_DEFAULT 65536 /* bytes */
+/* Memory that a reader keeps from one message to the next, in bytes. */
+#define KEPT_MAX 4096
+#define NO_LENGTH UINT64_MAX /* in http_parser: no Content-Length was read */
 
 static int set_fault(QRMessage *m, QRMessageFault why)
 {
@@ -92,7 +95,12 @@
     m->head_done = true;
     if (p->type == HTTP_REQUEST && p->method != HTTP_CONNECT)
         p->upgrade = 0; /* protocol upgrades are not supported */
+    if (m->body_max && p->content_length != NO_LENGTH &&
+        p->content_length > m->body_max)
+        return set_fault(m, QR_MESSAGE_BODY_TOO_LARGE);
     no_body = m->handlers->head(m, m->owner);
+    if (m->fault != QR_MESSAGE_OK)
+        return -1;
     return no_body ? 1 : 0;
 }
 
@@ -104,7 +112,7 @@
     if (m->body_max && m->body_bytes > m->body_max)
         return set_fault(m, QR_MESSAGE_BODY_TOO_LARGE);
     m->handlers->body(m, m->owner, at, len);
-    return 0;
+    return m->fault == QR_MESSAGE_OK ? 0 : -1;
 }
 
 static int on_complete(http_parser *p)
@@ -148,16 +156,34 @@
     g_string_free(m->value, TRUE);
 }
 
+void qr_message_fail(QRMessage *m, QRMessageFault why)
+{
+    (void)set_fault(m, why);
+}
+
+static void reset_text(GString **text)
+{
+    if ((*text)->allocated_len > KEPT_MAX) {
+        g_string_free(*text, TRUE);
+        *text = g_string_new(NULL);
+    }
+    g_string_truncate(*text, 0);
+}
+
 void qr_message_next(QRMessage *m)
 {
     enum http_parser_type type = m->parser.type;
 
     http_parser_init(&m->parser, type);
     m->parser.data = m;
+    if (m->headers.text->allocated_len > KEPT_MAX) {
+        qr_headers_clear(&m->headers);
+        qr_headers_init(&m->headers);
+    }
     qr_headers_reset(&m->headers);
-    g_string_truncate(m->target, 0);
-    g_string_truncate(m->name, 0);
-    g_string_truncate(m->value, 0);
+    reset_text(&m->target);
+    reset_text(&m->name);
+    reset_text(&m->value);
     m->in_value = m->head_done = m->done = false;
     m->head_bytes = m->body_bytes = 0;
     m->fault = QR_MESSAGE_OK;
--- a/src/net/qr_message.h
+++ b/src/net/qr_message.h
@@ -14,12 +14,14 @@
     QR_MESSAGE_MALFORMED,
     QR_MESSAGE_HEAD_TOO_LARGE,
     QR_MESSAGE_BODY_TOO_LARGE,
+    QR_MESSAGE_NO_MEMORY, /* set by a handler */
 } QRMessageFault;
 
 typedef struct QRMessage QRMessage;
 
 typedef struct QRMessageHandlers {
-    /* The head is complete. Returns true if no body follows. */
+    /* The head is complete. Returns true if no body follows. A handler of the
+       head or the body may end the message by qr_message_fail(). */
     bool (*head)(QRMessage *m, void *owner);
     void (*body)(QRMessage *m, void *owner, const char *data, size_t len);
     void (*end)(QRMessage *m, void *owner);
@@ -49,6 +51,8 @@
  * bytes after them belong to the next message. Sets m->fault on errors.
  */
 size_t qr_message_read(QRMessage *m, const char *data, size_t len);
+/* For handlers: the message cannot be taken, and nothing more of it is read. */
+void qr_message_fail(QRMessage *m, QRMessageFault why);
 /* Called at an orderly end of the connection. Returns false if the message is
    incomplete. */
 bool qr_message_end_of_file(QRMessage *m);
--- a/src/net/qr_server.c
+++ b/src/net/qr_server.c
@@ -19,15 +19,65 @@
 #define DEFAULT_HEAD_MS 5000
 #define DEFAULT_IDLE_MS 15000
 #define DEFAULT_CONNECTIONS 1000
+/* State of a connection and of one call of it, in bytes. */
+#define CONNECTION_BYTES 8192
+/* A head is held as text and as an index of its fields, both of which grow by
+   doubling. */
+#define HEAD_COPIES 3
+/* Unsent bytes of answers with which no further request is parsed while memory
+   is scarce. */
+#define UNSENT_MAX (256u << 10)
+#define RETRY_MIN_MS 500
+/* Bytes of a connection that the kernel holds until they are read. */
+#define RECEIVE_BYTES (32 << 10)
 #define LINGER_MS 1000 /* how long bytes of a refused caller are still read */
 
+/* 'c->charged' and 'bytes' may differ in either direction. */
+static void conn_set_charge(QRConn *c, size_t bytes)
+{
+    qr_account_charge(c->server->account, QR_ACCOUNT_SMALL, bytes);
+    qr_account_release(c->server->account, QR_ACCOUNT_SMALL, c->charged);
+    c->charged = bytes;
+}
+
+void qr_conn_update_charge(QRConn *c)
+{
+    size_t bytes = CONNECTION_BYTES;
+
+    bytes += c->message.head_bytes * HEAD_COPIES + c->unread;
+    if (c->read_ahead)
+        bytes += c->read_ahead->len;
+    conn_set_charge(c, bytes);
+}
+
+static void conn_set_receiving(QRConn *c, size_t bytes)
+{
+    QRAccount *a = c->server->account;
+
+    a->receiving = a->receiving - c->receiving + bytes;
+    c->receiving = bytes;
+}
+
+void qr_conn_drop_pipelined(QRConn *c)
+{
+    c->close_after = c->ignores_input = true;
+    g_clear_pointer(&c->read_ahead, g_byte_array_unref);
+    qr_conn_update_charge(c);
+}
+
+void qr_conn_drop_body(QRConn *c)
+{
+    conn_set_receiving(c, 0);
+    g_clear_pointer(&c->exchange.body, qr_body_unref);
+}
+
 void qr_conn_free(uv_handle_t *h)
 {
     QRConn *c = h->data;
 
     qr_message_clear(&c->message);
-    g_byte_array_unref(c->exchange.body);
-    g_byte_array_unref(c->read_ahead);
+    g_clear_pointer(&c->exchange.body, qr_body_unref);
+    g_clear_pointer(&c->read_ahead, g_byte_array_unref);
     g_free(c);
 }
 
@@ -38,13 +88,17 @@
 
     c->closing = true;
     s->pending -= c->pending;
+    qr_account_release(s->account, QR_ACCOUNT_LARGE, c->pending);
     c->pending = 0;
+    conn_set_receiving(c, 0);
+    conn_set_charge(c, 0);
+    s->account->connections--;
     s->conns->pdata[c->index] = moved;
     moved->index = c->index;
     g_ptr_array_set_size(s->conns, (int)s->conns->len - 1);
 }
 
-static void conn_close(QRConn *c)
+void qr_conn_close(QRConn *c)
 {
     if (c->closing)
         return;
@@ -55,11 +109,16 @@
 /* Closes a connection on the decision of the server, and logs the reason. */
 static void conn_close_logged(QRConn *c, const char *why)
 {
-    qr_logf(QR_LEVEL_WARN, "callers",
-            "closed why=%s unsent=%zu since_ms=%" G_GUINT64_FORMAT, why,
-            uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp),
-            qr_clock_ms(c->server->loop) - c->since_ms);
-    conn_close(c);
+    uint64_t now = qr_clock_ms(c->server->loop);
+    unsigned dropped;
+
+    if (qr_account_may_log(c->server->account, now, &dropped))
+        qr_logf(QR_LEVEL_WARN, "callers",
+                "closed why=%s unsent=%zu since_ms=%" G_GUINT64_FORMAT
+                " lines_left_out=%u",
+                why, uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp),
+                now - c->since_ms, dropped);
+    qr_conn_close(c);
 }
 
 /* Closes a broken connection and reports an unfinished exchange, if any. */
@@ -72,7 +131,7 @@
     c->exchange.state = QR_EXCHANGE_NONE;
     if (open)
         c->server->handlers->disconnected(c->server->owner, &c->exchange, why);
-    conn_close(c);
+    qr_conn_close(c);
 }
 
 static void on_shutdown(uv_shutdown_t *req, int status)
@@ -88,45 +147,108 @@
     if (c->closing || c->lingering)
         return;
     c->lingering = true;
+    c->unread = 0;
+    qr_conn_drop_body(c);
+    g_clear_pointer(&c->read_ahead, g_byte_array_unref);
+    qr_conn_update_charge(c);
     c->since_ms = qr_clock_ms(c->server->loop);
     req = g_new0(uv_shutdown_t, 1);
     if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
         g_free(req);
 }
 
-/* Answers an unacceptable or incomplete request with an error status, and ends
-   the connection. */
-static void conn_refuse(QRConn *c, unsigned status)
+/* From RETRY_MIN_MS to under a second, at random: clients that are refused
+   together do not return together. */
+static unsigned retry_after_ms(QRServer *s)
 {
-    g_autoptr(GString) out = g_string_new(NULL);
+    s->random = qr_hash64(&s->random, sizeof(s->random), 1);
+    return RETRY_MIN_MS + (unsigned)(s->random % (1000 - RETRY_MIN_MS));
+}
 
-    qr_logf(QR_LEVEL_INFO, "callers",
-            "refused status=%u head_whole=%d rested_ms=%" G_GUINT64_FORMAT,
-            status, c->message.head_done,
-            qr_clock_ms(c->server->loop) - c->since_ms);
+void qr_conn_refuse(QRConn *c, unsigned status, const char *why)
+{
+    QRServer *s = c->server;
+    g_autoptr(GString) out = g_string_new(NULL);
+    uint64_t now = qr_clock_ms(s->loop);
+    unsigned dropped;
+
+    if (qr_account_may_log(s->account, now, &dropped))
+        qr_logf(QR_LEVEL_INFO, "callers",
+                "refused status=%u why=%s head_whole=%d "
+                "rested_ms=%" G_GUINT64_FORMAT
+                " body=%zu held=%zu receiving=%zu lines_left_out=%u",
+                status, why, c->message.head_done, now - c->since_ms,
+                c->message.body_bytes, qr_account_held(s->account),
+                s->account->receiving, dropped);
     qr_append_status_line(out, status);
+    if (status == 503)
+        g_string_append_printf(out, "Retry-After: 0.%03u\r\n",
+                               retry_after_ms(s));
     g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
     qr_conn_write(c, out->str, out->len);
     qr_conn_linger(c);
 }
 
+/* A refusal that is certain is sent at the head: before 100 Continue, and
+   before the client sends its body in vain. */
 static bool message_head(QRMessage *m, void *owner)
 {
     QRConn *c = owner;
+    QRServer *s = c->server;
     const char *expect = qr_headers_get(&m->headers, "Expect");
-
+    uint64_t length = m->parser.content_length;
+
+    if (length == UINT64_MAX)
+        length = 0;
+    if (!s->limits.discards_bodies) {
+        if (length > qr_account_share(s->account, QR_ACCOUNT_LARGE)) {
+            qr_message_fail(m, QR_MESSAGE_BODY_TOO_LARGE);
+            return false;
+        }
+        if (!qr_account_may_fit(s->account, (size_t)length)) {
+            qr_message_fail(m, QR_MESSAGE_NO_MEMORY);
+            return false;
+        }
+        c->exchange.expected = length;
+    }
     if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
         qr_conn_write(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
     return false;
 }
 
+/* Makes room for the next segment of the body. */
+static bool body_make_room(QRConn *c)
+{
+    QRAccountClass class;
+    size_t more = qr_body_next_charge(c->exchange.body, &class);
+
+    return more == 0 || qr_conn_make_room(c, class, more);
+}
+
 static void message_body(QRMessage *m, void *owner, const char *data,
                          size_t len)
 {
     QRConn *c = owner;
+    QRExchange *x = &c->exchange;
+
+    if (c->server->limits.discards_bodies)
+        return;
+    if (!x->body) {
+        x->body = qr_body_new(c->server->account);
+        qr_body_expect(x->body, x->expected);
+    }
+    while (len > 0) {
+        size_t n;
 
-    (void)m;
-    g_byte_array_append(c->exchange.body, (const guint8 *)data, (guint)len);
+        if (!body_make_room(c)) {
+            qr_message_fail(m, QR_MESSAGE_NO_MEMORY);
+            return;
+        }
+        n = qr_body_append(x->body, data, len);
+        data += n;
+        len -= n;
+        conn_set_receiving(c, qr_body_held(x->body));
+    }
 }
 
 static bool request_ok(const QRMessage *m)
@@ -146,9 +268,10 @@
     QRServer *s = c->server;
 
     if (!request_ok(m)) {
-        conn_refuse(c, 400);
+        qr_conn_refuse(c, 400, "malformed");
         return;
     }
+    conn_set_receiving(c, 0);
     c->exchange.state = QR_EXCHANGE_WAITING;
     c->exchange.arrived_ms = qr_clock_ms(s->loop);
     c->exchange.data = NULL;
@@ -160,84 +283,147 @@
 static const QRMessageHandlers message_handlers = {message_head, message_body,
                                                    message_end};
 
-static unsigned fault_status(QRMessageFault fault)
+static void conn_refuse_fault(QRConn *c, QRMessageFault fault)
 {
-    if (fault == QR_MESSAGE_HEAD_TOO_LARGE)
-        return 431;
-    return fault == QR_MESSAGE_BODY_TOO_LARGE ? 413 : 400;
+    static const struct {
+        unsigned status;
+        const char *why;
+    } faults[] = {
+        [QR_MESSAGE_MALFORMED] = {400, "malformed"},
+        [QR_MESSAGE_HEAD_TOO_LARGE] = {431, "head too large"},
+        [QR_MESSAGE_BODY_TOO_LARGE] = {413, "body too large"},
+        [QR_MESSAGE_NO_MEMORY] = {503, "no memory"},
+    };
+    uint64_t *counts = c->server->account->counts;
+
+    if (fault == QR_MESSAGE_BODY_TOO_LARGE)
+        counts[QR_ACCOUNT_COUNT_bodies_too_large]++;
+    if (fault == QR_MESSAGE_NO_MEMORY)
+        counts[QR_ACCOUNT_COUNT_refused_memory]++;
+    qr_conn_refuse(c, faults[fault].status, faults[fault].why);
 }
 
-void qr_conn_process_input(QRConn *c)
+/* Whether the next request may be parsed. While memory is scarce, a client that
+   does not read its answers gets no more of them. */
+static bool conn_may_parse(const QRConn *c)
 {
-    if (c->processing)
-        return;
+    return !c->closing && !c->lingering &&
+           c->exchange.state == QR_EXCHANGE_NONE &&
+           (!qr_account_is_scarce(c->server->account) ||
+            uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) <=
+                UNSENT_MAX);
+}
+
+/* Parses requests, one at a time. Returns the number of bytes used. */
+static size_t conn_parse(QRConn *c, const char *data, size_t len)
+{
+    size_t used = 0;
+
     c->processing = true;
-    while (!c->closing && !c->lingering &&
-           c->exchange.state == QR_EXCHANGE_NONE && c->read_ahead->len > 0) {
-        size_t used;
+    while (used < len && conn_may_parse(c)) {
+        size_t n;
 
         if (!c->request_begun) {
             c->request_begun = true;
             c->since_ms = qr_clock_ms(c->server->loop);
         }
-        used = qr_message_read(&c->message, (const char *)c->read_ahead->data,
-                               c->read_ahead->len);
-        g_byte_array_remove_range(c->read_ahead, 0,
-                                  (guint)MIN(used, c->read_ahead->len));
-        if (c->message.fault != QR_MESSAGE_OK) {
-            conn_refuse(c, fault_status(c->message.fault));
-            break;
-        }
+        n = qr_message_read(&c->message, data + used, len - used);
+        used += MIN(n, len - used);
+        if (c->message.fault != QR_MESSAGE_OK && !c->closing)
+            conn_refuse_fault(c, c->message.fault);
     }
     c->processing = false;
+    return used;
+}
+
+void qr_conn_process_input(QRConn *c)
+{
+    size_t used;
+
+    if (c->processing || !c->read_ahead || !conn_may_parse(c))
+        return;
+    used = conn_parse(c, (const char *)c->read_ahead->data, c->read_ahead->len);
+    if (!c->read_ahead)
+        return; /* the connection was refused */
+    if (used == c->read_ahead->len)
+        g_clear_pointer(&c->read_ahead, g_byte_array_unref);
+    else
+        g_byte_array_remove_range(c->read_ahead, 0, (guint)used);
+    if (!c->closing)
+        qr_conn_update_charge(c);
+}
+
+/* Keeps bytes behind the current request. Without memory for them they are
+   dropped. Returns false if the connection is to be closed. */
+static bool conn_keep(QRConn *c, const char *data, size_t len)
+{
+    size_t kept = c->read_ahead ? c->read_ahead->len : 0;
+
+    if (kept + len > PIPELINE_MAX)
+        return false;
+    if (!qr_conn_make_room(c, QR_ACCOUNT_SMALL, len)) {
+        if (c->exchange.state == QR_EXCHANGE_NONE)
+            return false;
+        c->server->account->counts[QR_ACCOUNT_COUNT_refused_memory]++;
+        qr_conn_drop_pipelined(c);
+        return true;
+    }
+    if (!c->read_ahead)
+        c->read_ahead = g_byte_array_sized_new((guint)len);
+    g_byte_array_append(c->read_ahead, (const guint8 *)data, (guint)len);
+    return true;
+}
+
+/* The head has grown: without room for it, the request is refused. */
+static void conn_check_head(QRConn *c)
+{
+    if (qr_conn_is_unfinished(c) && !c->message.head_done &&
+        !qr_conn_make_room(c, QR_ACCOUNT_SMALL, 0))
+        conn_refuse_fault(c, QR_MESSAGE_NO_MEMORY);
 }
 
 static void conn_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
     QRConn *c = stream->data;
+    size_t used = 0;
 
     if (n < 0) {
         conn_break(c, uv_strerror((int)n));
         return;
     }
-    if (n == 0 || c->lingering || c->closing)
+    if (n == 0 || c->lingering || c->closing || c->ignores_input)
         return;
-    if (c->exchange.state != QR_EXCHANGE_NONE &&
-        c->read_ahead->len + (size_t)n > PIPELINE_MAX) {
+    c->unread = 0;
+    if (!c->read_ahead)
+        used = conn_parse(c, buf->base, (size_t)n);
+    if (c->closing || c->lingering)
+        return;
+    if (used < (size_t)n && !conn_keep(c, buf->base + used, (size_t)n - used)) {
         conn_break(c, "too many bytes of pipelined requests");
         return;
     }
-    g_byte_array_append(c->read_ahead, (const guint8 *)buf->base, (guint)n);
+    qr_conn_update_charge(c);
+    conn_check_head(c);
     qr_conn_process_input(c);
 }
 
-/* Whether the connection has no request, no part of one and no unsent bytes. */
-static bool conn_is_idle(const QRConn *c)
+bool qr_conn_is_idle(const QRConn *c)
 {
     return c->exchange.state == QR_EXCHANGE_NONE && !c->request_begun &&
            uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) == 0;
 }
 
-/* Makes room for a new connection by closing the one that is idle longest. */
-static void server_close_oldest_idle(QRServer *s)
+bool qr_conn_is_unfinished(const QRConn *c)
 {
-    QRConn *oldest = NULL;
-
-    for (unsigned i = 0; i < s->conns->len; i++) {
-        QRConn *c = s->conns->pdata[i];
-
-        if (conn_is_idle(c) && (!oldest || c->since_ms < oldest->since_ms))
-            oldest = c;
-    }
-    if (oldest)
-        conn_close_logged(oldest,
-                          "connection limit reached, closing the longest idle");
+    return c->exchange.state == QR_EXCHANGE_NONE && c->request_begun &&
+           !c->lingering && !c->closing;
 }
 
 static void server_accept(uv_stream_t *stream, int status)
 {
     QRServer *s = stream->data;
     QRConn *c;
+    bool has_room;
 
     if (status < 0)
         return;
@@ -245,20 +431,21 @@
     c->server = s;
     c->tcp.data = c;
     c->exchange.conn = c;
-    c->exchange.body = g_byte_array_new();
-    c->read_ahead = g_byte_array_new();
     qr_message_init(&c->message, HTTP_REQUEST, &message_handlers, c);
     c->message.head_max = s->limits.head_max;
     c->message.body_max = s->limits.body_max;
     c->since_ms = qr_clock_ms(s->loop);
     c->idle_limit_ms = s->limits.idle_timeout_ms;
     uv_tcp_init(s->loop, &c->tcp);
-    if (s->conns->len >= s->limits.connections_max)
-        server_close_oldest_idle(s);
+    has_room =
+        s->conns->len < s->limits.connections_max || qr_server_make_room(s);
     c->index = s->conns->len;
     g_ptr_array_add(s->conns, c);
-    if (uv_accept(stream, (uv_stream_t *)&c->tcp) != 0 ||
-        s->conns->len > s->limits.connections_max) {
+    s->account->connections++;
+    qr_conn_update_charge(c);
+    if (uv_accept(stream, (uv_stream_t *)&c->tcp) != 0 || !has_room ||
+        !qr_conn_make_room(c, QR_ACCOUNT_SMALL, 0)) {
+        s->account->counts[QR_ACCOUNT_COUNT_refused_connection]++;
         conn_close_logged(c, "accept failed or connection limit reached");
         return;
     }
@@ -267,25 +454,32 @@
 }
 
 QRServer *qr_server_new(uv_loop_t *loop, const char *address,
-                        const QRServerHandlers *handlers, void *owner,
-                        GError **err)
+                        QRAccount *account, const QRServerHandlers *handlers,
+                        void *owner, GError **err)
 {
     QRServer *s = g_new0(QRServer, 1);
     struct sockaddr_in addr;
-    int rc;
+    int receive_bytes = RECEIVE_BYTES, rc;
 
     s->loop = loop;
+    s->account = account;
+    g_ptr_array_add(account->servers, s);
+    s->random = (uint64_t)g_random_int() << 32 | g_random_int();
     s->handlers = handlers;
     s->owner = owner;
     s->conns = g_ptr_array_new();
-    s->limits =
-        (QRServerLimits){DEFAULT_HEAD_MAX, DEFAULT_BODY_MAX, DEFAULT_HEAD_MS,
-                         DEFAULT_IDLE_MS, DEFAULT_CONNECTIONS};
+    s->limits = (QRServerLimits){.head_max = DEFAULT_HEAD_MAX,
+                                 .body_max = DEFAULT_BODY_MAX,
+                                 .head_timeout_ms = DEFAULT_HEAD_MS,
+                                 .idle_timeout_ms = DEFAULT_IDLE_MS,
+                                 .connections_max = DEFAULT_CONNECTIONS};
     uv_tcp_init(loop, &s->tcp);
     s->tcp.data = s;
     rc = qr_socket_address(address, &addr) ? 0 : UV_EINVAL;
     if (rc == 0)
         rc = uv_tcp_bind(&s->tcp, (const struct sockaddr *)&addr, 0);
+    if (rc == 0)
+        rc = uv_recv_buffer_size((uv_handle_t *)&s->tcp, &receive_bytes);
     if (rc == 0)
         rc = uv_listen((uv_stream_t *)&s->tcp, BACKLOG, server_accept);
     s->listening = rc == 0;
@@ -307,6 +501,11 @@
     c->message.body_max = c->server->limits.body_max;
 }
 
+const QRServerLimits *qr_server_limits(const QRServer *s)
+{
+    return &s->limits;
+}
+
 void qr_server_set_limits(QRServer *s, const QRServerLimits *limits)
 {
     s->limits = *limits;
@@ -316,6 +515,7 @@
 
 static void server_free(QRServer *s)
 {
+    g_ptr_array_remove_fast(s->account->servers, s);
     g_ptr_array_unref(s->conns);
     g_free(s);
 }
@@ -346,8 +546,8 @@
     for (unsigned i = s->conns->len; i > 0; i--) {
         QRConn *c = s->conns->pdata[i - 1];
 
-        if (conn_is_idle(c))
-            conn_close(c);
+        if (qr_conn_is_idle(c))
+            qr_conn_close(c);
     }
     return s->conns->len;
 }
@@ -375,6 +575,11 @@
     const QRServerLimits *l = &c->server->limits;
     uint64_t elapsed_ms;
 
+    qr_conn_count_pending(c, 0);
+    qr_conn_process_input(c);
+    if (c->closing)
+        return;
+
     if ((c->lingering ||
          (c->exchange.state == QR_EXCHANGE_NONE && !c->request_begun)) &&
         conn_is_sending(c, now))
@@ -382,7 +587,7 @@
     elapsed_ms = now - MIN(now, c->since_ms);
     if (c->lingering) {
         if (elapsed_ms > LINGER_MS)
-            conn_close(c);
+            qr_conn_close(c);
         return;
     }
     if (c->exchange.state != QR_EXCHANGE_NONE)
@@ -390,69 +595,22 @@
     if (!c->request_begun) {
         /* a limit lowered since then may be unknown to the caller */
         if (elapsed_ms > MAX(c->idle_limit_ms, l->idle_timeout_ms))
-            conn_close(c);
+            qr_conn_close(c);
         return;
     }
     if (!c->message.head_done && elapsed_ms > l->head_timeout_ms)
-        conn_refuse(c, 408);
+        qr_conn_refuse(c, 408, "too slow");
     else if (elapsed_ms > l->head_timeout_ms + l->idle_timeout_ms)
-        conn_refuse(c, 408);
+        qr_conn_refuse(c, 408, "too slow");
 }
 
 void qr_server_tick(QRServer *s, uint64_t now_ms)
 {
-    for (unsigned i = s->conns->len; i > 0; i--)
-        conn_tick(s->conns->pdata[i - 1], now_ms);
-}
-
-/* Resets a connection, which its caller cannot take for the end of a complete
-   answer. */
-static void conn_abort(QRConn *c, const char *why)
-{
-    bool open = c->exchange.state != QR_EXCHANGE_NONE;
-
-    c->exchange.state = QR_EXCHANGE_NONE;
-    qr_conn_detach(c);
-    if (open)
-        c->server->handlers->disconnected(c->server->owner, &c->exchange, why);
-    if (uv_tcp_close_reset(&c->tcp, qr_conn_free) != 0)
-        uv_close((uv_handle_t *)&c->tcp, qr_conn_free);
-}
-
-/* Returns the connection with unsent bytes whose caller has read nothing for
-   the longest time, or NULL. */
-static QRConn *server_longest_unread(const QRServer *s)
-{
-    QRConn *longest = NULL;
-
-    for (unsigned i = 0; i < s->conns->len; i++) {
-        QRConn *c = s->conns->pdata[i];
-
-        if (c->pending > 0 && (!longest || c->read_ms < longest->read_ms))
-            longest = c;
-    }
-    return longest;
-}
-
-unsigned qr_server_limit_unsent(QRServer *s, size_t limit, uint64_t now_ms)
-{
-    unsigned aborted = 0;
-    QRConn *c;
-
-    if (limit == 0 || s->pending <= limit)
-        return 0;
-    for (unsigned i = 0; i < s->conns->len; i++)
-        qr_conn_count_pending(s->conns->pdata[i], 0);
-    while (s->pending > limit && (c = server_longest_unread(s))) {
-        qr_logf(QR_LEVEL_WARN, "callers",
-                "aborted why=unread answers exceed their memory unsent=%zu "
-                "unread_ms=%" G_GUINT64_FORMAT " unsent_all=%zu limit=%zu",
-                c->pending, now_ms - MIN(now_ms, c->read_ms), s->pending,
-                limit);
-        conn_abort(c, "aborted, as unread answers exceed their memory");
-        aborted++;
+    qr_server_relieve(s);
+    for (unsigned i = s->conns->len; i > 0; i--) {
+        if (i <= s->conns->len) /* others may have yielded */
+            conn_tick(s->conns->pdata[i - 1], now_ms);
     }
-    return aborted;
 }
 
 unsigned qr_server_connections(const QRServer *s)
@@ -466,7 +624,7 @@
         QRConn *c = s->conns->pdata[s->conns->len - 1];
 
         c->exchange.state = QR_EXCHANGE_NONE;
-        conn_close(c);
+        qr_conn_close(c);
     }
     s->closing = true;
     if (s->listener_closed)
--- a/src/net/qr_server.h
+++ b/src/net/qr_server.h
@@ -5,6 +5,8 @@
 #ifndef QR_SERVER_H
 #define QR_SERVER_H
 
+#include "qr_account.h"
+#include "qr_body.h"
 #include "qr_message.h"
 
 #include <uv.h>
@@ -18,6 +20,7 @@
     uint32_t head_timeout_ms; /* from the first byte to the end of the head */
     uint32_t idle_timeout_ms; /* how long a connection may stay idle */
     unsigned connections_max;
+    bool discards_bodies; /* handlers need no body: none is kept */
 } QRServerLimits;
 
 typedef struct QRServerHandlers {
@@ -27,11 +30,14 @@
     void (*disconnected)(void *owner, QRExchange *x, const char *why);
 } QRServerHandlers;
 
-/* Listens on "ip:port". Returns NULL and sets 'err' on failure. 'handlers' and
-   'owner' must outlive the server. */
+/* Listens on "ip:port". Returns NULL and sets 'err' on failure. What clients
+   hold is charged to 'account'. 'account', 'handlers' and 'owner' must outlive
+   the server. */
 QRServer *qr_server_new(uv_loop_t *loop, const char *address,
-                        const QRServerHandlers *handlers, void *owner,
-                        GError **err);
+                        QRAccount *account, const QRServerHandlers *handlers,
+                        void *owner, GError **err);
+/* The limits in force; valid until they are set. */
+const QRServerLimits *qr_server_limits(const QRServer *s);
 /* Copies 'limits'. A request that has begun keeps its size limits. */
 void qr_server_set_limits(QRServer *s, const QRServerLimits *limits);
 /* Accepts no new connections; open ones continue. */
@@ -58,7 +64,7 @@
 const char *qr_exchange_method(const QRExchange *x);
 const char *qr_exchange_target(const QRExchange *x);
 const QRHeaders *qr_exchange_headers(const QRExchange *x);
-const GByteArray *qr_exchange_body(const QRExchange *x);
+QRBody *qr_exchange_body(const QRExchange *x); /* NULL: empty */
 /* When the request was complete, on the clock of the loop. */
 uint64_t qr_exchange_arrived_ms(const QRExchange *x);
 void qr_exchange_set_data(QRExchange *x, void *data);
--- /dev/null
+++ b/src/net/qr_server_yield.c
@@ -0,0 +1,228 @@
+/*
+ * Who yields when memory or connections are scarce: unfinished requests and
+ * unread answers, in the order of bytes x time. See
+ * docs/design/client-memory.md.
+ */
+#include "qr_server_parts.h"
+#include "qr_socket.h"
+
+#include "io/qr_log.h"
+
+#define YIELD_MIN_MS 500 /* younger ones do not yield to each other */
+#define SLACK_DIVISOR 16 /* part of the share that is freed beside */
+
+/* A connection that may yield. */
+typedef struct Candidate {
+    QRConn *conn;
+    double weight; /* bytes x ms */
+} Candidate;
+
+static uint64_t since(uint64_t then_ms, uint64_t now_ms)
+{
+    return now_ms - MIN(now_ms, then_ms);
+}
+
+static double unfinished_weight(const QRConn *c, QRAccountClass class,
+                                uint64_t now)
+{
+    uint64_t age = since(c->since_ms, now);
+    size_t bytes = c->receiving;
+
+    if (!qr_conn_is_unfinished(c) || age < YIELD_MIN_MS)
+        return 0;
+    if (class == QR_ACCOUNT_LARGE && bytes <= QR_ACCOUNT_SMALL_BYTES)
+        return 0;
+    return (double)(bytes + c->charged) * (double)age;
+}
+
+static double unread_weight(const QRConn *c, uint64_t now)
+{
+    uint64_t age = since(c->read_ms, now);
+
+    return age < YIELD_MIN_MS ? 0 : (double)c->pending * (double)age;
+}
+
+/* Bytes behind a request that is not answered yet. */
+static double pipelined_weight(const QRConn *c, uint64_t now)
+{
+    uint64_t age = since(c->since_ms, now);
+
+    if (c->exchange.state == QR_EXCHANGE_NONE || !c->read_ahead ||
+        age < YIELD_MIN_MS)
+        return 0;
+    return (double)c->read_ahead->len * (double)age;
+}
+
+static double yield_weight(const QRConn *c, QRAccountClass class, uint64_t now)
+{
+    if (c->closing || c->processing)
+        return 0;
+    if (class == QR_ACCOUNT_SMALL && pipelined_weight(c, now) > 0)
+        return pipelined_weight(c, now);
+    return MAX(unfinished_weight(c, class, now), unread_weight(c, now));
+}
+
+static int heavier_first(const void *a, const void *b)
+{
+    const Candidate *x = a, *y = b;
+
+    return (x->weight < y->weight) - (x->weight > y->weight);
+}
+
+static void add_candidates(GArray *list, const QRServer *s,
+                           QRAccountClass class, uint64_t now)
+{
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        Candidate n = {.conn = s->conns->pdata[i]};
+
+        n.weight = yield_weight(n.conn, class, now);
+        if (n.weight > 0)
+            g_array_append_val(list, n);
+    }
+}
+
+void qr_conn_abort(QRConn *c, const char *why)
+{
+    bool open = c->exchange.state != QR_EXCHANGE_NONE;
+
+    c->exchange.state = QR_EXCHANGE_NONE;
+    qr_conn_detach(c);
+    if (open)
+        c->server->handlers->disconnected(c->server->owner, &c->exchange, why);
+    if (uv_tcp_close_reset(&c->tcp, qr_conn_free) != 0)
+        uv_close((uv_handle_t *)&c->tcp, qr_conn_free);
+}
+
+static void conn_yield_memory(QRConn *c)
+{
+    uint64_t *counts = c->server->account->counts;
+
+    if (c->read_ahead && c->exchange.state != QR_EXCHANGE_NONE) {
+        counts[QR_ACCOUNT_COUNT_yielded_memory]++;
+        qr_conn_drop_pipelined(c);
+    } else if (qr_conn_is_unfinished(c)) {
+        counts[QR_ACCOUNT_COUNT_yielded_memory]++;
+        qr_conn_refuse(c, 503, "others need its memory");
+    } else {
+        counts[QR_ACCOUNT_COUNT_yielded_unread]++;
+        qr_conn_abort(c, "aborted, as others need the memory of its answer");
+    }
+}
+
+/* Lets others yield until there is room for 'more' bytes and some beside. */
+static void account_yield(QRAccount *a, QRAccountClass class, size_t more,
+                          uint64_t now)
+{
+    g_autoptr(GArray) list = g_array_new(FALSE, FALSE, sizeof(Candidate));
+    size_t slack = qr_account_share(a, class) / SLACK_DIVISOR;
+
+    if (a->yielding)
+        return; /* the end of an answer may lead back here */
+    a->yielding = true;
+    for (unsigned i = 0; i < a->servers->len; i++)
+        add_candidates(list, a->servers->pdata[i], class, now);
+    g_array_sort(list, heavier_first);
+    for (unsigned i = 0;
+         i < list->len && qr_account_excess(a, class, more + slack) > 0; i++) {
+        QRConn *c = g_array_index(list, Candidate, i).conn;
+
+        /* the end of one may have ended another */
+        if (!c->closing && !c->lingering)
+            conn_yield_memory(c);
+    }
+    a->yielding = false;
+}
+
+bool qr_conn_make_room(QRConn *c, QRAccountClass class, size_t more)
+{
+    QRAccount *a = c->server->account;
+    bool processing = c->processing;
+
+    if (qr_account_excess(a, class, more) == 0)
+        return true;
+    c->processing = true; /* does not yield to itself */
+    account_yield(a, class, more, qr_clock_ms(c->server->loop));
+    c->processing = processing;
+    return qr_account_excess(a, class, more) == 0;
+}
+
+/* Counts the bytes that have arrived for unfinished requests and are not read
+   yet. */
+static void server_count_unread(QRServer *s)
+{
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        QRConn *c = s->conns->pdata[i];
+
+        if (!qr_conn_is_unfinished(c))
+            continue;
+        c->unread = qr_socket_unread(&c->tcp);
+        qr_conn_update_charge(c);
+    }
+}
+
+void qr_server_relieve(QRServer *s)
+{
+    static const QRAccountClass classes[] = {QR_ACCOUNT_LARGE,
+                                             QR_ACCOUNT_SMALL};
+    QRAccount *a = s->account;
+
+    if (!qr_account_is_scarce(a))
+        return;
+    server_count_unread(s);
+    for (unsigned i = 0; i < G_N_ELEMENTS(classes); i++) {
+        if (qr_account_excess(a, classes[i], 0) > 0)
+            account_yield(a, classes[i], 0, qr_clock_ms(s->loop));
+    }
+}
+
+bool qr_server_make_room(QRServer *s)
+{
+    QRConn *oldest = NULL;
+
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        QRConn *c = s->conns->pdata[i];
+
+        if (qr_conn_is_idle(c) && (!oldest || c->since_ms < oldest->since_ms))
+            oldest = c;
+    }
+    if (!oldest)
+        return false;
+    s->account->counts[QR_ACCOUNT_COUNT_yielded_connection]++;
+    qr_conn_close(oldest);
+    return true;
+}
+
+/* Returns the connection with unsent bytes whose caller has read nothing for
+   the longest time, or NULL. */
+static QRConn *server_longest_unread(const QRServer *s)
+{
+    QRConn *longest = NULL;
+
+    for (unsigned i = 0; i < s->conns->len; i++) {
+        QRConn *c = s->conns->pdata[i];
+
+        if (c->pending > 0 && (!longest || c->read_ms < longest->read_ms))
+            longest = c;
+    }
+    return longest;
+}
+
+unsigned qr_server_limit_unsent(QRServer *s, size_t limit, uint64_t now_ms)
+{
+    unsigned aborted = 0;
+    QRConn *c;
+
+    if (limit == 0 || s->pending <= limit)
+        return 0;
+    for (unsigned i = 0; i < s->conns->len; i++)
+        qr_conn_count_pending(s->conns->pdata[i], 0);
+    while (s->pending > limit && (c = server_longest_unread(s))) {
+        qr_logf(QR_LEVEL_WARN, "callers",
+                "aborted why=unread answers exceed their memory unsent=%zu "
+                "unread_ms=%" G_GUINT64_FORMAT " unsent_all=%zu limit=%zu",
+                c->pending, since(c->read_ms, now_ms), s->pending, limit);
+        qr_conn_abort(c, "aborted, as unread answers exceed their memory");
+        aborted++;
+    }
+    return aborted;
+}
--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -48,6 +48,72 @@
     return sent;
 }
 
+/* The rest of a request: a copy of its first bytes, and a reference to the
+   body. */
+typedef struct PendingRequest {
+    uv_write_t req;
+    QRBody *body;
+    char data[];
+} PendingRequest;
+
+static void request_done(uv_write_t *req, int status)
+{
+    PendingRequest *p = (PendingRequest *)req;
+
+    (void)status; /* as write_done() */
+    qr_body_unref(p->body);
+    g_free(p);
+}
+
+/* Fills 'bufs' with the head and the segments of the body. */
+static void request_buffers(uv_buf_t *bufs, const void *data, size_t len,
+                            const QRBody *body)
+{
+    bufs[0] = uv_buf_init((char *)data, (unsigned)len);
+    for (unsigned i = 0; i < qr_body_segments(body); i++) {
+        const QRBodySegment *s = qr_body_segment(body, i);
+
+        bufs[i + 1] = uv_buf_init(s->data, (unsigned)s->len);
+    }
+}
+
+int qr_socket_write_request(uv_tcp_t *tcp, const void *data, size_t len,
+                            QRBody *body)
+{
+    unsigned n = body ? qr_body_segments(body) + 1 : 1, first = 0;
+    g_autofree uv_buf_t *bufs = g_new(uv_buf_t, n);
+    size_t sent = 0, rest;
+    PendingRequest *p;
+    int rc = 0;
+
+    if (!body)
+        return qr_socket_write(tcp, data, len);
+    request_buffers(bufs, data, len, body);
+    if (uv_stream_get_write_queue_size((uv_stream_t *)tcp) == 0)
+        rc = uv_try_write((uv_stream_t *)tcp, bufs, n);
+    if (rc < 0 && rc != UV_EAGAIN)
+        return rc;
+    sent = rc > 0 ? (size_t)rc : 0;
+    if (sent == len + qr_body_len(body))
+        return 0;
+    while (first < n && sent >= bufs[first].len)
+        sent -= bufs[first++].len;
+    bufs[first].base += sent;
+    bufs[first].len -= sent;
+    rest = first == 0 ? bufs[0].len : 0;
+    p = g_malloc(sizeof(*p) + rest);
+    p->body = qr_body_ref(body);
+    if (rest > 0) {
+        memcpy(p->data, bufs[0].base, rest);
+        bufs[0].base = p->data;
+    }
+    rc = uv_write(&p->req, (uv_stream_t *)tcp, bufs + first, n - first,
+                  request_done);
+    if (rc < 0)
+        request_done(&p->req, rc);
+    return rc;
+}
+
 void qr_socket_tune(uv_tcp_t *tcp, unsigned timeout_ms)
 {
     uv_os_fd_t fd;
@@ -67,18 +133,29 @@
            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-size_t qr_socket_unacked(const uv_tcp_t *tcp)
+/* A number of bytes that the kernel tells of a socket; 0 if unknown. */
+static size_t socket_bytes(const uv_tcp_t *tcp, unsigned long request)
 {
     uv_os_fd_t fd;
     int bytes;
 
     if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
-        ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes < 0)
-        return 0; /* unknown: a dead connection is also detected by other means
-                   */
+        ioctl(fd, request, &bytes) != 0 || bytes < 0)
+        return 0;
     return (size_t)bytes;
 }
 
+size_t qr_socket_unread(const uv_tcp_t *tcp)
+{
+    return socket_bytes(tcp, SIOCINQ);
+}
+
+size_t qr_socket_unacked(const uv_tcp_t *tcp)
+{
+    /* a dead connection is also detected by other means */
+    return socket_bytes(tcp, SIOCOUTQ);
+}
+
 void qr_socket_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
     static __thread char data[READ_BUFFER_BYTES];
--- a/src/net/qr_socket.h
+++ b/src/net/qr_socket.h
@@ -4,7 +4,7 @@
 #ifndef QR_SOCKET_H
 #define QR_SOCKET_H
 
-#include "base/qr_base.h"
+#include "qr_body.h"
 
 #include <uv.h>
 
@@ -13,6 +13,10 @@
  * 0, or a negative libuv error if the connection is broken.
  */
 int qr_socket_write(uv_tcp_t *tcp, const void *data, size_t len);
+/* The same for 'data' and a body behind it. What is queued of the body refers
+   to it and is not copied. 'body' may be NULL. */
+int qr_socket_write_request(uv_tcp_t *tcp, const void *data, size_t len,
+                            QRBody *body);
 /* Disables Nagle's algorithm. The connection breaks if sent bytes remain
    unacknowledged for 'timeout_ms'. */
 void qr_socket_tune(uv_tcp_t *tcp, unsigned timeout_ms);
@@ -21,6 +25,8 @@
  * reports a reset that directly follows data as an end of file.
  */
 bool qr_socket_closed_by_peer(const uv_tcp_t *tcp);
+/* Bytes that have arrived and are not read; 0 if unknown. */
+size_t qr_socket_unread(const uv_tcp_t *tcp);
 /* Bytes passed to the kernel that the peer's kernel has not acknowledged; 0 if
    unknown. */
 size_t qr_socket_unacked(const uv_tcp_t *tcp);
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -17,6 +17,7 @@
 #define CONNECT_TIMEOUT_MS 400
 #define STORE_TIMEOUT_MS 800
 #define STORE_LONG_POLL_MS 2000
+#define BYTES_PER_MB (1u << 20)
 /* Time without a gateway after which the store is read directly. A gateway that
    starts is reached in well under a second; a version's deadline is many
    seconds. */
@@ -335,6 +336,7 @@
         s->slots.shares.yielded[QR_SHARE_YIELDS_TO_FIRST],
         s->slots.shares.yielded[QR_SHARE_YIELDS_TO_CLAIM], s->slots.claim.made,
         s->slots.claim.used, s->slots.rate_limited, s->slots.backed_off);
+    qr_account_append_metrics(&s->clients, text);
     qr_traffic_append_metrics(qr_peers_traffic(s->peers), text);
     qr_exchange_reply(x, 200, NULL, text->str, text->len);
 }
@@ -366,6 +368,8 @@
     s->settings_file = file;
     s->platform = qr_platform_find(set->platform);
     s->incarnation = g_random_int() | (uint64_t)g_random_int() << 32;
+    qr_account_init(&s->clients);
+    qr_account_set_memory(&s->clients, (uint64_t)set->memory_mb * BYTES_PER_MB);
     s->gateways = g_ptr_array_new();
     g_queue_init(&s->uploads);
     s->unconfirmed_uploads = qr_upload_in_flight_new();
@@ -430,6 +434,7 @@
     uv_run(s->loop, UV_RUN_DEFAULT);
     uv_loop_close(s->loop);
     qr_engine_report_clear(&s->report);
+    qr_account_clear(&s->clients);
     g_ptr_array_unref(s->gateways);
     g_array_unref(s->waiters);
     g_array_unref(s->unconfirmed_uploads);
@@ -439,6 +444,12 @@
     qr_slots_clear(&s->slots);
 }
 
+static void sidecar_serve_metrics(QRSidecar *s, GError **err)
+{
+    s->metrics = qr_server_new(s->loop, s->set->metrics, &s->clients,
+                               &metrics_handlers, s, err);
+}
+
 int qr_sidecar_run(const char *settings_file, QRFleetSettings *set)
 {
     QRSidecar s;
@@ -452,8 +463,7 @@
     s.peers =
         qr_peers_new(s.loop, set->peers, &qr_sidecar_peer_handlers, &s, &err);
     if (s.peers && set->metrics)
-        s.metrics =
-            qr_server_new(s.loop, set->metrics, &metrics_handlers, &s, &err);
+        sidecar_serve_metrics(&s, &err);
     if (err) {
         qr_logf(QR_LEVEL_ERROR, "sidecar", "cannot start why=%s", err->message);
         qr_log_stop();
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -129,6 +129,7 @@
     uint64_t gateway_heard_ms;  /* when that gateway last sent a frame */
     bool reads_store;           /* operator records are read from the store */
     GPtrArray *gateways;        /* QRPeerConn *: open, dialled by this side */
+    QRAccount clients;          /* memory that clients of 'metrics' hold */
     QRServer *metrics;
     uv_timer_t timer;
     QRTicks ticks;
--- a/tests/cost.c
+++ b/tests/cost.c
@@ -293,15 +293,24 @@
 /* What makes two requests the same, for bodies of 'bytes'. */
 static void cost_fingerprint(unsigned bytes)
 {
-    g_autofree char *body = g_malloc0(bytes);
-    QRFingerprintParts parts = {
-        "POST", "calls.example", "/safe/x", "team-1", body, bytes};
+    g_autofree char *data = g_malloc0(bytes);
+    QRAccount account;
+    QRBody *body;
+    QRFingerprintParts parts = {"POST", "calls.example", "/safe/x", "team-1",
+                                NULL};
     QRFingerprint f;
-    double t = seconds();
+    double t;
 
+    qr_account_init(&account);
+    parts.body = body = qr_body_new(&account);
+    for (size_t n = 0; n < bytes;)
+        n += qr_body_append(body, data + n, bytes - n);
+    t = seconds();
     for (unsigned k = 0; k < CALLS; k++)
         qr_fingerprint_make(&parts, &f);
     print_row("fingerprint", bytes, (seconds() - t) * 1e6 / CALLS, "us");
+    qr_body_unref(body);
+    qr_account_clear(&account);
 }
 
 static void cost_part_fingerprint(void)
