Unfinished requests yield their connections to new ones

What callers saw: while a crowd held more connections than a gateway has descriptors, each with part of a small request, no ordinary caller was served: none of 10 within 20 s, and never if the crowd came back.

Cause: at the limit only idle connections were closed in favour of new ones; a connection with part of a request kept its place until the time limits of that request. The listeners for addresses, readiness and metrics had a limit of 1,000 each, whatever the descriptors of the process. Where descriptors_max was under 200, the limit of callers wrapped around.

Now a new connection replaces one that is answered and about to be closed, then the one whose request has been unfinished for longest (from 500 ms on), then the longest idle, then the oldest unfinished. Whole requests and unread answers keep their connections. Each listener has its own part of the descriptors: a sixteenth for each of the other listeners, the rest for callers. These listeners keep no bodies.

--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -25,7 +25,12 @@
 #define END_MARGIN_MS 400
 /* Listening ends so long before the grace time does, at the latest. */
 #define LISTEN_END_MARGIN_MS 2000
-#define RESERVED_DESCRIPTORS 200 /* not for callers' connections */
+#define RESERVED_DESCRIPTORS 200 /* not for connections of clients */
+/* Listeners for addresses, readiness and metrics: each has this part of the
+   connections of clients, and at least so many. */
+#define MINOR_LISTENERS 3
+#define MINOR_DIVISOR 16
+#define MINOR_MIN 4
 /* A starting gateway delays its first read of the store: other gateways may
    send the records by then, also seeds that start last. The jitter keeps
    gateways that start together from all reading at once; the first reader sends
@@ -78,6 +83,24 @@
     return s;
 }
 
+/* Connections of clients of all listeners. */
+static unsigned client_connections_max(const QRGateway *g)
+{
+    int64_t all = g->set->descriptors_max;
+
+    if (all > 2 * RESERVED_DESCRIPTORS)
+        all -= RESERVED_DESCRIPTORS;
+    else
+        all /= 2;
+    return (unsigned)all * 3 / 4;
+}
+
+/* The part of a listener that is not for calls. */
+static unsigned minor_connections_max(const QRGateway *g)
+{
+    return MAX(client_connections_max(g) / MINOR_DIVISOR, MINOR_MIN);
+}
+
 void qr_gateway_apply_limits(QRGateway *g)
 {
     const QRPolicy *p = g->operator.policy;
@@ -85,7 +108,7 @@
     size_t largest = qr_account_share(&g->clients, QR_ACCOUNT_LARGE);
 
     l.connections_max =
-        (unsigned)(g->set->descriptors_max - RESERVED_DESCRIPTORS) * 3 / 4;
+        client_connections_max(g) - MINOR_LISTENERS * minor_connections_max(g);
     if (p) {
         l.head_max = p->head_max_bytes;
         l.body_max = p->body_max_bytes;
@@ -281,6 +304,22 @@
     return qr_server_new(g->loop, address, &g->clients, handlers, g, err);
 }
 
+/* A listener whose requests need no body. */
+static QRServer *serve_minor(QRGateway *g, const char *address,
+                             const QRServerHandlers *handlers, GError **err)
+{
+    QRServer *s = serve(g, address, handlers, err);
+    QRServerLimits l;
+
+    if (!s)
+        return NULL;
+    l = *qr_server_limits(s);
+    l.connections_max = minor_connections_max(g);
+    l.discards_bodies = true;
+    qr_server_set_limits(s, &l);
+    return s;
+}
+
 static bool gateway_listen(QRGateway *g, GError **err)
 {
     const QRFleetSettings *s = g->set;
@@ -288,14 +327,18 @@
     g->callers = serve(g, s->callers, &qr_gateway_callers_handlers, err);
     if (!g->callers)
         return false;
-    g->directory = serve(g, s->directory, &qr_gateway_directory_handlers, err);
+    qr_gateway_apply_limits(g);
+    g->directory =
+        serve_minor(g, s->directory, &qr_gateway_directory_handlers, err);
     if (!g->directory)
         return false;
-    g->readiness = serve(g, s->readiness, &qr_gateway_readiness_handlers, err);
+    g->readiness =
+        serve_minor(g, s->readiness, &qr_gateway_readiness_handlers, err);
     if (!g->readiness)
         return false;
     if (s->metrics)
-        g->metrics = serve(g, s->metrics, &qr_gateway_metrics_handlers, err);
+        g->metrics =
+            serve_minor(g, s->metrics, &qr_gateway_metrics_handlers, err);
     g->peers =
         qr_peers_new(g->loop, s->peers, &qr_gateway_peer_handlers, g, err);
     return g->peers != NULL;
--- a/src/net/qr_server_yield.c
+++ b/src/net/qr_server_yield.c
@@ -175,20 +175,52 @@
     }
 }
 
+/* In which order connections yield to new ones. */
+typedef enum YieldRank {
+    YIELD_LINGERING,  /* answered, about to be closed */
+    YIELD_UNFINISHED, /* its request has been without an end for a while */
+    YIELD_IDLE,
+    YIELD_YOUNG, /* its request has just begun */
+    YIELD_NOT,   /* a whole request, or an answer that is not read yet */
+} YieldRank;
+
+static YieldRank yield_rank(const QRConn *c, uint64_t now)
+{
+    bool unsent =
+        uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp) > 0;
+
+    if (c->closing || unsent)
+        return YIELD_NOT;
+    if (c->lingering)
+        return YIELD_LINGERING;
+    if (qr_conn_is_unfinished(c))
+        return since(c->since_ms, now) >= YIELD_MIN_MS ? YIELD_UNFINISHED
+                                                       : YIELD_YOUNG;
+    return qr_conn_is_idle(c) ? YIELD_IDLE : YIELD_NOT;
+}
+
 bool qr_server_make_room(QRServer *s)
 {
-    QRConn *oldest = NULL;
+    uint64_t now = qr_clock_ms(s->loop);
+    YieldRank lowest = YIELD_NOT;
+    QRConn *first = NULL;
 
     for (unsigned i = 0; i < s->conns->len; i++) {
         QRConn *c = s->conns->pdata[i];
+        YieldRank rank = yield_rank(c, now);
 
-        if (qr_conn_is_idle(c) && (!oldest || c->since_ms < oldest->since_ms))
-            oldest = c;
+        if (rank < lowest ||
+            (first && rank == lowest && c->since_ms < first->since_ms)) {
+            lowest = rank;
+            first = c;
+        }
     }
-    if (!oldest)
+    if (!first)
         return false;
     s->account->counts[QR_ACCOUNT_COUNT_yielded_connection]++;
-    qr_conn_close(oldest);
+    if (qr_conn_is_unfinished(first))
+        qr_conn_refuse(first, 503, "a new connection needs its place");
+    qr_conn_close(first);
     return true;
 }
 
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -18,6 +18,10 @@
 #define STORE_TIMEOUT_MS 800
 #define STORE_LONG_POLL_MS 2000
 #define BYTES_PER_MB (1u << 20)
+/* Part of the descriptors for connections to the metrics, and at least so many.
+ */
+#define METRICS_DIVISOR 16
+#define METRICS_MIN 4
 /* Time without a gateway after which the store is read directly. A gateway that
    starts is reached in well under a second; a version's deadline is many
    seconds. */
@@ -446,8 +450,17 @@
 
 static void sidecar_serve_metrics(QRSidecar *s, GError **err)
 {
+    QRServerLimits l;
+
     s->metrics = qr_server_new(s->loop, s->set->metrics, &s->clients,
                                &metrics_handlers, s, err);
+    if (!s->metrics)
+        return;
+    l = *qr_server_limits(s->metrics);
+    l.discards_bodies = true;
+    l.connections_max =
+        MAX((unsigned)s->set->descriptors_max / METRICS_DIVISOR, METRICS_MIN);
+    qr_server_set_limits(s->metrics, &l);
 }
 
 int qr_sidecar_run(const char *settings_file, QRFleetSettings *set)
