Bound what connections between processes hold

What callers saw: 60 connections to the listener for peers, each with a frame of 4 MB short of its end, took 250 MB of a gateway or sidecar and kept them; 600 silent ones took the descriptors, and no caller was served.

Cause: as for callers' bodies, each frame had a limit and their sum had none. The buffer of a large frame stayed with its connection after it was handled. A frame that trickled was waited for without end. Accepted connections had no limit.

Now incomplete frames share an eighth of memory_mb (two of the largest at least): beyond it the connection with the most bytes x time is closed. A buffer over 64 KB is not kept. A frame that is incomplete for 30 s closes its connection. Accepted connections that have sent no frame are limited to a sixteenth of the descriptors: the oldest goes, from 500 ms on; twice as many may dial at once after a restart. The kernel holds 128 KB of an accepted connection.

--- a/src/gateway/qr_gateway.c
+++ b/src/gateway/qr_gateway.c
@@ -292,6 +292,8 @@
     g->set->retry_allowance = new->retry_allowance;
     g->set->memory_mb = new->memory_mb;
     qr_account_set_memory(&g->clients, gateway_memory_bytes(g));
+    qr_peers_set_limits(g->peers, gateway_memory_bytes(g),
+                        (unsigned)g->set->descriptors_max);
     g->set->move_slow_streams = new->move_slow_streams;
     g->set->retry_turns = new->retry_turns;
     g->set->admission_forecast = new->admission_forecast;
@@ -341,7 +343,11 @@
             serve_minor(g, s->metrics, &qr_gateway_metrics_handlers, err);
     g->peers =
         qr_peers_new(g->loop, s->peers, &qr_gateway_peer_handlers, g, err);
-    return g->peers != NULL;
+    if (!g->peers)
+        return false;
+    qr_peers_set_limits(g->peers, gateway_memory_bytes(g),
+                        (unsigned)s->descriptors_max);
+    return true;
 }
 
 static void gateway_follow(QRGateway *g)
--- a/src/gateway/qr_gateway_front.c
+++ b/src/gateway/qr_gateway_front.c
@@ -346,6 +346,7 @@
             qr_follower_requests_sent(g->follow_engines),
         qr_log_dropped());
     qr_account_append_metrics(&g->clients, out);
+    qr_peers_append_metrics(g->peers, out);
     qr_traffic_append_metrics(qr_peers_traffic(g->peers), out);
     reply(x, "text/plain; version=0.0.4", out->str);
 }
--- a/src/net/qr_peer.c
+++ b/src/net/qr_peer.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 #define HEADER_BYTES 4
-#define FRAME_MAX_BYTES (4u << 20)
 #define BACKLOG 512
 #define UNACKED_TIMEOUT_MS 2000 /* TCP_USER_TIMEOUT */
 /* Idle time before TCP keepalive probes an accepted connection. */
@@ -29,6 +28,9 @@
 #define TRAFFIC_LOG_INTERVAL_MS 1000
 /* A connection with more queued bytes is closed: its peer does not read. */
 #define UNSENT_MAX_BYTES (4u << 20)
+#define DEFAULT_DESCRIPTORS 1024
+/* Bytes of an accepted connection that the kernel holds until they are read. */
+#define RECEIVE_BYTES (128 << 10)
 
 static void free_peer(uv_handle_t *h)
 {
@@ -48,6 +50,9 @@
     p->open -= peer->open;
     if (peer->open && p->open == 0)
         p->disconnected_ms = qr_clock_ms(p->loop);
+    p->partial -= peer->partial;
+    if (peer->accepted && !peer->heard)
+        p->unheard--;
     g_ptr_array_remove_fast(p->connections, peer);
     if (peer->target)
         qr_peer_target_lost(peer->target, peer, qr_clock_ms(p->loop));
@@ -73,6 +78,9 @@
 {
     QRPeerNet *p = peer->peers;
 
+    if (peer->accepted && !peer->heard)
+        p->unheard--;
+    peer->heard = true;
     if (peer->target && peer->target->standby == peer &&
         !qr_peer_promote_standby(peer))
         return;
@@ -124,7 +132,7 @@
 
         memcpy(&len, peer->read_buf->data + used, HEADER_BYTES);
         len = ntohl(len);
-        if (len > FRAME_MAX_BYTES) {
+        if (len > QR_PEER_FRAME_MAX) {
             qr_peer_close(peer);
             return;
         }
@@ -134,8 +142,12 @@
         used += HEADER_BYTES + (size_t)len;
         peer->frame_start_ms = qr_clock_ms(peer->peers->loop);
     }
-    if (!peer->closing && used > 0)
+    if (peer->closing)
+        return;
+    if (used > 0)
         g_byte_array_remove_range(peer->read_buf, 0, (guint)used);
+    qr_peer_count_partial(peer);
+    qr_peers_limit_partial(peer->peers);
 }
 
 void qr_peer_start(QRPeerConn *peer)
@@ -178,11 +190,15 @@
 {
     QRPeerNet *p = stream->data;
     QRPeerConn *peer;
+    bool has_room;
 
     if (status < 0)
         return;
+    has_room = p->unheard < p->unheard_max || qr_peers_make_room(p);
     peer = qr_peer_new(p);
-    if (uv_accept(stream, (uv_stream_t *)&peer->tcp) != 0)
+    peer->accepted = true;
+    p->unheard++;
+    if (uv_accept(stream, (uv_stream_t *)&peer->tcp) != 0 || !has_room)
         qr_peer_close(peer);
     else
         qr_peer_start(peer);
@@ -195,18 +211,22 @@
     QRPeerNet *p = g_new0(QRPeerNet, 1);
     struct sockaddr_in at;
     int rc = qr_socket_address(listen, &at) ? 0 : UV_EINVAL;
+    int receive_bytes = RECEIVE_BYTES;
 
     p->loop = loop;
     p->handlers = handlers;
     p->owner = owner;
     p->connections = g_ptr_array_new();
     p->disconnected_ms = qr_clock_ms(loop);
+    qr_peers_set_limits(p, 0, DEFAULT_DESCRIPTORS);
     p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        qr_peer_target_free);
     p->tcp.data = p;
     uv_tcp_init(loop, &p->tcp);
     if (rc == 0)
         rc = uv_tcp_bind(&p->tcp, (const struct sockaddr *)&at, 0);
+    if (rc == 0)
+        rc = uv_recv_buffer_size((uv_handle_t *)&p->tcp, &receive_bytes);
     if (rc == 0)
         rc = uv_listen((uv_stream_t *)&p->tcp, BACKLOG, on_accept);
     if (rc != 0) {
@@ -256,6 +276,7 @@
         qr_traffic_log(&p->traffic, &p->traffic_logged);
     }
     check_process_stall(p, now_ms);
+    qr_peers_check_frames(p, now_ms);
     /* the 'closed' handler may add targets: iterate over a copy */
     g_hash_table_iter_init(&it, p->targets);
     while (g_hash_table_iter_next(&it, NULL, &value))
--- a/src/net/qr_peer.h
+++ b/src/net/qr_peer.h
@@ -33,6 +33,12 @@
 QRPeerNet *qr_peers_new(uv_loop_t *loop, const char *listen,
                         const QRPeerHandlers *handlers, void *owner,
                         GError **err);
+/* Sets the limits of incomplete frames and of connections without a frame by
+   the memory of the process in bytes (0: a default) and its descriptors. */
+void qr_peers_set_limits(QRPeerNet *p, uint64_t memory_bytes,
+                         unsigned descriptors);
+/* Appends counters and gauges of these as metrics text. */
+void qr_peers_append_metrics(const QRPeerNet *p, GString *out);
 /* Closes all connections without calling 'closed'. The loop frees 'p' later. */
 void qr_peers_close(QRPeerNet *p);
 /*
--- a/src/net/qr_peer_parts.h
+++ b/src/net/qr_peer_parts.h
@@ -9,6 +9,8 @@
 #include "qr_peer.h"
 #include "qr_ticks.h"
 
+#define QR_PEER_FRAME_MAX (4u << 20) /* bytes */
+
 /* An address to which a connection is kept open. */
 typedef struct QRPeerTarget {
     char *address;
@@ -34,6 +36,10 @@
     uint64_t
         frame_start_ms; /* when the first byte of the current frame arrived */
     bool open, closing;
+    bool accepted;     /* rather than dialled */
+    bool heard;        /* a valid frame has arrived */
+    size_t partial;    /* bytes of an incomplete frame, counted in 'peers' */
+    size_t read_size;  /* of 'read_buf', at least */
     bool cross_region; /* the other side is in another region */
     void *data;
 };
@@ -44,7 +50,11 @@
     const QRPeerHandlers *handlers;
     void *owner;
     GPtrArray *connections; /* QRPeerConn * */
-    GHashTable *targets;    /* address -> QRPeerTarget */
+    size_t partial,
+        partial_max; /* bytes of incomplete frames, and their limit */
+    unsigned unheard, unheard_max; /* accepted connections without a frame */
+    uint64_t frames_dropped, unheard_closed;
+    GHashTable *targets; /* address -> QRPeerTarget */
     QRTraffic traffic, traffic_logged;
     uint64_t traffic_log_ms; /* when the next traffic log line is due */
     QRTicks ticks;
@@ -59,6 +69,15 @@
 QRPeerConn *qr_peer_new(QRPeerNet *p);
 /* Marks a connection as open, sends the Hello frame and starts reading. */
 void qr_peer_start(QRPeerConn *peer);
+/* Counts the bytes of the incomplete frame of the connection. */
+void qr_peer_count_partial(QRPeerConn *peer);
+/* Closes connections until incomplete frames are within their limit. */
+void qr_peers_limit_partial(QRPeerNet *p);
+/* Makes room for one more accepted connection that has sent no frame. Returns
+   false if none can be closed for it. */
+bool qr_peers_make_room(QRPeerNet *p);
+/* Closes connections whose frame has been incomplete for too long. */
+void qr_peers_check_frames(QRPeerNet *p, uint64_t now_ms);
 /* Sends a probe, or the answer to one. */
 void qr_peer_probe(QRPeerConn *peer, bool answer);
 
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -341,6 +341,7 @@
         s->slots.shares.yielded[QR_SHARE_YIELDS_TO_CLAIM], s->slots.claim.made,
         s->slots.claim.used, s->slots.rate_limited, s->slots.backed_off);
     qr_account_append_metrics(&s->clients, text);
+    qr_peers_append_metrics(s->peers, text);
     qr_traffic_append_metrics(qr_peers_traffic(s->peers), text);
     qr_exchange_reply(x, 200, NULL, text->str, text->len);
 }
@@ -475,6 +476,9 @@
     sidecar_signals(&s);
     s.peers =
         qr_peers_new(s.loop, set->peers, &qr_sidecar_peer_handlers, &s, &err);
+    if (s.peers)
+        qr_peers_set_limits(s.peers, (uint64_t)set->memory_mb * BYTES_PER_MB,
+                            (unsigned)set->descriptors_max);
     if (s.peers && set->metrics)
         sidecar_serve_metrics(&s, &err);
     if (err) {
