Bound what callers of entries and frames of agents hold

What callers saw: 400 unfinished or oversized bodies of 1 MB took 270 to 490 MB of an entry, 60 unfinished frames 257 MB of an entry or agent.

Cause: as at gateways, a limit for each and none for their sum.

Entries use the same account and the same segments, by the new setting memory_mb (128 by default, entries and agents): a body that others need the memory of is dropped, and its request gets 503 with Retry-After. Whole bodies are charged three times until their answer: event, frame, queue. A length that does not fit is refused at the head where the client waits for 100 Continue, else when it has been read and dropped, up to four times body_max. Incomplete frames on accepted connections share an eighth of memory_mb; the buffer of a large frame is not kept. Connections of callers are limited to half of the account by 16 KB each, 1,536 by default (before: 4,096 of 32 KB).

Not mended: a crowd that takes all connections of an entry shuts others out until its idle time is over.

--- a/src/core/qr_settings.h
+++ b/src/core/qr_settings.h
@@ -15,6 +15,7 @@
     DEF(stop_bound_ms, 100, 3600000, 60000) /* a planned stop ends by then */  \
     DEF(face_timeout_ms, 100, 600000, 5000) /* platform calls */               \
     DEF(ticket_life_s, 1, 86400, 600) /* how long a ticket may be used */      \
+    DEF(memory_mb, 16, 1048576, 128)  /* of the process */                     \
     DEF(log_level, 0, 2, 2)           /* 0 errors, 1 warnings, 2 all */
 
 #define QR_SETTINGS_ENTRY                                                      \
--- a/src/face/qr_front_http.c
+++ b/src/face/qr_front_http.c
@@ -6,6 +6,7 @@
  * published, read under RCU.
  */
 #include "qr_face.h"
+#include "qr_front_memory.h"
 #include "qr_front_request.h"
 
 #include <arpa/inet.h>
@@ -17,6 +18,12 @@
 #define CONNECTIONS_MAX 4096
 #define IDLE_S 120
 #define STREAM_BLOCK 16384
+#define RETRY_AFTER_S "1"
+#define DROPPED_BODIES                                                         \
+    4 /* bytes of a refused body, as multiples of body_max                     \
+       */
+/* Of a connection: its buffers, which bound the head of a request. */
+#define CONNECTION_BYTES 16384
 
 /* What address questions are answered with. Never changed once published. */
 typedef struct Published {
@@ -27,6 +34,7 @@
     const QRSettings *set;
     QREventQueue *queue;
     struct MHD_Daemon *daemon;
+    QRFrontMemory memory; /* of the daemon's thread */
     pthread_mutex_t lock; /* of 'requests' and every request's state */
     QRTable requests;     /* FrontRequest * */
     Published *published; /* RCU */
@@ -37,7 +45,8 @@
     QRFront *front;
     QRHandle self;
     struct MHD_Connection *conn;
-    GByteArray *body;
+    QRFrontBody body;
+    size_t dropped; /* bytes of a refused body that were read */
     bool too_large, posted, suspended, answered, streaming, ended;
     unsigned status;
     GBytes *data;    /* the whole answer */
@@ -197,9 +206,10 @@
 static char *front_post(FrontRequest *r, const char *method, const char *url)
 {
     QREvent *ev = NULL;
+    g_autoptr(GByteArray) body = qr_front_body_take(&r->body);
     char *findings = NULL;
 
-    ev = qr_front_event(r->conn, method, url, r->body, &findings);
+    ev = qr_front_event(r->conn, method, url, body, &findings);
     if (!ev)
         return findings;
     pthread_mutex_lock(&r->front->lock);
@@ -213,6 +223,74 @@
     return NULL;
 }
 
+static enum MHD_Result front_too_large(QRFront *f, struct MHD_Connection *conn)
+{
+    f->memory.account.counts[QR_ACCOUNT_COUNT_bodies_too_large]++;
+    return front_queue_text(conn, 413,
+                            "{\"outcome\":\"bad_request\","
+                            "\"reason\":\"body_too_large\"}");
+}
+
+static enum MHD_Result front_no_memory(struct MHD_Connection *conn)
+{
+    static const char text[] =
+        "{\"outcome\":\"rejected\",\"reason\":\"no_memory\"}";
+    struct MHD_Response *resp = MHD_create_response_from_buffer(
+        strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
+    enum MHD_Result ret;
+
+    MHD_add_response_header(resp, "Content-Type", "application/json");
+    MHD_add_response_header(resp, "Retry-After", RETRY_AFTER_S);
+    ret = MHD_queue_response(conn, 503, resp);
+    MHD_destroy_response(resp);
+    return ret;
+}
+
+/*
+ * The head is here. What cannot be taken is refused at once if the client waits
+ * for 100 Continue. Others hear it at the end of their body: an answer before
+ * that would close the connection, and most clients would not read it.
+ */
+static enum MHD_Result front_head(QRFront *f, FrontRequest *r)
+{
+    const char *text =
+        MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, "Content-Length");
+    bool waits =
+        MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, "Expect") != NULL;
+    uint64_t length = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+
+    r->too_large = length > (uint64_t)f->set->body_max;
+    r->body.yielded =
+        !r->too_large && !qr_front_memory_may_fit(&f->memory, length);
+    if (r->body.yielded)
+        f->memory.account.counts[QR_ACCOUNT_COUNT_refused_memory]++;
+    if (waits && r->too_large)
+        return front_too_large(f, r->conn);
+    if (waits && r->body.yielded)
+        return front_no_memory(r->conn);
+    if (!r->too_large && !r->body.yielded)
+        qr_front_body_begin(&f->memory, &r->body, length);
+    return MHD_YES;
+}
+
+/* Part of the body is here. A refused one is read to its end, up to a limit,
+   and dropped. */
+static enum MHD_Result front_data(QRFront *f, FrontRequest *r, const char *data,
+                                  size_t len)
+{
+    if (!r->too_large && !r->body.yielded &&
+        qr_body_len(r->body.body) + len > (size_t)f->set->body_max) {
+        r->too_large = true;
+        qr_front_body_end(&r->body);
+    }
+    if (!r->too_large && !r->body.yielded &&
+        qr_front_body_append(&r->body, data, len))
+        return MHD_YES;
+    r->dropped += len;
+    return r->dropped <= DROPPED_BODIES * (size_t)f->set->body_max ? MHD_YES
+                                                                   : MHD_NO;
+}
+
 static enum MHD_Result front_whole(FrontRequest *r, const char *method,
                                    const char *url)
 {
@@ -220,9 +298,9 @@
     enum MHD_Result ret = MHD_YES;
 
     if (r->too_large)
-        return front_queue_text(r->conn, 413,
-                                "{\"outcome\":\"bad_request\","
-                                "\"reason\":\"body_too_large\"}");
+        return front_too_large(r->front, r->conn);
+    if (r->body.yielded)
+        return front_no_memory(r->conn);
     if (strcmp(method, "GET") == 0 && strcmp(url, "/v1/addresses") == 0)
         return front_addresses(r->front, r->conn);
     if (!r->posted) {
@@ -249,17 +327,14 @@
         r = g_new0(FrontRequest, 1);
         r->front = f;
         r->conn = conn;
-        r->body = g_byte_array_new();
         *state = r;
-        return MHD_YES;
+        return front_head(f, r);
     }
     if (*len > 0) {
-        if (r->body->len + *len > (size_t)f->set->body_max)
-            r->too_large = true;
-        else
-            g_byte_array_append(r->body, (const guint8 *)data, (guint)*len);
+        size_t n = *len;
+
         *len = 0;
-        return MHD_YES;
+        return front_data(f, r, data, n);
     }
     return front_whole(r, method, url);
 }
@@ -286,7 +361,7 @@
         ev->ref = r->self;
         qr_events_post(f->queue, ev);
     }
-    g_byte_array_unref(r->body);
+    qr_front_body_end(&r->body);
     g_clear_pointer(&r->data, g_bytes_unref);
     if (r->stream)
         g_string_free(r->stream, TRUE);
@@ -361,6 +436,13 @@
     g_free(old);
 }
 
+/* Their buffers take half of the memory that callers may hold at most. */
+static unsigned connections_max(const QRFront *f)
+{
+    return (unsigned)MIN(f->memory.account.limit / 2 / CONNECTION_BYTES,
+                         CONNECTIONS_MAX);
+}
+
 static QRFront *front_start(const QRSettings *set, const char *address,
                             QREventQueue *queue, GError **err)
 {
@@ -373,6 +455,7 @@
     f->queue = queue;
     pthread_mutex_init(&f->lock, NULL);
     qr_table_init(&f->requests);
+    qr_front_memory_init(&f->memory, (uint64_t)set->memory_mb << 20);
     if (qr_parse_address(address, &ip, &port, err))
         goto fail;
     sa.sin_port = htons((uint16_t)port);
@@ -381,7 +464,8 @@
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
         0, NULL, NULL, front_handle, f, MHD_OPTION_SOCK_ADDR, &sa,
         MHD_OPTION_NOTIFY_COMPLETED, front_completed, f,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_LIMIT, connections_max(f),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_S,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
     if (!f->daemon) {
@@ -391,6 +475,7 @@
     return f;
 fail:
     qr_table_clear(&f->requests, NULL);
+    qr_front_memory_clear(&f->memory);
     g_free(f);
     return NULL;
 }
@@ -420,6 +505,7 @@
         g_free(f->published);
     }
     pthread_mutex_destroy(&f->lock);
+    qr_front_memory_clear(&f->memory);
     g_free(f);
 }
 
--- a/src/io/qr_net.c
+++ b/src/io/qr_net.c
@@ -21,6 +21,10 @@
 #define OUT_BYTES_MAX (64u << 20) /* waiting to be sent on one connection */
 #define TORN_FRAME_MS 30000       /* a frame must be whole by then */
 #define DIAL_MS 3000
+/* Part of the memory for incomplete frames; so many of the largest always fit.
+ */
+#define FRAMES_MEMORY_DIVISOR 8
+#define FRAMES_AT_LEAST 2
 #define PACED_WAIT_MS 2 /* a full link is looked at again */
 #define IDLE_WAIT_MS 500
 #define PROGRESS_MS 50 /* parts of a frame are told of so often at most */
@@ -42,6 +46,7 @@
     bool open;     /* false while a dial is under way */
     char *address; /* that was dialled, or NULL */
     GByteArray *in;
+    size_t partial;       /* bytes of an incomplete frame, counted in QRNet */
     uint64_t progress_ms; /* when it was last told of */
     uint64_t since_ms; /* of the dial, or of the first byte of a torn frame */
     GQueue out;        /* NetOut * */
@@ -69,7 +74,8 @@
     pthread_mutex_t lock; /* of 'commands' */
     GQueue commands;
     QRTable conns;
-    bool paced; /* a link is full: look again soon */
+    size_t partial, partial_max; /* bytes of incomplete frames */
+    bool paced;                  /* a link is full: look again soon */
     uint64_t look_next_ms;
     atomic_bool closing;
     atomic_uint_fast64_t count[QR_NET_COUNTER_COUNT];
@@ -107,6 +113,7 @@
 static void net_drop(QRNet *n, NetConn *c)
 {
     qr_table_remove(&n->conns, c->self);
+    n->partial -= c->partial;
     if (c->open || c->address)
         net_post(n, QR_EVENT_CLOSED, c);
     net_conn_free(c);
@@ -318,11 +325,59 @@
     return ret < 0 ? -1 : 0;
 }
 
+static void net_count_partial(QRNet *n, NetConn *c)
+{
+    size_t partial = c->address ? 0 : c->in->len; /* accepted ones only */
+
+    n->partial = n->partial - c->partial + partial;
+    c->partial = partial;
+}
+
+/* The buffer of a large frame is not kept. 'most': its bytes before the frame
+   was taken. */
+static void net_shrink(NetConn *c, size_t most)
+{
+    if (c->in->len > 0 || most <= (size_t)2 * READ_BYTES)
+        return;
+    g_byte_array_unref(c->in);
+    c->in = g_byte_array_new();
+}
+
+/* Drops the connections whose incomplete frames have the most bytes x time.
+   Returns -1 if 'current' is to be dropped by its caller. */
+static int net_limit_partial(QRNet *n, const NetConn *current)
+{
+    uint64_t now = qr_now_ms();
+
+    while (n->partial > n->partial_max) {
+        NetConn *c, *heaviest = NULL;
+        double most = 0;
+
+        QR_TABLE_FOR(&n->conns, i, c)
+        {
+            double weight =
+                (double)c->partial * (double)(now - c->since_ms + 1);
+
+            if (weight > most) {
+                most = weight;
+                heaviest = c;
+            }
+        }
+        if (!heaviest)
+            break;
+        n->count[QR_NET_COUNT_net_slow_closed]++;
+        if (heaviest == current)
+            return -1;
+        net_drop(n, heaviest);
+    }
+    return 0;
+}
+
 /* Returns -1 if the connection broke or sent what is no frame. */
 static int net_read(QRNet *n, NetConn *c)
 {
     uint8_t buf[READ_BYTES];
-    size_t want = sizeof(buf);
+    size_t want = sizeof(buf), most;
     ssize_t got;
 
     if (c->lane == QR_LANE_BULK)
@@ -341,7 +396,12 @@
         return -1;
     n->count[QR_NET_COUNT_net_bytes_in] += (uint64_t)got;
     g_byte_array_append(c->in, buf, (guint)got);
-    return net_take_frames(n, c);
+    most = c->in->len;
+    if (net_take_frames(n, c))
+        return -1;
+    net_shrink(c, most);
+    net_count_partial(n, c);
+    return n->partial > n->partial_max ? net_limit_partial(n, c) : 0;
 }
 
 static void net_do_send(QRNet *n, NetConn *c, GBytes *frame, bool notify)
@@ -486,13 +546,16 @@
     return 0;
 }
 
-QRNet *qr_net_new(const char *address, QRLane lane, QRBucket *in, QRBucket *out,
-                  QREventQueue *queue, GError **err)
+QRNet *qr_net_new(const char *address, QRLane lane, uint64_t memory_bytes,
+                  QRBucket *in, QRBucket *out, QREventQueue *queue,
+                  GError **err)
 {
     struct epoll_event ev = {.events = EPOLLIN, .data.u64 = DATA_WAKE};
     QRNet *n = g_new0(QRNet, 1);
 
     n->accept_lane = lane;
+    n->partial_max = (size_t)MAX(memory_bytes / FRAMES_MEMORY_DIVISOR,
+                                 FRAMES_AT_LEAST * QR_FRAME_MAX);
     n->in = in;
     n->out = out;
     n->queue = queue;
--- a/src/io/qr_net.h
+++ b/src/io/qr_net.h
@@ -26,11 +26,13 @@
 
 /*
  * Listens on 'address'. Connections that others dial are of 'lane'. Weights
- * pass 'in' and 'out'. Events go to 'queue'. NULL with the error set if it
+ * pass 'in' and 'out'. Incomplete frames of these take an eighth of
+ * 'memory_bytes' at most. Events go to 'queue'. NULL with the error set if it
  * cannot listen.
  */
-QRNet *qr_net_new(const char *address, QRLane lane, QRBucket *in, QRBucket *out,
-                  QREventQueue *queue, GError **err);
+QRNet *qr_net_new(const char *address, QRLane lane, uint64_t memory_bytes,
+                  QRBucket *in, QRBucket *out, QREventQueue *queue,
+                  GError **err);
 void qr_net_free(QRNet *n);
 
 /* From any thread. What becomes of them is told by events. */
--- a/src/node/qr_node.c
+++ b/src/node/qr_node.c
@@ -208,7 +208,8 @@
     else
         n->entry = qr_entry_new(n->set, qr_now_ms());
     n->net = qr_net_new(n->set->listen, agent ? QR_LANE_BULK : QR_LANE_CONTROL,
-                        &n->link_in, &n->link_out, n->queue, err);
+                        (uint64_t)n->set->memory_mb << 20, &n->link_in,
+                        &n->link_out, n->queue, err);
     if (!n->net)
         return -1;
     address = agent ? n->set->metrics : n->set->callers;
