Soak: a course with clients that do not behave

The faults of a seed beside one to three crowds of 50 to 800 connections at listeners of gateways: bodies short of their end, over the limit, parts of heads, nothing; some return. The oracle checks what it always does: ordinary callers' promises, memory and descriptors at the end.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -68,11 +68,9 @@
         m.sock = socket.socket()
         m.at, m.offset = 0, 0
         m.sock.setblocking(False)
-        try:
-            m.sock.connect(self.address)
-        except OSError as e:
-            if e.errno != errno.EINPROGRESS:
-                raise
+        error = m.sock.connect_ex(self.address)
+        if error not in (0, errno.EINPROGRESS, errno.ECONNREFUSED):
+            raise OSError(error, os.strerror(error))
         self.by_fd[m.sock.fileno()] = m
         self.epoll.register(m.sock, self.reads | select.EPOLLOUT)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,7 @@
 
     soak.py [--seeds N | --seed N] [--first N] [--mutant NAME]
             [--gateways N] [--plain N] [--models N] [--callers N]
-            [--course faults|notices|back|work|last|upgrade]
+            [--course faults|notices|back|work|last|upgrade|parts|crowd]
             [--before PROGRAM]
 
 A seed and a size fix the schedule and what callers send; both are printed with
@@ -13,13 +13,15 @@
 only, in series that overlap, without links of ours between the processes, so
 that dozens of them fit, on engines that pause; "last", as that, and at its end
 all processes are killed right after a configuration; "upgrade", all begin with
-the build --before, go on to this one in turn, and back. --mutant breaks
+the build --before, go on to this one in turn, and back; "crowd", the faults
+beside clients that do not behave. --mutant breaks
 what was seen before it is checked, which must then be reported; with "all" it
 is checked as it is, and then once with each mutant. Exits 1 if anything was
 found.
 """
 import argparse
 import collections
+import contextlib
 import hashlib
 import json
 import os
@@ -36,13 +38,14 @@
 import prompt_parts
 import soak_oracle
 from bench import BINARY, free_ports, wait_for
+from crowd import Crowd, chunked, head
 from fault_link import BACK, THERE, Link, Loop
-from fleet import MODEL, Fleet, policy
+from fleet import HOST, KEY, MODEL, Fleet, policy
 from rig import Watch
 from soak_ends import ROUTES, Callers, CrashingCaller, SoakEngine
 from soak_oracle import History
 from soak_schedule import LIMITS, PLANNED, PLANNED_S, RESTS, Size, \
-    back, last_fault, notices, parts, planned, schedule, upgrade, work
+    back, crowds, last_fault, notices, parts, planned, schedule, upgrade, work
 from standin_platform import CHUNKS, chunk_of
 
 QUIET_S = 1.5    # before the first fault
@@ -630,9 +633,39 @@
         time.sleep(0.1)
 
 
+LINKED = ("faults", "notices", "crowd")  # need links of ours
+CROWD_BODY = 19000  # bytes; the limit is 20,000
+CROWD_CONTENTS = {
+    "length": (["Content-Length: %d" % (CROWD_BODY + 1)], b"x" * CROWD_BODY),
+    "chunks": (["Transfer-Encoding: chunked"], chunked(CROWD_BODY, 100)),
+    "over": (["Transfer-Encoding: chunked"], chunked(4 * CROWD_BODY, 1000)),
+    "head": None,
+    "silence": None,
+}
+
+
+def crowd_content(what):
+    if what == "silence":
+        return lambda i: [b""]
+    if what == "head":
+        return lambda i: [b"POST /safe/a HTTP/1.1\r\nHost: "]
+    fields, body = CROWD_CONTENTS[what]
+    return lambda i: [head(HOST, KEY, "/safe/a", "crowd-%d" % i, fields), body]
+
+
+def play_crowd(fleet, faults, seed):
+    """Clients that do not behave stay from the faults to the planned work."""
+    with contextlib.ExitStack() as stack:
+        for i, listener, n, what, returns in crowds(seed, fleet.size):
+            stack.enter_context(Crowd(fleet.gateways[i][listener], n,
+                                      crowd_content(what), returns=returns))
+        inject(fleet, faults, schedule(seed, fleet.size))
+    play_planned(fleet, faults, seed)
+
+
 COURSES = {"faults": play_faults, "notices": play_notices, "back": play_back,
            "work": play_work, "last": play_last, "upgrade": play_upgrade,
-           "parts": play_parts}
+           "parts": play_parts, "crowd": play_crowd}
 
 
 def play_course(fleet, seed, course):
@@ -678,7 +711,7 @@
     if "san" in BINARY:
         history.rss_more_kb = SANITIZED_RSS_MORE_KB
     with Watch() as rig:
-        fleet = SoakFleet(history, size, direct=course not in ("faults", "notices"),
+        fleet = SoakFleet(history, size, direct=course not in LINKED,
                           earlier=earlier)
         ended = threading.Event()
         watcher = threading.Thread(target=watch, args=(fleet, ended))
@@ -745,7 +778,7 @@
     seeds = [args.seed] if args.seed is not None else \
         range(args.first, args.first + args.seeds)
     size = Size(args.gateways, args.plain, args.models, args.callers)
-    if args.course in ("faults", "notices") and size.descriptors() > \
+    if args.course in LINKED and size.descriptors() > \
             resource.getrlimit(resource.RLIMIT_NOFILE)[0]:
         p.error("links among so many take %d descriptors, more than this "
                 "shell allows; --course work needs none" % size.descriptors())
--- a/tests/soak_schedule.py
+++ b/tests/soak_schedule.py
@@ -145,6 +145,20 @@
     return sorted(rows)
 
 
+# What a member of a crowd sends: an unfinished body of so many bytes, by length
+# or in chunks, a body over the limit, part of a head, nothing.
+CROWDS = ("length", "chunks", "over", "head", "silence")
+CROWD_AT = ("callers", "callers", "directory", "readiness", "metrics", "peers")
+
+
+def crowds(seed, size=Size()):
+    """[(gateway, listener, connections, what, whether they return)]"""
+    rng = random.Random(f"{seed}/crowds")
+    return [(rng.randrange(size.gateways), rng.choice(CROWD_AT),
+             rng.randint(50, 800), rng.choice(CROWDS), rng.random() < 0.6)
+            for _ in range(rng.randint(1, 3))]
+
+
 def back(seed, size=Size()):
     """The store goes back to an older copy, a few times and also twice in a
     row, while configurations, versions and leaving engines are written, and
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 NOTICES = (2, 3)  # of the course in which engines say what they take
 PARTS = (1, 2, 3)  # of that in which parts of prompts crash engines
 BACK = (1, 2, 4)  # of that in which the store goes back to an older copy
+CROWD = (1, 2)  # of that with clients that do not behave
 SIDE_BY_SIDE = 5  # seven processes each
 
 # Seeds that failed once -> the cause; they are played with the others.
@@ -91,6 +92,13 @@
             assert status == 0, output
 
 
+# Crowds of unfinished requests took memory and connections of ordinary callers.
+def test_promises_hold_beside_a_crowd():
+    with ThreadPoolExecutor(len(CROWD)) as pool:
+        for status, output in pool.map(lambda s: play(s, "crowd"), CROWD):
+            assert status == 0, output
+
+
 def test_a_seed_fixes_the_schedule():
     for seed in SEEDS:
         assert schedule(seed) == schedule(seed)
