Unfinished requests yield their connections at entries

What callers saw: 600 connections, each with part of a head, shut ordinary callers out of an entry (192 connections by memory_mb 16) until the idle time of 120 s; none was served within 20 s.

Cause: at its limit libmicrohttpd accepts no connection until one ends, and nothing ended those without a whole request.

Now, while over 7/8 of the connections are taken, each new one shuts down the socket of the one that has gone without a whole request for longest. Connections whose request is in progress stay. Half of the descriptors is the most.

--- a/src/face/qr_front_http.c
+++ b/src/face/qr_front_http.c
@@ -6,6 +6,7 @@
  * published, read under RCU.
  */
 #include "qr_face.h"
+#include "qr_front_connections.h"
 #include "qr_front_memory.h"
 #include "qr_front_request.h"
 
@@ -13,6 +14,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <urcu-bp.h>
 
 #define CONNECTIONS_MAX 4096
@@ -34,7 +36,9 @@
     const QRSettings *set;
     QREventQueue *queue;
     struct MHD_Daemon *daemon;
-    QRFrontMemory memory; /* of the daemon's thread */
+    /* of the daemon's thread */
+    QRFrontMemory memory;
+    QRFrontConnections connections;
     pthread_mutex_t lock; /* of 'requests' and every request's state */
     QRTable requests;     /* FrontRequest * */
     Published *published; /* RCU */
@@ -209,6 +213,7 @@
     g_autoptr(GByteArray) body = qr_front_body_take(&r->body);
     char *findings = NULL;
 
+    qr_front_connection_busy(r->conn, true);
     ev = qr_front_event(r->conn, method, url, body, &findings);
     if (!ev)
         return findings;
@@ -346,10 +351,10 @@
     FrontRequest *r = *state;
     bool gone;
 
-    (void)conn;
     (void)code;
     if (!r)
         return;
+    qr_front_connection_busy(conn, false);
     pthread_mutex_lock(&f->lock);
     if (r->posted)
         qr_table_remove(&f->requests, r->self);
@@ -436,11 +441,17 @@
     g_free(old);
 }
 
-/* Their buffers take half of the memory that callers may hold at most. */
+/* Their buffers take half of the memory that callers may hold at most, and they
+   half of the descriptors. */
 static unsigned connections_max(const QRFront *f)
 {
-    return (unsigned)MIN(f->memory.account.limit / 2 / CONNECTION_BYTES,
-                         CONNECTIONS_MAX);
+    uint64_t most =
+        MIN(f->memory.account.limit / 2 / CONNECTION_BYTES, CONNECTIONS_MAX);
+    struct rlimit files;
+
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0)
+        most = MIN(most, files.rlim_cur / 2);
+    return (unsigned)most;
 }
 
 static QRFront *front_start(const QRSettings *set, const char *address,
@@ -456,6 +467,7 @@
     pthread_mutex_init(&f->lock, NULL);
     qr_table_init(&f->requests);
     qr_front_memory_init(&f->memory, (uint64_t)set->memory_mb << 20);
+    qr_front_connections_init(&f->connections, connections_max(f));
     if (qr_parse_address(address, &ip, &port, err))
         goto fail;
     sa.sin_port = htons((uint16_t)port);
@@ -464,10 +476,12 @@
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
         0, NULL, NULL, front_handle, f, MHD_OPTION_SOCK_ADDR, &sa,
         MHD_OPTION_NOTIFY_COMPLETED, front_completed, f,
-        MHD_OPTION_CONNECTION_LIMIT, connections_max(f),
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
-        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_S,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_LIMIT, f->connections.most,
+        MHD_OPTION_NOTIFY_CONNECTION, qr_front_connection_notify,
+        &f->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)CONNECTION_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)IDLE_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_END);
     if (!f->daemon) {
         g_set_error(err, QR_ERROR, QR_ERROR_IO, "cannot listen on %s", address);
         goto fail;
@@ -476,6 +490,7 @@
 fail:
     qr_table_clear(&f->requests, NULL);
     qr_front_memory_clear(&f->memory);
+    qr_front_connections_clear(&f->connections);
     g_free(f);
     return NULL;
 }
@@ -506,6 +521,7 @@
     }
     pthread_mutex_destroy(&f->lock);
     qr_front_memory_clear(&f->memory);
+    qr_front_connections_clear(&f->connections);
     g_free(f);
 }
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -399,6 +399,23 @@
             gauge.check(NODE_MB, DESCRIPTORS)
 
 
+# Guards against a crowd whose unfinished requests take all connections of an
+# entry: 16 MB of memory allow 192.
+@pytest.mark.parametrize("returns", [False, True])
+def test_crowd_does_not_take_all_connections_of_an_entry(monkeypatch, returns):
+    monkeypatch.setattr(bench, "BINARY", PRODUCT)
+    with Bench(entries=1, services=[("supplier-ledger", "plain", 1)],
+               entry_settings={"memory_mb": 16}) as b:
+        with Crowd(b.caller_address(), MANY, part_of_a_head,
+                   returns=returns) as crowd:
+            settle(crowd)
+            for _ in range(10):
+                wait_for("an answer", lambda: "intents" in json.loads(ask(
+                    b.caller_address(), "GET", "/v1/status", timeout=10)[2]),
+                    ANSWER_S)
+        assert b.nodes[b.entries()[0]].proc.poll() is None
+
+
 @pytest.mark.parametrize("of_agent", [False, True])
 def test_short_frames_at_entries_and_agents_stay_within_memory(monkeypatch,
                                                                of_agent):
