Race of a test of slots: wait for the event that its thread sets

Cause: the thread that plays the sidecar closes the caller's connection and then sets the event; the test, awake by the close, looked at the event at once. In two failures the assertion prints the event as set.

--- a/tests/test_retry_slots.py
+++ b/tests/test_retry_slots.py
@@ -32,6 +32,7 @@
 LIMIT = ("Server-Limit", "5")
 END = b"0\r\n\r\n"
 REPLIED_S = 0.3   # after the reply has been handled
+ASKED_S = 4       # for the keeper's thread to go on
 TRIES = 6         # until an engine without a limit gets the first attempt
 OTHERS_OPEN = 8   # calls of other gateways at the limited engine, of 16 slots
 
@@ -257,7 +258,8 @@
                 pass
         if stall.first:
             break
-    assert stall.slot_asked.is_set(), stall.fleet.log("g0")[-3000:]
+    # the keeper's thread closes the caller's connection before it sets this
+    assert stall.slot_asked.wait(ASKED_S), stall.fleet.log("g0")[-3000:]
     wait_for("the caller's end", lambda: (
         "gone after its answer began id=%s" % stall.ident in
         stall.fleet.log("g0")))
