Unit test of the reserve notices when large requests may take all

It now asserts that an eighth of the account is left to small ones; with the mutant's change it is red (account case run by hand).

--- a/tests/unit_account.c
+++ b/tests/unit_account.c
@@ -54,6 +54,7 @@
     size_t share = qr_account_share(&account, QR_ACCOUNT_LARGE);
 
     ck_assert_uint_gt(share, LARGEST_BODY);
+    ck_assert_uint_le(share, account.limit - account.limit / 8);
     qr_account_charge(&account, QR_ACCOUNT_LARGE, share);
     ck_assert_uint_eq(qr_account_excess(&account, QR_ACCOUNT_LARGE, 1), 1);
     ck_assert_uint_eq(
