--- a/src/net/qr_server.c
+++ b/src/net/qr_server.c
@@ -205,7 +205,7 @@
 }
 
 /* A refusal that is certain is sent at the head: before 100 Continue, and
-   before the client sends its body in vain. */
+   before a body that would be dropped. */
 static bool message_head(QRMessage *m, void *owner)
 {
     QRConn *c = owner;
