Test of refusals at the head: memory full of whole bodies

A refusal is certain at the head only where whole bodies, which do not yield, fill the share of large ones.

Now so many clients send a whole body as the share has room for, before engines that do not answer, until all of them are whole. What is asserted is the same: 503 at the head, with Retry-After and close.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -90,6 +90,13 @@
     return True
 
 
+def never(engine, conn, request):
+    """Keeps the request until the connection is closed."""
+    conn.settimeout(HELD_MS / 1000)
+    conn.recv(1)
+    return False
+
+
 def limit_descriptors(process, n):
     resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (n, n))
 
@@ -250,15 +257,20 @@
 
 
 # Guards against bodies that are sent in vain: what is certain at the head is
-# said there.
+# said there. That is where whole bodies, which do not yield, fill the share of
+# large ones.
 def test_body_that_cannot_be_taken_is_refused_at_its_head():
     with CrowdFleet() as f:
         assert head_answer(f, BODY_MAX).startswith(b"HTTP/1.1 100 ")
         assert head_answer(f, BODY_MAX + 1).startswith(b"HTTP/1.1 413 ")
-        crowd = Crowd(f.gateways[0]["callers"], CROWD, whole_bodies(BODY_MAX))
+        for e in f.bulk:
+            e.behave = never
+        share = f.metrics()["quayring_client_memory_limit_bytes"] * 3 // 4
+        crowd = Crowd(f.gateways[0]["callers"], int(share) // BODY_MAX,
+                      whole_bodies(BODY_MAX), returns=True)
         with crowd:
             wait_for("the memory to be taken", lambda: f.metrics()[
-                "quayring_client_refused_memory_total"] > 0)
+                "quayring_client_memory_large_bytes"] > share - BODY_MAX)
             got = wait_for("a refusal", lambda: [
                 a for a in [head_answer(f, BODY_MAX)]
                 if a.startswith(b"HTTP/1.1 503 ")])[0]
