--- a/src/face/qr_front_connections.c
+++ b/src/face/qr_front_connections.c
@@ -15,11 +15,12 @@
     bool busy, ended;
 } Connection;
 
-void qr_front_connections_init(QRFrontConnections *c, unsigned most)
+void qr_front_connections_init(QRFrontConnections *c, QRAccount *account,
+                               unsigned most)
 {
     c->list = g_ptr_array_new();
     c->most = most;
-    c->yielded = 0;
+    c->account = account;
 }
 
 void qr_front_connections_clear(QRFrontConnections *c)
@@ -48,7 +49,7 @@
         !(n = first_to_yield(c)))
         return;
     n->ended = true;
-    c->yielded++;
+    c->account->counts[QR_ACCOUNT_COUNT_yielded_connection]++;
     shutdown(n->fd, SHUT_RDWR);
 }
 
@@ -63,6 +64,7 @@
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
         n = *context;
         g_ptr_array_remove_fast(c->list, n);
+        c->account->connections--;
         g_free(n);
         *context = NULL;
         return;
@@ -73,6 +75,7 @@
     n->fd = info->connect_fd;
     n->since_ms = qr_now_ms();
     g_ptr_array_add(c->list, n);
+    c->account->connections++;
     *context = n;
 }
 
--- a/src/face/qr_front_connections.h
+++ b/src/face/qr_front_connections.h
@@ -6,17 +6,19 @@
 #ifndef QR_FRONT_CONNECTIONS_H
 #define QR_FRONT_CONNECTIONS_H
 
-#include "base/qr_base.h"
+#include "net/qr_account.h"
 
 #include <microhttpd.h>
 
 typedef struct QRFrontConnections {
     GPtrArray *list; /* Connection * */
     unsigned most;   /* that the server accepts */
-    uint64_t yielded;
+    QRAccount *account;
 } QRFrontConnections;
 
-void qr_front_connections_init(QRFrontConnections *c, unsigned most);
+/* Connections are counted in 'account'. */
+void qr_front_connections_init(QRFrontConnections *c, QRAccount *account,
+                               unsigned most);
 void qr_front_connections_clear(QRFrontConnections *c);
 /* For MHD_OPTION_NOTIFY_CONNECTION; 'arg' is a QRFrontConnections. */
 void qr_front_connection_notify(void *arg, struct MHD_Connection *conn,
--- a/src/face/qr_front_http.c
+++ b/src/face/qr_front_http.c
@@ -52,6 +52,7 @@
     QRFrontBody body;
     size_t dropped; /* bytes of a refused body that were read */
     bool too_large, posted, suspended, answered, streaming, ended;
+    bool metrics; /* its answer is completed by what this thread counts */
     unsigned status;
     GBytes *data;    /* the whole answer */
     GString *stream; /* bytes of a streamed answer not yet sent */
@@ -196,12 +197,27 @@
     return resp;
 }
 
+/* What callers hold is counted by the server's thread only. */
+static void front_complete_metrics(FrontRequest *r)
+{
+    gsize len;
+    const char *p = g_bytes_get_data(r->data, &len);
+    GString *text = g_string_new_len(p, (gssize)len);
+
+    qr_account_append_metrics(&r->front->memory.account, text);
+    g_bytes_unref(r->data);
+    r->data = g_string_free_to_bytes(text);
+}
+
 static enum MHD_Result front_send(FrontRequest *r)
 {
-    struct MHD_Response *resp = front_response(r);
-    enum MHD_Result ret =
-        MHD_queue_response(r->conn, r->streaming ? 200 : r->status, resp);
+    struct MHD_Response *resp;
+    enum MHD_Result ret;
 
+    if (r->metrics && r->answered && r->status == 200)
+        front_complete_metrics(r);
+    resp = front_response(r);
+    ret = MHD_queue_response(r->conn, r->streaming ? 200 : r->status, resp);
     MHD_destroy_response(resp);
     return ret;
 }
@@ -214,6 +230,7 @@
     char *findings = NULL;
 
     qr_front_connection_busy(r->conn, true);
+    r->metrics = strcmp(url, "/metrics") == 0;
     ev = qr_front_event(r->conn, method, url, body, &findings);
     if (!ev)
         return findings;
@@ -467,7 +484,8 @@
     pthread_mutex_init(&f->lock, NULL);
     qr_table_init(&f->requests);
     qr_front_memory_init(&f->memory, (uint64_t)set->memory_mb << 20);
-    qr_front_connections_init(&f->connections, connections_max(f));
+    qr_front_connections_init(&f->connections, &f->memory.account,
+                              connections_max(f));
     if (qr_parse_address(address, &ip, &port, err))
         goto fail;
     sa.sin_port = htons((uint16_t)port);
