Tests of three bounds on clients that had none of their own

Each bound was in the code, but no test was red without it: the time limit of a frame between processes (unit test, by the clock that the check is given), the part of the descriptors that addresses, readiness and metrics may take (600 connections before 400 descriptors: a sixteenth beside those in calm), and the counters of an entry.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -428,6 +428,29 @@
         assert b.nodes[b.entries()[0]].proc.poll() is None
 
 
+# Guards against a crowd that an operator of entries cannot see.
+def test_entry_counts_what_its_clients_hold(monkeypatch):
+    with entry_bench(monkeypatch) as b:
+        limit, before = entry_metrics(b)
+        assert limit == NODE_MB * MB * 3 // 8
+        host, port = b.caller_address().rsplit(":", 1)
+        with socket.create_connection((host, int(port)), ANSWER_S) as s:
+            s.sendall(entry_post(["Content-Length: %d" % (4 * MB),
+                                  "Expect: 100-continue"]))
+            assert s.recv(65536).startswith(b"HTTP/1.1 413 ")
+        assert entry_metrics(b) == (limit, before + 1)
+
+
+def entry_metrics(b):
+    """(limit of the memory of clients, bodies that were too large)"""
+    text = ask(b.caller_address(), "GET", "/metrics")[2].decode()
+    rows = dict(l.rsplit(" ", 1) for l in text.splitlines()
+                if not l.startswith("#"))
+    assert int(rows["quayring_client_connections"]) >= 1
+    return (int(rows["quayring_client_memory_limit_bytes"]),
+            int(rows["quayring_client_bodies_too_large_total"]))
+
+
 @pytest.mark.parametrize("of_agent", [False, True])
 def test_short_frames_at_entries_and_agents_stay_within_memory(monkeypatch,
                                                                of_agent):
@@ -495,6 +518,21 @@
             gauge.check(MEMORY_MB, FEW_DESCRIPTORS)
 
 
+# Guards against listeners that take more than their part of the descriptors.
+@pytest.mark.parametrize("listener", ["directory", "readiness", "metrics"])
+def test_another_listener_keeps_to_its_part_of_descriptors(listener):
+    with CrowdFleet(descriptors=FEW_DESCRIPTORS) as f:
+        calm = f.gauge()
+        calm.sample()
+        with f.gauge() as gauge:
+            with Crowd(f.gateways[0][listener], MANY, part_of_a_head,
+                       returns=True) as crowd:
+                settle(crowd)
+        part = FEW_DESCRIPTORS // 16
+        assert calm.descriptors < gauge.descriptors \
+            <= calm.descriptors + part, (calm.descriptors, gauge.descriptors)
+
+
 # The listener for peers is not a client's, but it shares the descriptors.
 def test_crowd_at_the_listener_for_peers_leaves_connections():
     with CrowdFleet(descriptors=FEW_DESCRIPTORS) as f:
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -16,6 +16,7 @@
 #include "unit_sources.h"
 #include "unit_stream_pace.h"
 #include "unit_parts.h"
+#include "unit_peers.h"
 #include "unit_account.h"
 #include "unit_retry.h"
 #include "unit_schedule.h"
@@ -431,6 +432,7 @@
     suite_add_tcase(s, unit_parts_case());
     suite_add_tcase(s, unit_retry_case());
     suite_add_tcase(s, unit_account_case());
+    suite_add_tcase(s, unit_peers_case());
     suite_add_tcase(s, unit_limits_case());
     suite_add_tcase(s, unit_load_case());
     suite_add_tcase(s, unit_call_forecast_case());
