Check that the bodies an entry allows fit its memory

What operators saw: an entry with body_max over an eighth of memory_mb starts, and answers every body beyond that 503 for ever, as the body with its copies is never within the account. Cause: the two settings were checked one by one.

Now it is a finding of 'quayring check' and at the start. Evidence: settings_findings, at the bound and one byte over it; by default (128 MB) 16 MB are allowed, the default of body_max is 1 MB.

--- a/src/core/qr_settings.c
+++ b/src/core/qr_settings.c
@@ -5,6 +5,10 @@
 
 #include <string.h>
 
+#define BYTES_PER_MB (1 << 20)
+/* Part of the memory that the body of one request may have, with its copies. */
+#define BODY_MEMORY_DIVISOR 8
+
 #define TEXT(name, type, required)                                             \
     {                                                                          \
 #name, type, offsetof(QRSettings, name), required, 0, 0, 0             \
@@ -46,6 +50,10 @@
 {
     if (s->lease_ms < 3 * s->heartbeat_ms)
         qr_findings_add(f, "lease_ms", "must be three heartbeats at least");
+    if (!agent &&
+        s->body_max > s->memory_mb * (BYTES_PER_MB / BODY_MEMORY_DIVISOR))
+        qr_findings_add(f, "body_max",
+                        "must not exceed an eighth of memory_mb");
     if (!agent && s->stop_bound_ms <= s->address_valid_ms)
         qr_findings_add(f, "stop_bound_ms",
                         "must be longer than address_valid_ms");
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -74,6 +74,12 @@
     findings_of("{" ENTRY_BASE ",\"tick_ms\":\"5\"}", "whole number");
     findings_of("{" ENTRY_BASE ",\"tick_ms\":1}", "not within");
     findings_of("{" ENTRY_BASE ",\"lease_ms\":100}", "three heartbeats");
+    findings_of("{" ENTRY_BASE ",\"memory_mb\":16,\"body_max\":2097153}",
+                "body_max: must not exceed");
+    ck_assert_uint_eq(findings_of("{" ENTRY_BASE
+                                  ",\"memory_mb\":16,\"body_max\":2097152}",
+                                  NULL),
+                      0);
     findings_of("{" ENTRY_BASE, "line 1");
     findings_of("", "line 1");
     findings_of("[]", "role");
