Bound what the kernel holds for an entry's connections

What an operator saw: with 600 connections that send chunks of a byte, an entry with memory_mb 40 holds 88 MB (resident 29, in receive buffers 59); with 128 it is 108. Cause: accepted connections have receive buffers of the system's size, 131 KB and growing, and a busy server does not read them.

Now 8 KB (of which the kernel makes 12), inherited from the listener. Ruled out: a smaller number of connections, which idle callers would meet.

--- a/src/face/qr_front_http.c
+++ b/src/face/qr_front_http.c
@@ -10,7 +10,10 @@
 #include "qr_front_memory.h"
 #include "qr_front_request.h"
 
+#include "io/qr_log.h"
+
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <string.h>
@@ -26,6 +29,7 @@
        */
 /* Of a connection: its buffers, which bound the head of a request. */
 #define CONNECTION_BYTES 16384
+#define RECEIVE_BYTES 8192 /* of a connection, in the kernel */
 
 /* What address questions are answered with. Never changed once published. */
 typedef struct Published {
@@ -458,6 +462,21 @@
     g_free(old);
 }
 
+/* The kernel holds no more than RECEIVE_BYTES of a connection that is accepted
+   from now on. */
+static void limit_receive_buffers(struct MHD_Daemon *daemon)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    int bytes = RECEIVE_BYTES;
+
+    if (!info || setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+                            sizeof(bytes)) != 0)
+        qr_logf(QR_LEVEL_WARN, "callers",
+                "receive buffers keep the system's size why=%s",
+                g_strerror(errno));
+}
+
 /* Their buffers take half of the memory that callers may hold at most, and they
    half of the descriptors. */
 static unsigned connections_max(const QRFront *f)
@@ -504,6 +523,7 @@
         g_set_error(err, QR_ERROR, QR_ERROR_IO, "cannot listen on %s", address);
         goto fail;
     }
+    limit_receive_buffers(f->daemon);
     return f;
 fail:
     qr_table_clear(&f->requests, NULL);
