Bound what the kernel holds for clients' connections

What callers saw: nothing yet; what a machine would: 2,400 connections that send chunks of a byte, 64 MB set, left 117 MB in receive buffers beside 34 MB resident; 1,500 at 112 MB set: 74 beside 48. The platform counts them as memory of the process.

Cause: a bound for each connection (32 KB, of which the kernel makes 48) and none for their sum. The count of unread bytes every 100 ms came after the fact: a process that is behind counts late.

Now a connection begins with a receive buffer of 4 KB, within the 8 KB that it is charged. A body over 4 KB gets 32 KB until it is whole, charged 48 KB as large, as long as such buffers take no more than a quarter of the large share; a body that lacks room gives up its buffer. The count is gone. Ruled out: fewer connections, which idle callers would meet; 4 KB for all, 0.7 MB/s over a round trip of 6 ms.

Evidence: test_many_connections_stay_within_memory, 600 connections, 40 MB set, chunks of a byte: 49.8 to 54.2 MB before (3 of 3 red), green now, 2 of 2. Unit test of the sum, tests that a large body has its buffer and gives it back; five mutants.

--- a/src/net/qr_account.c
+++ b/src/net/qr_account.c
@@ -7,6 +7,7 @@
 
 #define DEFAULT_MEMORY_BYTES (256u << 20)
 #define LOG_LINES_PER_S 20
+#define WINDOWS_DIVISOR 4 /* part of the large share for receive buffers */
 
 void qr_account_init(QRAccount *a)
 {
@@ -63,7 +64,14 @@
         length > QR_ACCOUNT_SMALL_BYTES ? QR_ACCOUNT_LARGE : QR_ACCOUNT_SMALL;
 
     return length <= qr_account_share(a, c) &&
-           qr_account_excess(a, c, length) <= a->receiving;
+           qr_account_excess(a, c, length) <= a->receiving + a->windows;
+}
+
+bool qr_account_may_grow_window(const QRAccount *a, size_t bytes)
+{
+    return a->windows + bytes <=
+               qr_account_share(a, QR_ACCOUNT_LARGE) / WINDOWS_DIVISOR &&
+           qr_account_excess(a, QR_ACCOUNT_LARGE, bytes) == 0;
 }
 
 void qr_account_charge(QRAccount *a, QRAccountClass c, size_t bytes)
@@ -115,7 +123,8 @@
                            "quayring_client_memory_bytes %zu\n"
                            "quayring_client_memory_large_bytes %zu\n"
                            "quayring_client_memory_limit_bytes %zu\n"
+                           "quayring_client_receive_buffers_bytes %zu\n"
                            "quayring_client_connections %u\n",
                            qr_account_held(a), a->held[QR_ACCOUNT_LARGE],
-                           a->limit, a->connections);
+                           a->limit, a->windows, a->connections);
 }
--- a/src/net/qr_account.h
+++ b/src/net/qr_account.h
@@ -37,6 +37,7 @@
     size_t limit;                        /* bytes, of all classes */
     size_t held[QR_ACCOUNT_CLASS_COUNT]; /* bytes */
     size_t receiving; /* of these: bodies of requests that are not whole */
+    size_t windows;   /* of these: large receive buffers of such requests */
     unsigned connections;
     GPtrArray *servers; /* QRServer *: whose connections may yield */
     bool yielding;      /* some connection is being ended for its memory */
@@ -59,6 +60,9 @@
 size_t qr_account_excess(const QRAccount *a, QRAccountClass c, size_t more);
 /* Whether half of the limit is held. */
 bool qr_account_is_scarce(const QRAccount *a);
+/* Whether there is room for one more large receive buffer of 'bytes', for which
+   nobody yields. */
+bool qr_account_may_grow_window(const QRAccount *a, size_t bytes);
 /* Whether a body of 'length' could be held if all requests that are not whole
    yielded. */
 bool qr_account_may_fit(const QRAccount *a, size_t length);
--- a/src/net/qr_server.c
+++ b/src/net/qr_server.c
@@ -19,7 +19,8 @@
 #define DEFAULT_HEAD_MS 5000
 #define DEFAULT_IDLE_MS 15000
 #define DEFAULT_CONNECTIONS 1000
-/* State of a connection and of one call of it, in bytes. */
+/* State of a connection and of one call of it, and what the kernel holds of it
+   in a small receive buffer; bytes. */
 #define CONNECTION_BYTES 8192
 /* A head is held as text and as an index of its fields, both of which grow by
    doubling. */
@@ -28,8 +29,11 @@
    is scarce. */
 #define UNSENT_MAX (16u << 10)
 #define RETRY_MIN_MS 500
-/* Bytes of a connection that the kernel holds until they are read. */
-#define RECEIVE_BYTES (32 << 10)
+/* Receive buffers in bytes, small and for large bodies, and what the kernel
+   holds at most in a large one. */
+#define RECEIVE_BYTES (4 << 10)
+#define RECEIVE_LARGE_BYTES (32 << 10)
+#define WINDOW_BYTES (RECEIVE_LARGE_BYTES * 3 / 2)
 /* Refused clients may go on sending: what they send takes memory of the kernel.
  */
 #define LINGERING_MAX 64
@@ -53,11 +57,32 @@
     conn_set_charge(c, bytes);
 }
 
-void qr_conn_set_unread(QRConn *c, size_t bytes)
+static void conn_charge_window(QRConn *c, size_t bytes)
 {
-    qr_account_charge(c->server->account, QR_ACCOUNT_LARGE, bytes);
-    qr_account_release(c->server->account, QR_ACCOUNT_LARGE, c->unread);
-    c->unread = bytes;
+    QRAccount *a = c->server->account;
+
+    qr_account_charge(a, QR_ACCOUNT_LARGE, bytes);
+    qr_account_release(a, QR_ACCOUNT_LARGE, c->window);
+    a->windows = a->windows - c->window + bytes;
+    c->window = bytes;
+}
+
+/* A large body gets a large receive buffer while there is room for that. */
+static void conn_grow_window(QRConn *c)
+{
+    if (c->window > 0 ||
+        !qr_account_may_grow_window(c->server->account, WINDOW_BYTES))
+        return;
+    conn_charge_window(c, WINDOW_BYTES);
+    qr_socket_set_receive_buffer(&c->tcp, RECEIVE_LARGE_BYTES);
+}
+
+static void conn_shrink_window(QRConn *c)
+{
+    if (c->window == 0)
+        return;
+    conn_charge_window(c, 0);
+    qr_socket_set_receive_buffer(&c->tcp, RECEIVE_BYTES);
 }
 
 static void conn_set_receiving(QRConn *c, size_t bytes)
@@ -102,7 +127,7 @@
     qr_account_release(s->account, QR_ACCOUNT_LARGE, c->pending);
     c->pending = 0;
     conn_set_receiving(c, 0);
-    qr_conn_set_unread(c, 0);
+    conn_charge_window(c, 0);
     conn_set_charge(c, 0);
     s->account->connections--;
     s->conns->pdata[c->index] = moved;
@@ -160,7 +185,7 @@
         return;
     c->lingering = true;
     c->server->lingering++;
-    qr_conn_set_unread(c, 0);
+    conn_shrink_window(c);
     qr_conn_drop_body(c);
     g_clear_pointer(&c->read_ahead, g_byte_array_unref);
     qr_conn_update_charge(c);
@@ -225,6 +250,8 @@
             return false;
         }
         c->exchange.expected = length;
+        if (length > RECEIVE_BYTES)
+            conn_grow_window(c);
     }
     if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
         qr_conn_write(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -237,7 +264,10 @@
     QRAccountClass class;
     size_t more = qr_body_next_charge(c->exchange.body, &class);
 
-    return more == 0 || qr_conn_make_room(c, class, more);
+    if (more == 0 || qr_conn_make_room(c, class, more))
+        return true;
+    conn_shrink_window(c); /* the body goes before its receive buffer */
+    return qr_account_excess(c->server->account, class, more) == 0;
 }
 
 static void message_body(QRMessage *m, void *owner, const char *data,
@@ -252,6 +282,8 @@
         x->body = qr_body_new(c->server->account);
         qr_body_expect(x->body, x->expected);
     }
+    if (m->body_bytes > RECEIVE_BYTES)
+        conn_grow_window(c);
     while (len > 0) {
         size_t n;
 
@@ -287,6 +319,7 @@
         return;
     }
     conn_set_receiving(c, 0);
+    conn_shrink_window(c);
     c->exchange.state = QR_EXCHANGE_WAITING;
     c->exchange.arrived_ms = qr_clock_ms(s->loop);
     c->exchange.data = NULL;
@@ -408,7 +441,6 @@
     }
     if (n == 0 || c->lingering || c->closing || c->ignores_input)
         return;
-    qr_conn_set_unread(c, 0);
     if (!c->read_ahead)
         used = conn_parse(c, buf->base, (size_t)n);
     if (c->closing || c->lingering)
--- a/src/net/qr_server_parts.h
+++ b/src/net/qr_server_parts.h
@@ -37,9 +37,8 @@
     size_t unsent;          /* unsent bytes at the last tick, after an answer */
     size_t pending;         /* unsent bytes, as charged and counted in server */
     size_t
-        charged;   /* bytes charged for all but the body, 'pending', 'unread' */
-    size_t unread; /* bytes in the kernel at the last count; 0 once
-                      some are read */
+        charged;   /* bytes charged for all but the body, 'pending', 'window' */
+    size_t window; /* bytes of a large receive buffer; 0: it is small */
     size_t receiving;   /* bytes of the body, while the request is not
                            whole; counted in the account */
     uint64_t read_ms;   /* when the caller last read, or had read all */
@@ -82,8 +81,6 @@
 /* Drops what arrived behind the current request, and closes the connection
    after its answer: the client has to send the rest again. */
 void qr_conn_drop_pipelined(QRConn *c);
-/* Charges the bytes of the connection that are in the kernel. */
-void qr_conn_set_unread(QRConn *c, size_t bytes);
 /* Releases the body of the request. */
 void qr_conn_drop_body(QRConn *c);
 /* Shuts down the sending side and keeps reading for a while: an immediate close
@@ -106,8 +103,7 @@
 /* Makes room for 'more' bytes that 'c' needs. Returns false if there is none.
  */
 bool qr_conn_make_room(QRConn *c, QRAccountClass class, size_t more);
-/* While memory is scarce: counts what has arrived and is not read, and ends
-   what exceeds the limits, such as answers that nobody reads. */
+/* Ends what exceeds the limits, such as answers that nobody reads. */
 void qr_server_relieve(QRServer *s);
 /* Closes the connection that has lingered longest and has sent its answer. */
 void qr_server_close_lingering(QRServer *s);
--- a/src/net/qr_server_yield.c
+++ b/src/net/qr_server_yield.c
@@ -26,7 +26,7 @@
                                 uint64_t now)
 {
     uint64_t age = since(c->since_ms, now);
-    size_t bytes = c->receiving + c->unread;
+    size_t bytes = c->receiving + c->window;
 
     if (!qr_conn_is_unfinished(c) || age < YIELD_MIN_MS)
         return 0;
@@ -162,19 +162,6 @@
     return qr_account_excess(a, class, more) == 0;
 }
 
-/* Counts the bytes that have arrived for unfinished requests and are not read
-   yet. */
-static void server_count_unread(QRServer *s)
-{
-    for (unsigned i = 0; i < s->conns->len; i++) {
-        QRConn *c = s->conns->pdata[i];
-
-        if (!qr_conn_is_unfinished(c))
-            continue;
-        qr_conn_set_unread(c, qr_socket_unread(&c->tcp));
-    }
-}
-
 void qr_server_relieve(QRServer *s)
 {
     static const QRAccountClass classes[] = {QR_ACCOUNT_LARGE,
@@ -183,7 +170,6 @@
 
     if (!qr_account_is_scarce(a))
         return;
-    server_count_unread(s);
     for (unsigned i = 0; i < G_N_ELEMENTS(classes); i++) {
         if (qr_account_excess(a, classes[i], 0) > 0)
             account_yield(a, classes[i], 0, qr_clock_ms(s->loop));
--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -145,9 +145,16 @@
     return (size_t)bytes;
 }
 
-size_t qr_socket_unread(const uv_tcp_t *tcp)
+void qr_socket_set_receive_buffer(uv_tcp_t *tcp, int bytes)
 {
-    return socket_bytes(tcp, SIOCINQ);
+    int clamp = 2 * bytes; /* the kernel doubles the size of the buffer, too */
+    uv_os_fd_t fd;
+
+    if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+        return;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    /* the window does not outgrow the buffer of when the connection opened */
+    setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &clamp, sizeof(clamp));
 }
 
 size_t qr_socket_unacked(const uv_tcp_t *tcp)
--- a/src/net/qr_socket.h
+++ b/src/net/qr_socket.h
@@ -25,8 +25,9 @@
  * reports a reset that directly follows data as an end of file.
  */
 bool qr_socket_closed_by_peer(const uv_tcp_t *tcp);
-/* Bytes that have arrived and are not read; 0 if unknown. */
-size_t qr_socket_unread(const uv_tcp_t *tcp);
+/* Sets the receive buffer, in bytes of payload: the kernel may hold half as
+   much again. */
+void qr_socket_set_receive_buffer(uv_tcp_t *tcp, int bytes);
 /* Bytes passed to the kernel that the peer's kernel has not acknowledged; 0 if
    unknown. */
 size_t qr_socket_unacked(const uv_tcp_t *tcp);
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,10 +1,12 @@
 """Clients that do not behave, at every listener that they reach: the process
 lives, stays within its memory and descriptors, and ordinary callers still get
 answers. Limits are lowered by settings, so that a small crowd is enough."""
+import http.client
 import json
 import os
 import resource
 import socket
+import threading
 import time
 
 import pytest
@@ -90,13 +92,6 @@
     return True
 
 
-def never(engine, conn, request):
-    """Keeps the request until the connection is closed."""
-    conn.settimeout(HELD_MS / 1000)
-    conn.recv(1)
-    return False
-
-
 def limit_descriptors(process, n):
     resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (n, n))
 
@@ -256,6 +251,44 @@
         return s.recv(65536)
 
 
+class Held:
+    """Callers with bodies of the largest size, whose calls engines take and
+    answer only at the end. One that is refused calls again."""
+
+    def __init__(self, fleet, callers):
+        self.fleet, self.ended = fleet, threading.Event()
+        self.threads = [threading.Thread(target=self.call, args=(i,),
+                                         daemon=True) for i in range(callers)]
+
+    def call(self, i):
+        tries = 0
+        while not self.ended.is_set():
+            tries += 1
+            try:
+                self.fleet.call("/bulk/a", "held-%d-%d" % (i, tries),
+                                body=b"x" * BODY_MAX, deadline=HELD_MS,
+                                timeout=HELD_MS / 1000)
+            except (OSError, http.client.HTTPException):
+                pass  # refused before all was sent
+
+    def work(self, engine, conn, request):
+        self.ended.wait()
+        return engine.work(conn, request)
+
+    def __enter__(self):
+        for e in self.fleet.bulk:
+            e.behave, e.slots = self.work, len(self.threads)
+            self.fleet.store.put("keyed.servers", e.id, e.record())
+        for t in self.threads:
+            t.start()
+        return self
+
+    def __exit__(self, *exc):
+        self.ended.set()
+        for t in self.threads:
+            t.join()
+
+
 # Guards against bodies that are sent in vain: what is certain at the head is
 # said there. That is where whole bodies, which do not yield, fill the share of
 # large ones.
@@ -263,14 +296,8 @@
     with CrowdFleet() as f:
         assert head_answer(f, BODY_MAX).startswith(b"HTTP/1.1 100 ")
         assert head_answer(f, BODY_MAX + 1).startswith(b"HTTP/1.1 413 ")
-        for e in f.bulk:
-            e.behave = never
         share = f.metrics()["quayring_client_memory_limit_bytes"] * 3 // 4
-        crowd = Crowd(f.gateways[0]["callers"], int(share) // BODY_MAX,
-                      whole_bodies(BODY_MAX), returns=True)
-        with crowd:
-            wait_for("the memory to be taken", lambda: f.metrics()[
-                "quayring_client_memory_large_bytes"] > share - BODY_MAX)
+        with Held(f, int(share) // BODY_MAX):
             got = wait_for("a refusal", lambda: [
                 a for a in [head_answer(f, BODY_MAX)]
                 if a.startswith(b"HTTP/1.1 503 ")])[0]
@@ -278,6 +305,34 @@
         assert b"\r\nConnection: close\r\n" in got
 
 
+def receive_buffers(fleet):
+    return fleet.metrics()["quayring_client_receive_buffers_bytes"]
+
+
+# Guards against large bodies that arrive slowly over distant links, as their
+# receive buffers are those of small requests.
+def test_large_body_has_a_large_receive_buffer_until_it_is_whole():
+    with CrowdFleet() as f:
+        host, port = f.gateways[0]["callers"].rsplit(":", 1)
+        with socket.create_connection((host, int(port)), ANSWER_S) as s:
+            s.sendall(post(["Content-Length: %d" % BODY_MAX])(0))
+            s.sendall(b"x" * (BODY_MAX - 1))
+            wait_for("a large buffer", lambda: receive_buffers(f) > 0)
+            s.sendall(b"x")
+            assert s.recv(65536).startswith(b"HTTP/1.1 200 ")
+            assert receive_buffers(f) == 0
+
+
+# Guards against receive buffers that take the room of bodies.
+def test_large_receive_buffers_are_bounded_in_sum():
+    with CrowdFleet() as f:
+        with Crowd(f.gateways[0]["callers"], CROWD,
+                   short_of_length(BODY_MAX)) as crowd:
+            settle(crowd)
+            large = f.metrics()["quayring_client_memory_limit_bytes"] * 3 / 4
+            assert 0 < receive_buffers(f) <= large / 4
+
+
 # Guards against memory that unfinished requests keep from one that is whole.
 def test_whole_body_is_served_while_a_crowd_holds_the_memory():
     with CrowdFleet() as f:
@@ -411,6 +466,27 @@
             gauge.check(NODE_MB, DESCRIPTORS)
 
 
+def entry_small_chunks(most):
+    body = chunked(128 << 10, 1)
+    return lambda i: [entry_post(["Transfer-Encoding: chunked"]), body]
+
+
+# Guards against bytes that the kernel holds for many connections of an entry.
+@pytest.mark.parametrize("content", [entry_small_chunks,
+                                     entry_short_of_length])
+def test_many_connections_of_an_entry_stay_within_memory(monkeypatch, content):
+    monkeypatch.setattr(bench, "BINARY", PRODUCT)
+    with Bench(entries=1, services=[("supplier-ledger", "plain", 1)],
+               entry_settings={"memory_mb": 40}) as b:
+        entry = b.nodes[b.entries()[0]].proc
+        with Gauge(entry, [b.caller_address()]) as gauge:
+            with Crowd(b.caller_address(), MANY, content(MB),
+                       returns=True) as crowd:
+                settle(crowd)
+                assert "intents" in b.status()
+            gauge.check(40, DESCRIPTORS)
+
+
 # Guards against a crowd whose unfinished requests take all connections of an
 # entry: 16 MB of memory allow 192.
 @pytest.mark.parametrize("returns", [False, True])
@@ -518,6 +594,16 @@
             gauge.check(MEMORY_MB, FEW_DESCRIPTORS)
 
 
+# Guards against bytes that the kernel holds for many connections, each within
+# its receive buffer, while the process is too slow to read them.
+@pytest.mark.parametrize("content", [small_chunks, short_of_length,
+                                     whole_bodies])
+def test_many_connections_stay_within_memory(content):
+    with CrowdFleet(memory_mb=40, descriptors=1000) as f:
+        meet(f, Crowd(f.gateways[0]["callers"], MANY, content(BODY_MAX),
+                      returns=True))
+
+
 # Guards against listeners that take more than their part of the descriptors.
 @pytest.mark.parametrize("listener", ["directory", "readiness", "metrics"])
 def test_another_listener_keeps_to_its_part_of_descriptors(listener):
--- a/tests/unit_account.c
+++ b/tests/unit_account.c
@@ -97,6 +97,23 @@
 }
 END_TEST
 
+/* Receive buffers of large bodies leave room for the bodies. */
+START_TEST(account_receive_buffers_are_bounded)
+{
+    size_t share = qr_account_share(&account, QR_ACCOUNT_LARGE);
+    size_t most = share / 4;
+
+    ck_assert(qr_account_may_grow_window(&account, most));
+    ck_assert(!qr_account_may_grow_window(&account, most + 1));
+    account.windows = most;
+    ck_assert(!qr_account_may_grow_window(&account, 1));
+    account.windows = 0;
+    qr_account_charge(&account, QR_ACCOUNT_LARGE, share);
+    ck_assert(!qr_account_may_grow_window(&account, 1));
+    qr_account_release(&account, QR_ACCOUNT_LARGE, share);
+}
+END_TEST
+
 START_TEST(account_log_lines_are_bounded)
 {
     unsigned dropped = 0, logged = 0;
@@ -207,6 +224,7 @@
     tcase_add_test(c, account_large_requests_leave_the_reserve);
     tcase_add_test(c, account_is_a_part_of_the_memory);
     tcase_add_test(c, account_unfinished_requests_may_yield);
+    tcase_add_test(c, account_receive_buffers_are_bounded);
     tcase_add_test(c, account_log_lines_are_bounded);
     tcase_add_test(c, body_holds_what_it_received);
     tcase_add_test(c, body_announces_its_charge);
