--- a/tests/soak.py
+++ b/tests/soak.py
@@ -62,7 +62,7 @@
 SHOWN = 5        # findings of a check
 SANITIZED_RSS_MORE_KB = 48 << 10  # the sanitizer keeps what was freed
 # A crowd frees more than the sanitizer keeps by default (256 MB).
-CROWD_QUARANTINE_MB = 32
+CROWD_QUARANTINE_MB = 16
 
 
 class SoakEngines:
