--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -153,7 +153,8 @@
     if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
         return;
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-    /* the window does not outgrow the buffer of when the connection opened */
+    /* else the window stays within the buffer that the connection opened with
+     */
     setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &clamp, sizeof(clamp));
 }
 
