--- a/review/rig2.py
+++ b/review/rig2.py
@@ -3,6 +3,7 @@
 like those of the smallest deployment, and the record of a case."""
 import os
 import shutil
+import signal
 import sys
 import threading
 import time
@@ -85,9 +86,15 @@
         shutil.rmtree(self.dir, ignore_errors=True)
 
 
+def stop(*_):
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)  # one clears up, once
+    sys.exit(CANNOT_RUN)
+
+
 def run(case, main):
     """Exits as the issue says; what keeps a case from running is no result."""
     record = Record(case)
+    signal.signal(signal.SIGTERM, stop)
     try:
         code = main(record)
     except BaseException as e:  # noqa: B902
