--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -205,6 +205,71 @@
     check(suspended_briefly, suspended_long)
 
 
+HELD_READ_MAX_S = 2.2  # default operator_wait_ms, and the answer
+
+
+def stop_behind_a_held_read(f):
+    """Stops g0 until the read that it has just sent has ended without a
+    record."""
+    reads = f.store.reads["keyed.op"]
+    wait_for("a read to begin", lambda: f.store.reads["keyed.op"] > reads)
+    f.procs["g0"].send_signal(signal.SIGSTOP)
+    time.sleep(HELD_READ_MAX_S)
+
+
+def named_behind_an_empty_read(stopped_s):
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        time.sleep(0.5)
+        stop_behind_a_held_read(f)
+        put = name_version(f, 2)
+        time.sleep(stopped_s)
+        f.procs["g0"].send_signal(signal.SIGCONT)
+        age, truth = assigned_and_true_age(f, "g0", 2, put)
+    return age, truth, HELD_READ_MAX_S * 1000 + 500  # since it was stopped
+
+
+def named_behind_an_empty_read_briefly():
+    return named_behind_an_empty_read(0.5)
+
+
+def named_behind_an_empty_read_long():
+    return named_behind_an_empty_read(3)
+
+
+def test_empty_read_handled_after_suspension_is_as_old_as_its_answer():
+    """A version named while the process was suspended got age 0 if a read had
+    ended without it before: the empty answer was handled at the wake, and
+    counted as if the store had given it then."""
+    check(named_behind_an_empty_read_briefly, named_behind_an_empty_read_long)
+
+
+def test_suspended_reader_does_not_serve_older_version_behind_the_bound():
+    """A gateway that was suspended around the naming of a version sent calls to
+    engines with the older one for as long behind the bound as it had stood
+    still: it held the version for younger than it was."""
+    with Fleet(plain=0, version_ms=5000) as f:
+        f.wait_ready()
+        engine = f.add_engine("e0", "engines", MODEL, 1)
+        f.start_sidecar(0, engine)
+        wait_for("the engine", lambda: "told engine=e0 version=1"
+                 in f.log("g0"))
+        f.origin.take_down()  # the engine stays on the old weights
+        stop_behind_a_held_read(f)
+        put = name_version(f, 2)
+        time.sleep(2)
+        f.procs["g0"].send_signal(signal.SIGCONT)
+        wait_for("the version", lambda: "version=2" in f.log("g0"))
+        time.sleep(max(0, put + 5.1 - time.time()))
+        ran = len(engine.ran)
+        answers = []
+        while time.time() < put + 6.5:
+            answers.append(f.call("/model/x", f"behind{len(answers)}")[0])
+            time.sleep(0.1)
+        assert set(answers) == {503}
+        assert len(engine.ran) == ran
+
+
 def record_sent_during_suspension(stopped_s=2.0):
     with Fleet(plain=0) as f:
         f.wait_ready()
