--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -169,6 +169,7 @@
         self.next_page = threading.Event()  # is answered once this is set
         self.next_page.set()
         self.changed = threading.Condition()
+        self.wakes_reads = True  # False: a held read is answered at its end
         super().__init__()
 
     def records(self, topic):
@@ -249,7 +250,9 @@
     def read(self, conn, topic, source, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         with self.changed:
-            while len(self.records(topic)) == source:
+            held = wait_ms > 0 and len(self.records(topic)) == source
+            while len(self.records(topic)) == source or (
+                    held and not self.wakes_reads):
                 left = until - time.monotonic()
                 if left <= 0:
                     break
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -244,6 +244,27 @@
     check(named_behind_an_empty_read_briefly, named_behind_an_empty_read_long)
 
 
+def held_read_is_answered_at_its_end():
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        time.sleep(0.5)
+        f.store.wakes_reads = False
+        reads = f.store.reads["keyed.op"]
+        wait_for("a read to begin", lambda: f.store.reads["keyed.op"] > reads)
+        time.sleep(0.1)
+        put = name_version(f, 2)
+        age, truth = assigned_and_true_age(f, "g0", 2, put)
+    assert truth > 500
+    return age, truth, 500
+
+
+def test_record_of_a_late_held_read_is_not_new():
+    """A version got age 0 if the store answered the held read late: the record
+    was taken for what had ended the wait, though it was the wait that had
+    ended."""
+    check(held_read_is_answered_at_its_end)
+
+
 def test_suspended_reader_does_not_serve_older_version_behind_the_bound():
     """A gateway that was suspended around the naming of a version sent calls to
     engines with the older one for as long behind the bound as it had stood
