Date the store's records by when its answers were given

Cause: a follower dated what it read by the moment at which it handled an answer. An empty answer that had waited in the socket through a suspension counted as 'all records until now are known', and the record of the next read as new. A held read that the store answered only at the end of its wait gave its record age 0, though the wait had ended, not the record come; that age replaced the right one that a peer had told. Such a gateway holds the version for too young and lets calls begin on older weights for as long behind the bound.

Now an answer counts from the earliest time at which the store may have given it: not before its request left, nor before the sockets were last read, nor behind the end of its wait. A record counts as written while a read was held only if the read had been waiting and its wait was not about to end; else it may have been written since all records were last known. A listing counts from its first page. Freshness that is told to others follows from the same times.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -17,9 +17,13 @@
    size occupies a narrow link for a good part of a second. */
 #define LOG_MIN_MS 300
 #define LOG_MIN_BYTES 65536
-/* A longer gap between ticks means that this process was suspended. Ticks come
-   at least every 100 ms, and the bound of a version leaves 900 ms. */
+/* A longer gap between ticks means that this process was suspended. */
 #define SUSPENDED_MIN_MS 300
+/* A read is held only if so little time has passed since all records were
+   known; later it may meet a record that is older than its wait. */
+#define HELD_GAP_MAX_MS 500
+/* An answer so shortly before the end of its wait may be due to that end. */
+#define HELD_END_MS 100
 
 struct QRFollower {
     QRClient *client;
@@ -38,8 +42,13 @@
     QRPosition requested;      /* 'next' when the request under way was sent */
     bool last_read_expired; /* the store no longer kept the offset of the last
                                read */
-    uint64_t next_ms, now_ms, answered_ms, max_record_age_ms, last_tick_ms;
-    uint64_t caught_up_ms; /* all records written before are known */
+    uint64_t next_ms, now_ms, max_record_age_ms;
+    uint64_t last_tick_ms;
+    uint64_t received_after_ms; /* the sockets were read since: what is handled
+                                   now arrived later */
+    uint64_t answered_ms;       /* the store gave its last valid answer since */
+    uint64_t caught_up_ms;      /* all records written before are known */
+    uint64_t listing_ms;        /* the store gave the first page since */
     QROutage outage;
     uint64_t sent_ms;      /* when the request under way was sent */
     unsigned wait_ms;      /* how long the request lets the store hold it */
@@ -75,19 +84,27 @@
 }
 
 /*
- * Earliest time at which the records of the answer may have been written. A
- * read that the store holds is sent as soon as all records are known and is
- * answered when a record is written. Any other read may bring records written
- * since 'caught_up_ms': one after a delay, an outage or a long suspension, or
- * one of several partial reads.
+ * Earliest time at which the store may have given the answer that is handled
+ * now. The answer may have waited in its connection while this process did not
+ * run.
+ */
+static uint64_t given_after_ms(const QRFollower *f)
+{
+    return MAX(f->sent_ms, MIN(f->received_after_ms, f->sent_ms + f->wait_ms));
+}
+
+/*
+ * Earliest time at which the records of the answer may have been written. While
+ * the store holds a read, an answer shows that a record was written just then.
+ * Any other answer may bring records written since 'caught_up_ms': one at once,
+ * one at the end of its wait or later, or one to a read that was not held.
  */
 static uint64_t unread_since_ms(const QRFollower *f)
 {
-    bool late = f->now_ms > f->sent_ms + f->wait_ms + f->options.timeout_ms;
+    bool was_held = f->received_after_ms > f->sent_ms &&
+                    f->now_ms + HELD_END_MS < f->sent_ms + f->wait_ms;
 
-    if (f->wait_ms == 0 || late)
-        return f->caught_up_ms;
-    return f->suspended_ms > 0 ? f->suspended_ms : f->now_ms;
+    return was_held ? MAX(f->caught_up_ms, given_after_ms(f)) : f->caught_up_ms;
 }
 
 /* Detects a suspension of this process. Called by ticks and answers, since
@@ -104,7 +121,7 @@
 {
     f->backoff_ms = BACKOFF_FIRST_MS;
     f->max_record_age_ms = f->now_ms - unread_since_ms(f);
-    f->answered_ms = f->now_ms;
+    f->answered_ms = given_after_ms(f);
     if (!f->reachable) {
         f->reachable = true;
         f->handlers->reachable(f->owner, true, "answered");
@@ -180,15 +197,17 @@
                 QR_POSITION_ARGS(f->listing_end));
     f->next = f->listing_end;
     f->listed = true;
-    f->caught_up_ms = f->now_ms;
+    f->caught_up_ms = MAX(f->caught_up_ms, f->listing_ms);
     f->handlers->listed(f->owner, keys);
 }
 
 static void handle_listing_page(QRFollower *f, uint64_t epoch,
                                 QRStorePage *page)
 {
-    if (!f->after_key)
+    if (!f->after_key) {
         f->listing_end = (QRPosition){epoch, page->end};
+        f->listing_ms = given_after_ms(f);
+    }
     g_ptr_array_extend_and_steal(f->listed_records,
                                  g_steal_pointer(&page->records));
     f->next_ms = f->now_ms;
@@ -227,7 +246,7 @@
     f->next = qr_position_max(
         f->next, (QRPosition){epoch, f->requested.offset + page->records->len});
     if (!page->more)
-        f->caught_up_ms = f->now_ms;
+        f->caught_up_ms = MAX(f->caught_up_ms, given_after_ms(f));
     f->next_ms = f->now_ms + (page->more ? 0 : f->options.interval_ms);
 }
 
@@ -354,7 +373,7 @@
     /* during an outage, a held read would detect the store's return late;
        after a delay, the age of its records would be unknown */
     bool is_current = f->reachable && f->caught_up_ms > 0 &&
-                      f->now_ms <= f->caught_up_ms + SUSPENDED_MIN_MS;
+                      f->now_ms <= f->caught_up_ms + HELD_GAP_MAX_MS;
     unsigned wait_ms = is_current ? f->options.wait_ms : 0;
     uint64_t opened = qr_client_connections_opened(f->client);
 
@@ -408,6 +427,8 @@
 void qr_follower_tick(QRFollower *f, uint64_t now_ms)
 {
     update_time(f, now_ms);
+    /* ticks run before the sockets are read */
+    f->received_after_ms = f->last_tick_ms;
     f->last_tick_ms = now_ms;
     if (!f->request && !f->paused && now_ms >= f->next_ms)
         send_request(f);
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -42,15 +42,15 @@
 /* Position after the newest record seen. None (zero) before the first listing
    and while a new listing is under way. */
 QRPosition qr_follower_next_position(const QRFollower *f);
-/* Whether the store answered the last request, and when the last valid answer
-   came. */
+/* Whether the store answered the last request, and since when it has given its
+   last valid answer. */
 bool qr_follower_is_reachable(const QRFollower *f);
 uint64_t qr_follower_answered_ms(const QRFollower *f);
 /* When this follower had last read all records of the store; 0: never. While
    the records of an answer are delivered, the time of the answer before. */
 uint64_t qr_follower_caught_up_ms(const QRFollower *f);
-/* Upper bound of the age of the records in the last answer. 0: they are new,
-   since the store held the read until they were written. */
+/* Upper bound of the age of the records in the last answer. It is short if the
+   store held the read until they were written. */
 uint64_t qr_follower_max_record_age_ms(const QRFollower *f);
 /* When the first and the last failed requests since qr_follower_caught_up_ms()
    were sent; 0: none. Failures of connections that had broken unnoticed while
--- a/src/gateway/qr_gateway_store.c
+++ b/src/gateway/qr_gateway_store.c
@@ -33,13 +33,13 @@
     if (qr_operator_is_empty(&g->operator) &&
         qr_position_is_none(qr_follower_next_position(g->follow_operator)))
         return (RecordAge){QR_AGE_UNKNOWN_MS, "start"};
-    if (gap == 0)
-        return (RecordAge){0, "long poll"};
     if (current == 0)
         return (RecordAge){QR_AGE_UNKNOWN_MS, "no complete read yet"};
     if (out.first_ms > current && qr_gateway_store_was_away(g))
         return (RecordAge){0, "outage of the store"};
-    return (RecordAge){MIN(gap, now - current), "since last complete read"};
+    if (gap < now - current)
+        return (RecordAge){gap, "long poll"};
+    return (RecordAge){now - current, "since last complete read"};
 }
 
 static void operator_record(void *owner, const QRStoreRecord *r)
