A suspension of a gateway is no outage of the store

Cause: a gateway that had just lost its readers noted since when nobody was answered. Suspended then for 3 s, it took the whole time for an outage of the store at its wake, and restarted the bounds of versions, though others had read all the while.

The time now begins anew at a wake: what others heard meanwhile lies unread in the connections.

A mutant, not run yet.

--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -187,6 +187,9 @@
     if (tick_is_late(g, now_ms)) {
         g->suspended_ms = g->share_tick_ms;
         g->resumed_ms = now_ms;
+        /* what others heard meanwhile is not read yet */
+        if (g->store_away_since_ms > 0)
+            g->store_away_since_ms = now_ms;
     }
     g->share_tick_ms = now_ms;
     qr_follower_set_interval(g->follow_engines,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -298,6 +298,10 @@
     ("the-end-of-a-wait-is-a-record", 7, "fleet/qr_follower.c",
      "f->now_ms + HELD_END_MS < f->sent_ms + f->wait_ms", "true",
      "versions_age::record_of_a_late_held_read"),
+    ("a-suspension-is-an-outage", 7, "gateway/qr_gateway_share.c",
+     "if (g->store_away_since_ms > 0)\n"
+     "            g->store_away_since_ms = now_ms;", "",
+     "versions_age::suspension_is_no_outage"),
     ("told-while-we-stood-still", 7, "gateway/qr_gateway_catchup.c",
      "uint64_t transit_ms = now - qr_gateway_earliest_send_ms(g);",
      "uint64_t transit_ms = 0;",
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -291,6 +291,37 @@
         assert len(engine.ran) == ran
 
 
+def test_suspension_is_no_outage_of_the_store():
+    """Bounds restarted at a gateway that was suspended while it had just lost
+    its readers: it took the time that it had not run for an outage."""
+    with Fleet(plain=0, version_ms=30000) as f:
+        f.wait_ready()
+        name_version(f, 2)
+        wait_for("the version", lambda: "version=2" in f.log("g0"))
+        readers = [Peer(f.peers[0], hello(f"reader{i}", "gateway"))
+                   for i in range(12)]
+        reading = {"reads_engines": True, "engines_age_ms": 10,
+                   "control_offset": end_offset(f)}
+        send_heartbeats(readers, 2.5, **reading)
+        assert "heard from other gateways" in f.log("g0")
+        lines = f.log("g0").count("too few readers")
+        for r in readers:
+            r.send(load=fleet_pb2.Load(whole=True))
+        wait_for("the loss", lambda: f.log("g0").count("too few readers")
+                 > lines)
+        f.procs["g0"].send_signal(signal.SIGSTOP)
+        assert "read from the store" not in f.log("g0").rsplit(
+            "too few readers", 1)[1]
+        time.sleep(3.5)
+        send_heartbeats(readers, 0.2, **reading)
+        f.procs["g0"].send_signal(signal.SIGCONT)
+        send_heartbeats(readers, 1, **reading)
+        assert "version bounds restarted" not in f.log("g0")
+        assert f.metrics()["quayring_bounds_restarted_total"] == 0
+        for r in readers:
+            r.conn.close()
+
+
 def record_sent_during_suspension(stopped_s=2.0):
     with Fleet(plain=0) as f:
         f.wait_ready()
