Age what a sidecar is told by the time that it was suspended

What callers saw: refusals behind a version's bound from engines that were not switched in time; found by looking for the cause of VERSION elsewhere.

Cause: a sidecar took the ages of records in a message as of when it read the message, which had waited in the connection while the sidecar did not run. It held the version for younger by as much, and planned the order to its engine as late. A gateway corrects such ages already; the correction is one function now, and 'since when the sockets were last read' one of the loop's ticks.

A mutant, not run yet.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -711,6 +711,17 @@
     }
 }
 
+void qr_operator_age_records(Qr__Fleet__Records *records, uint64_t transit_ms)
+{
+    for (size_t i = 0; i < records->n_records; i++) {
+        Qr__Fleet__Record *r = records->records[i];
+
+        r->age_ms += transit_ms;
+        for (size_t k = 0; k < r->n_earlier; k++)
+            r->earlier[k]->age_ms += transit_ms;
+    }
+}
+
 unsigned qr_operator_apply_records(QROperator *o,
                                    const Qr__Fleet__Records *records,
                                    uint64_t now_ms)
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -127,6 +127,8 @@
 void qr_operator_send_record(const QROperator *o, const char *key,
                              QRAudience audience, uint64_t now_ms,
                              QROperatorSend send, void *to);
+/* Adds the time that a message was on its way to the ages that it states. */
+void qr_operator_age_records(Qr__Fleet__Records *records, uint64_t transit_ms);
 /* Applies records from a peer; returns how many of them were newer. */
 unsigned qr_operator_apply_records(QROperator *o,
                                    const Qr__Fleet__Records *records,
--- a/src/gateway/qr_gateway.h
+++ b/src/gateway/qr_gateway.h
@@ -261,7 +261,7 @@
 void qr_gateway_send_members(const QRGateway *g, QRPeerConn *peer);
 /* Takes operator's records that another gateway sent on request. */
 void qr_gateway_take_operator_records(QRGateway *g,
-                                      const Qr__Fleet__Records *records);
+                                      Qr__Fleet__Records *records);
 /* Takes an engine's record from the store or from a gateway that reads it. */
 void qr_gateway_take_engine_record(QRGateway *g, const QRStoreRecord *r);
 /* Notes that the store has answered again after an outage: for a while, a
--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -247,21 +247,13 @@
     fetch_missing_records(g, now_ms);
 }
 
-void qr_gateway_take_operator_records(QRGateway *g,
-                                      const Qr__Fleet__Records *records)
+void qr_gateway_take_operator_records(QRGateway *g, Qr__Fleet__Records *records)
 {
     uint64_t now = qr_gateway_now(g);
     uint64_t transit_ms = now - qr_gateway_earliest_send_ms(g);
     QRPosition end;
 
-    /* ages are relative to the time of sending */
-    for (size_t i = 0; i < records->n_records; i++) {
-        Qr__Fleet__Record *r = records->records[i];
-
-        r->age_ms += transit_ms;
-        for (size_t k = 0; k < r->n_earlier; k++)
-            r->earlier[k]->age_ms += transit_ms;
-    }
+    qr_operator_age_records(records, transit_ms);
     qr_operator_apply_records(&g->operator, records, now);
     g->operator_fetch_ms = g->operator_behind_since_ms =
         0; /* a peer that knows more reports again */
--- a/src/net/qr_ticks.h
+++ b/src/net/qr_ticks.h
@@ -11,10 +11,14 @@
 
 typedef struct QRTicks {
     uint64_t last_ms; /* 0: no tick yet */
+    uint64_t prev_ms; /* the tick before; 0: none */
 } QRTicks;
 
 /* Records a tick. Returns the milliseconds since the previous tick if they
    exceed 'max_gap_ms', else 0. */
 uint64_t qr_ticks_stall_ms(QRTicks *t, uint64_t now_ms, uint64_t max_gap_ms);
 
+/* Whatever the loop has read since its last tick arrived after this time. */
+uint64_t qr_ticks_received_after_ms(const QRTicks *t);
+
 #endif
--- a/src/sidecar/qr_sidecar_peers.c
+++ b/src/sidecar/qr_sidecar_peers.c
@@ -264,6 +264,17 @@
     qr_peer_send(peer, &frame);
 }
 
+/* The records may have waited in the connection while this process was
+   suspended. */
+static void take_records(QRSidecar *s, Qr__Fleet__Records *records)
+{
+    uint64_t now = qr_sidecar_now(s);
+
+    qr_operator_age_records(
+        records, now - MIN(qr_ticks_received_after_ms(&s->ticks), now));
+    qr_operator_apply_records(&s->operator, records, now);
+}
+
 static void peer_frame(void *owner, QRPeerConn *peer, const QRFrame *frame)
 {
     QRSidecar *s = owner;
@@ -277,7 +288,7 @@
         return;
     qr_members_heard(member, qr_sidecar_now(s));
     if (peer == s->followed_gateway)
-        s->gateway_heard_ms = qr_sidecar_now(s);
+        s->gateway_heard_ms = qr_ticks_received_after_ms(&s->ticks);
     switch (frame->body_case) {
     case QR__FLEET__FRAME__BODY_MEMBERS:
         peer_members(s, frame->members);
@@ -286,8 +297,7 @@
         peer_engine_state(s, frame->engine_state);
         break;
     case QR__FLEET__FRAME__BODY_RECORDS:
-        qr_operator_apply_records(&s->operator, frame->records,
-                                  qr_sidecar_now(s));
+        take_records(s, frame->records);
         break;
     case QR__FLEET__FRAME__BODY_WANT:
         qr_weights_handle_want(s, peer, frame->want);
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -302,6 +302,10 @@
      "if (g->store_away_since_ms > 0)\n"
      "            g->store_away_since_ms = now_ms;", "",
      "versions_age::suspension_is_no_outage"),
+    ("sidecars-are-told-at-once", 7, "sidecar/qr_sidecar_peers.c",
+     "records, now - MIN(qr_ticks_received_after_ms(&s->ticks), now));",
+     "records, 0);",
+     "versions_age::suspended_sidecar_was_told"),
     ("told-while-we-stood-still", 7, "gateway/qr_gateway_catchup.c",
      "uint64_t transit_ms = now - qr_gateway_earliest_send_ms(g);",
      "uint64_t transit_ms = 0;",
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -348,6 +348,26 @@
     check(record_sent_during_suspension)
 
 
+def sidecar_told_during_suspension():
+    with Fleet(plain=0) as f:
+        f.wait_ready()
+        f.start_sidecar(0, f.add_engine("e0", "engines", MODEL, 1))
+        wait_for("a gateway", lambda: "gateway reached name=g0" in f.log("s0"))
+        time.sleep(0.5)
+        f.procs["s0"].send_signal(signal.SIGSTOP)
+        put = name_version(f, 2)
+        time.sleep(2)
+        f.procs["s0"].send_signal(signal.SIGCONT)
+        age, truth = assigned_and_true_age(f, "s0", 2, put)
+    return age, truth, 500
+
+
+def test_record_that_a_suspended_sidecar_was_told_includes_waiting_time():
+    """A sidecar took a version that it was told while it was suspended for new,
+    and switched its engine as late behind the version's bound."""
+    check(sidecar_told_during_suspension)
+
+
 def test_starting_gateway_learns_of_older_versions():
     """A gateway started just after a version was named let calls begin on
     weights whose bound was long past. The store keeps the newest version only,
