A version that has come into force stays in force

Cause: a lesser age of a known version was accepted at any time. Told behind the version's bound, it took the version out of force again, and calls began on the older one. A restart of bounds keeps passed ones; this did not.

Labels of the age metric are escaped.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -117,6 +117,13 @@
     return true;
 }
 
+/* Whether the bound of a version of known age has passed. A later time does not
+   take it out of force again. */
+static bool is_settled(const QRNamedVersion *v)
+{
+    return v->in_force && v->since_ms > 0;
+}
+
 /* Inserts a version in ascending order. */
 static void add_version(QROperator *o, const char *model,
                         const QRNamedVersion *named)
@@ -136,7 +143,8 @@
         if (v->version == named->version) {
             RecordStamp other = {named->position, named->since_ms};
 
-            if (stamp_replaces(v->position, v->since_ms, &other))
+            if (!is_settled(v) &&
+                stamp_replaces(v->position, v->since_ms, &other))
                 *v = *named;
             return;
         }
@@ -208,7 +216,7 @@
     for (unsigned i = 0; list && i < list->len; i++) {
         QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
 
-        if (v->version != version)
+        if (v->version != version || is_settled(v))
             continue;
         v->position = stamp->position;
         v->since_ms = stamp->since_ms;
@@ -434,11 +442,13 @@
         for (unsigned i = 0; i < list->len; i++) {
             const QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
 
+            g_autofree char *label = g_strescape(model, NULL);
+
             g_string_append_printf(
                 out,
                 "quayring_version_age_ms{model=\"%s\",version="
                 "\"%" G_GUINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n",
-                (const char *)model, v->version, age_of(v->since_ms, now_ms));
+                label, v->version, age_of(v->since_ms, now_ms));
         }
     }
 }
