Age what peers tell by the last look at the connection

Cause: a gateway corrected the ages in messages only for suspensions of over 0.4 s; a shorter one made a version that much younger. And it dated others' reads of the store by the handling of their heartbeat, though the time of sending stood beside it.

The check for answers that begin on an old version looks at the cheap conditions first.

--- a/src/gateway/qr_gateway_catchup.c
+++ b/src/gateway/qr_gateway_catchup.c
@@ -250,7 +250,9 @@
 void qr_gateway_take_operator_records(QRGateway *g, Qr__Fleet__Records *records)
 {
     uint64_t now = qr_gateway_now(g);
-    uint64_t transit_ms = now - qr_gateway_earliest_send_ms(g);
+    uint64_t sent_ms = MIN(qr_gateway_earliest_send_ms(g),
+                           qr_ticks_received_after_ms(&g->ticks));
+    uint64_t transit_ms = now - MIN(sent_ms, now);
     QRPosition end;
 
     qr_operator_age_records(records, transit_ms);
--- a/src/gateway/qr_gateway_share.c
+++ b/src/gateway/qr_gateway_share.c
@@ -227,8 +227,8 @@
     uint64_t now = qr_gateway_now(g), sent = qr_gateway_earliest_send_ms(g);
     QRKnownVersions own = qr_operator_known_versions(&g->operator);
 
-    member->engines_read_ms = load->reads_engines && now > load->engines_age_ms
-                                  ? now - load->engines_age_ms
+    member->engines_read_ms = load->reads_engines && sent > load->engines_age_ms
+                                  ? sent - load->engines_age_ms
                                   : 0;
     qr_gateway_note_epoch(g, load->store_epoch);
     member->engines_changed = qr_position_from_peer(
--- a/src/gateway/qr_relay_answer.c
+++ b/src/gateway/qr_relay_answer.c
@@ -47,10 +47,12 @@
    waited at its engine, or this gateway learned of the newer version late. */
 static void check_version(const QRRelay *r)
 {
-    uint64_t least = qr_relay_min_version(r, 0);
+    uint64_t least;
 
-    if (!r->current.awaits_first_byte || r->current.version == 0 ||
-        r->current.version >= least)
+    if (!r->current.awaits_first_byte || r->current.version == 0)
+        return;
+    least = qr_relay_min_version(r, 0);
+    if (r->current.version >= least)
         return;
     qr_relay_count(r->g, QR_COUNTER_begun_outdated);
     qr_logf(QR_LEVEL_WARN, "call",
--- a/src/net/qr_ticks.c
+++ b/src/net/qr_ticks.c
@@ -12,8 +12,7 @@
     return gap > max_gap_ms ? gap : 0;
 }
 
-/* The sockets were read after the tick before: a loop runs its timers first. */
 uint64_t qr_ticks_received_after_ms(const QRTicks *t)
 {
-    return t->prev_ms;
+    return t->prev_ms > 0 ? t->prev_ms : t->last_ms;
 }
--- a/src/net/qr_ticks.h
+++ b/src/net/qr_ticks.h
@@ -18,7 +18,8 @@
    exceed 'max_gap_ms', else 0. */
 uint64_t qr_ticks_stall_ms(QRTicks *t, uint64_t now_ms, uint64_t max_gap_ms);
 
-/* Whatever the loop has read since its last tick arrived after this time. */
+/* Whatever the loop has read since its last tick arrived after this time, that
+   of the tick before: a loop runs its timers before it reads sockets. */
 uint64_t qr_ticks_received_after_ms(const QRTicks *t);
 
 #endif
