--- a/tests/test_origin_away.py
+++ b/tests/test_origin_away.py
@@ -59,7 +59,10 @@
 
 def has_connection(pid, conn):
     """Whether the process holds the other end of a connection."""
-    local = ":%04X" % conn.getpeername()[1]
+    try:
+        local = ":%04X" % conn.getpeername()[1]
+    except OSError:  # closed by the other end
+        return False
     remote = ":%04X" % conn.getsockname()[1]
     with open("/proc/net/tcp", encoding="ascii") as f:
         rows = [line.split() for line in f.readlines()[1:]]
