--- a/tests/test_origin_away.py
+++ b/tests/test_origin_away.py
@@ -397,3 +397,13 @@
     fleet.list_others(third, hellos, gone=False)
     fleet.wait_passed_on(third, record["version"])
     return_and_check(fleet)
+
+
+def test_last_pieces_of_a_root_that_is_cut_off_from_origin(fleet, roots):
+    """The origin is up, but the next root cannot reach it. The others have
+    fetched their pieces at once, and none of them reports later that the origin
+    answers: the root never learned that another one had to fetch its pieces."""
+    fleet.origin.blocked = fleet.procs[roots[1]].pid
+    record = fleet.new_version()
+    fleet.publish_until_heard(record, fleet.names)
+    fleet.check_served()
