An unknown age of a version gives way to a known one

What callers saw: nothing; found on reading again. On a host that has been up for over an hour, a gateway that started behind a naming refused calls on older weights up to and behind the version's true bound, though others told it the age.

Cause: kept a version in force that had come into force by an unknown age, which is an hour and thus within the clock of such a host.

--- a/src/fleet/qr_operator.c
+++ b/src/fleet/qr_operator.c
@@ -117,13 +117,6 @@
     return true;
 }
 
-/* Whether the bound of a version of known age has passed. A later time does not
-   take it out of force again. */
-static bool is_settled(const QRNamedVersion *v)
-{
-    return v->in_force && v->since_ms > 0;
-}
-
 /* Inserts a version in ascending order. */
 static void add_version(QROperator *o, const char *model,
                         const QRNamedVersion *named)
@@ -143,8 +136,7 @@
         if (v->version == named->version) {
             RecordStamp other = {named->position, named->since_ms};
 
-            if (!is_settled(v) &&
-                stamp_replaces(v->position, v->since_ms, &other))
+            if (!v->settled && stamp_replaces(v->position, v->since_ms, &other))
                 *v = *named;
             return;
         }
@@ -216,7 +208,7 @@
     for (unsigned i = 0; list && i < list->len; i++) {
         QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
 
-        if (v->version != version || is_settled(v))
+        if (v->version != version || v->settled)
             continue;
         v->position = stamp->position;
         v->since_ms = stamp->since_ms;
@@ -417,6 +409,8 @@
             if (v->in_force || !bound_has_passed(v, bound_ms, now_ms))
                 continue;
             v->in_force = true;
+            v->settled =
+                v->since_ms > 0 && now_ms < v->since_ms + QR_AGE_UNKNOWN_MS;
             qr_logf(QR_LEVEL_INFO, "weights",
                     "in force model=%s version=%" G_GUINT64_FORMAT
                     " age_ms=%" G_GUINT64_FORMAT " " QR_POSITION_FORMAT,
@@ -441,7 +435,6 @@
 
         for (unsigned i = 0; i < list->len; i++) {
             const QRNamedVersion *v = &g_array_index(list, QRNamedVersion, i);
-
             g_autofree char *label = g_strescape(model, NULL);
 
             g_string_append_printf(
--- a/src/fleet/qr_operator.h
+++ b/src/fleet/qr_operator.h
@@ -22,6 +22,7 @@
     uint64_t since_ms;   /* when the first process learned of it; 0: before the
                             clock began */
     bool in_force;       /* its bound has passed, and this was logged */
+    bool settled;        /* in force by a known age: no later time counts */
 } QRNamedVersion;
 
 typedef struct QRKnownRecord {
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -453,6 +453,31 @@
         other.conn.close()
 
 
+def test_unknown_age_gives_way_to_a_known_one():
+    """A gateway that started behind the naming of a version takes it for long
+    in force, until another one tells its age: calls then run on older weights
+    until the bound."""
+    with Fleet(gateways=0, plain=0, version_ms=20000) as f:
+        name_version(f, 2)
+        f.origin.take_down()  # the engine stays on the old weights
+        f.add_gateways(1)
+        f.wait_ready()
+        f.start_sidecar(0, f.add_engine("e0", "engines", MODEL, 1))
+        wait_for("the engine", lambda: "told engine=e0 version=1"
+                 in f.log("g0"))
+        assert f.call("/model/x", "unknown")[0] == 503
+        end = end_offset(f)
+        other = Peer(f.peers[0], hello("other", "gateway"))
+        other.frames_for(0.3)
+        value = json.dumps({"model": MODEL, "version": 2}).encode()
+        other.send(records=fleet_pb2.Records(end=end, records=[
+            fleet_pb2.Record(key=f"version/{MODEL}", value=value,
+                             offset=end - 1, age_ms=700)]))
+        wait_for("the age", lambda: "named later than assumed" in f.log("g0"))
+        assert f.call("/model/x", "known")[0] == 200
+        other.conn.close()
+
+
 @pytest.mark.parametrize("silent,up", [(1.2, 0.6), (1.5, 0.4)])
 def test_outage_of_a_reader_that_others_replace_is_no_store_outage(silent, up):
     """The only reader loses the store, a version is named, another gateway
