A put that the engine reads slowly has ended when something tells so

Cause: a put was closed after 2 s, and 2.5 s after it was sent its place was free for the next version. Closing a connection takes nothing back: the engine reads what its kernel has received, here for 3 to 6 s, and stores it behind the check of the newer piece.

Fix: a put has no time limit. It ends with the engine's answer, when the piece is read at its place (which held something else before), with a restart of the engine, or, if its connection broke and nothing of these came, after 30 s. Until then no other version uses the place. An open put's peer is probed by TCP, so that it ends with the peer. A restart is noticed, too, if a report failed in between.

Related path, the same cause: an order without an answer was taken for lost 2.5 s after it was sent, and the newer version was staged under it. The version of the open order now stays the one to stage, so that its order is sent again: the engine takes one of the two and denies the other by the sequence that both name.

--- a/src/net/qr_buffered_call.c
+++ b/src/net/qr_buffered_call.c
@@ -125,6 +125,7 @@
     r.timeout_ms = request->timeout_ms;
     r.send_within_ms = request->send_within_ms;
     r.pause_ms = request->pause_ms;
+    r.probe_peer = request->probe_peer;
     b->call = qr_client_send(client, &r, &call_handlers, b);
     return b;
 }
--- a/src/net/qr_buffered_call.h
+++ b/src/net/qr_buffered_call.h
@@ -30,6 +30,7 @@
     size_t body_len;
     /* as in QRClientRequest */
     uint32_t connect_ms, timeout_ms, send_within_ms, pause_ms;
+    bool probe_peer;
     size_t answer_max; /* bytes of the answer's body; 0: 8 MB */
 } QRBufferedRequest;
 
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -256,6 +256,8 @@
     GByteArray *data = l->call->request;
 
     qr_link_note_send(l);
+    if (l->call->probe_peer)
+        qr_socket_keep_alive(&l->tcp);
     return qr_socket_write_request(&l->tcp, data->data, data->len,
                                    l->call->body);
 }
@@ -406,6 +408,7 @@
         call->body = qr_body_ref(request->body);
     call->id = g_strdup(request->id);
     call->head_only = request->head_only;
+    call->probe_peer = request->probe_peer;
     call->pause_ms = request->pause_ms;
     if (request->send_within_ms)
         call->send_by_ms = qr_clock_ms(c->loop) + request->send_within_ms;
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -39,6 +39,8 @@
     const char *id;      /* expected id of the answer; NULL: not checked */
     bool head_only;      /* HEAD request: the answer has no body */
     bool new_connection; /* never reuse an idle connection */
+    bool probe_peer;     /* an idle peer is probed, so that the connection of a
+                            request without a time limit ends with the peer */
     uint32_t connect_ms; /* time limit for opening a connection */
     uint32_t timeout_ms; /* time limit up to the end of the answer; 0: none */
     uint32_t send_within_ms; /* a connection that opens later is not used: the
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -19,7 +19,7 @@
     GByteArray *request;
     QRBody *body; /* follows 'request'; NULL: nothing */
     char *id;
-    bool head_only, answered;
+    bool head_only, answered, probe_peer;
     bool unresponsive;   /* the connection worked before, then went silent */
     uint64_t sent_ms;    /* when the request was written; 0: not yet */
     uint64_t due_ms;     /* deadline of the answer; 0: none */
--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -124,6 +124,18 @@
                    sizeof(timeout_ms));
 }
 
+void qr_socket_keep_alive(uv_tcp_t *tcp)
+{
+    int on = 1, interval_s = 1;
+    uv_os_fd_t fd;
+
+    if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+        return;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s, sizeof(interval_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+}
+
 bool qr_socket_closed_by_peer(const uv_tcp_t *tcp)
 {
     uv_os_fd_t fd;
--- a/src/net/qr_socket.h
+++ b/src/net/qr_socket.h
@@ -20,6 +20,9 @@
 /* Disables Nagle's algorithm. The connection breaks if sent bytes remain
    unacknowledged for 'timeout_ms'. */
 void qr_socket_tune(uv_tcp_t *tcp, unsigned timeout_ms);
+/* Probes the peer each second while the connection is idle. The connection
+   breaks if the probes stay unanswered for the time set by qr_socket_tune(). */
+void qr_socket_keep_alive(uv_tcp_t *tcp);
 /*
  * Whether the peer closed the connection with FIN rather than a reset. libuv
  * reports a reset that directly follows data as an end of file.
--- a/src/sidecar/qr_sidecar.c
+++ b/src/sidecar/qr_sidecar.c
@@ -102,6 +102,15 @@
                          sent > pace * PACE_CHANGE_FACTOR));
 }
 
+/* Whether the report is of a later process of the engine than the last one that
+   was answered, even if the engine was unreachable in between. */
+static bool is_restarted(const QRSidecar *s, const QREngineReport *new)
+{
+    return new->sequence < s->confirmed_sequence ||
+           (new->born_ms &&
+            s->confirmed_born_ms &&new->born_ms != s->confirmed_born_ms);
+}
+
 static void apply_report(QRSidecar *s, QREngineReport *new, bool reachable)
 {
     bool invalid_before = s->report.pace_invalid;
@@ -119,13 +128,15 @@
     if (new->pace_invalid && !invalid_before)
         qr_logf(QR_LEVEL_WARN, "engine",
                 "reports an invalid pace, taken for unknown");
-    /* the engine restarted: its staged pieces must be listed again */
-    if (s->report_ms && (new->sequence < s->report.sequence ||
-                         (new->born_ms && s->report.born_ms &&new->born_ms !=
-                                              s->report.born_ms)))
-        qr_stage_reset(s);
-    if (reachable)
+    if (reachable) {
+        if (is_restarted(s, new))
+            qr_stage_reset(s);
         qr_stage_note_report(s, new);
+        s->confirmed_ms = s->report_asked_ms;
+        s->confirmed_sequence = new->sequence;
+        if (new->born_ms)
+            s->confirmed_born_ms = new->born_ms;
+    }
     qr_engine_report_clear(&s->report);
     s->report = *new;
     s->reachable = reachable;
@@ -379,7 +390,7 @@
     g_queue_init(&s->uploads);
     s->unconfirmed_uploads = qr_upload_in_flight_new();
     s->waiters = g_array_new(FALSE, FALSE, sizeof(QRWaiter));
-    s->stage_puts = qr_stage_puts_new();
+    qr_stage_puts_init(s);
     qr_operator_init(&s->operator, s->platform, operator_changed, s);
     qr_members_init(&s->members);
     qr_slots_init(&s->slots);
@@ -422,7 +433,7 @@
 static void sidecar_clear(QRSidecar *s)
 {
     qr_weights_clear(s);
-    g_ptr_array_unref(s->stage_puts);
+    qr_stage_puts_clear(s);
     qr_buffered_cancel(s->report_call);
     qr_buffered_cancel(s->order_call);
     qr_follower_free(s->operator_follower);
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -34,10 +34,12 @@
 
 #define QR_STAGE_CONNECT_MS 500
 #define QR_STAGE_TIMEOUT_MS 2000
-/* The engine may execute a request that it has not answered for so long after
-   the request was sent. Longer than QR_STAGE_TIMEOUT_MS: a slower engine gets
-   no piece staged at all. */
-#define QR_ENGINE_SETTLE_MS 2500
+/* A request whose connection ended without an answer, and of which nothing else
+   tells whether the engine executed it, is taken for lost after so long. */
+#define QR_ENGINE_SETTLE_MS 30000
+/* The same for requests of the sidecar process before this one, of which
+   nothing is known, from the start of this process. */
+#define QR_PREDECESSOR_SETTLE_MS 2500
 
 /* One piece of a version's weights, or its manifest. */
 typedef struct QRPiece {
@@ -69,14 +71,20 @@
 
 /*
  * A piece that is being stored at the engine. It outlives its target: the
- * engine may store what it has received after the request was cancelled.
+ * engine may store what it has received long after the connection has ended.
  */
 typedef struct QRStagePut {
     QRSidecar *sidecar;
     uint64_t version;
     unsigned index;
+    char digest[QR_SHA_HEX]; /* of the piece */
+    bool observable;         /* the place held something else before, so the
+                                piece is read there once the put was executed */
+    uint64_t sent_ms;
     QRBufferedCall *call; /* NULL: ended without an answer */
-    uint64_t settled_ms;  /* without an answer: not stored later than this */
+    uint64_t settled_ms;  /* without 'call': taken for lost at this time */
+    QRBufferedCall *look; /* reads the place, or NULL */
+    uint64_t look_next_ms;
 } QRStagePut;
 
 /*
@@ -141,15 +149,20 @@
     bool report_unreadable; /* the last one; logged once in a row */
     bool reachable;         /* the engine answered its last report */
     uint64_t report_ms, report_next_ms, report_asked_ms;
+    /* of the last report that was answered: when it was asked for, and what it
+       said; an answer of 0 means that it does not say */
+    uint64_t confirmed_ms, confirmed_born_ms, confirmed_sequence;
     QRBufferedCall *report_call;
     QRSlots slots;
     /* weights */
     char *model;
     GPtrArray *targets; /* QRTarget *, older first; the last is the newest */
-    uint64_t staged_version;  /* last one staged at the engine; 0: not known */
-    uint64_t staging_version; /* version that is being staged */
-    GPtrArray *stage_puts;    /* QRStagePut *: owned */
-    GArray *waiters;          /* QRWaiter: for pieces not held yet */
+    uint64_t staged_version;   /* last one staged at the engine; 0: not known */
+    uint64_t staging_version;  /* version that is being staged */
+    GPtrArray *stage_puts;     /* QRStagePut *: owned */
+    GHashTable *stage_content; /* index of a piece -> digest of what is stored
+                                  at the engine, "": nothing; owned */
+    GArray *waiters;           /* QRWaiter: for pieces not held yet */
     GQueue uploads; /* QRWaiter *: pieces to send, by upload_priority */
     GArray *unconfirmed_uploads; /* sent, not yet confirmed by the peer */
     QRUploadLimiter upload_limiter;
@@ -288,17 +301,30 @@
 void qr_stage_reset(QRSidecar *s);
 /* A report shows whether an order without an answer was executed. */
 void qr_stage_note_report(QRSidecar *s, const QREngineReport *report);
-GPtrArray *qr_stage_puts_new(void);
+/* Whether the engine may still execute an order. */
+bool qr_stage_order_is_open(const QRSidecar *s, uint64_t now_ms);
+void qr_stage_puts_init(QRSidecar *s);
+void qr_stage_puts_clear(QRSidecar *s);
 /* Stores a piece that is in memory at the engine. */
 void qr_stage_put_send(QRTarget *t, unsigned index);
-/* Number of requests in progress, of any version. */
+/* Number of requests, of any version, that the engine is expected to answer
+   soon. */
 unsigned qr_stage_puts_open(const QRSidecar *s);
+/* Whether the engine has not too many slow requests open for one more. */
+bool qr_stage_puts_allow_more(const QRSidecar *s);
 /* Whether the place of the piece at the engine must be left alone: a request
    that stores there is in progress, or the engine may still execute one of
    another version. */
 bool qr_stage_put_blocks(const QRTarget *t, unsigned index);
-/* Forgets requests that the engine can no longer execute. */
+/* Reads the places of unanswered requests, and forgets requests that the engine
+   can no longer execute. */
 void qr_stage_puts_tick(QRSidecar *s, uint64_t now_ms);
+/* The engine was restarted after 'since_ms': it executes nothing that was sent
+   by then. */
+void qr_stage_puts_note_restart(QRSidecar *s, uint64_t since_ms);
+/* A read of the place of a piece found bytes of this digest; "": none. */
+void qr_stage_puts_note_content(QRSidecar *s, unsigned index,
+                                const char *digest);
 
 /* Connections to gateways and other sidecars. */
 extern const QRPeerHandlers qr_sidecar_peer_handlers;
--- a/src/sidecar/qr_stage.c
+++ b/src/sidecar/qr_stage.c
@@ -39,6 +39,8 @@
         qr_sha256_hex(a->data, a->len, digest);
         valid = strcmp(digest, t->manifest->digests->pdata[index]) == 0;
     }
+    if (a->status == 200 || a->status == 404)
+        qr_stage_puts_note_content(t->sidecar, index, digest);
     if (!valid && t->scanned && p->staged)
         qr_logf(QR_LEVEL_WARN, "stage",
                 "staged piece is missing or damaged index=%u status=%u", index,
@@ -94,6 +96,9 @@
 
 void qr_stage_reset(QRSidecar *s)
 {
+    qr_stage_puts_note_restart(s, s->confirmed_ms);
+    if (s->order_sent_ms <= s->confirmed_ms)
+        s->order_settled_ms = 0;
     s->staged_version = 0;
     for (unsigned i = 0; s->targets && i < s->targets->len; i++) {
         QRTarget *t = s->targets->pdata[i];
@@ -110,6 +115,7 @@
 {
     unsigned in_flight = qr_stage_puts_open(t->sidecar), verified = 0;
 
+    may_put = may_put && qr_stage_puts_allow_more(t->sidecar);
     for (unsigned i = 0; i < t->pieces->len; i++) {
         in_flight += qr_piece(t, i)->read_back != NULL;
         verified += qr_piece(t, i)->staged && qr_piece(t, i)->verified;
@@ -325,14 +331,26 @@
            REPORT_DELAY_MS;
 }
 
+bool qr_stage_order_is_open(const QRSidecar *s, uint64_t now_ms)
+{
+    return s->order_call || now_ms < s->order_settled_ms;
+}
+
 /*
  * The version to stage: the newest of which all pieces are here. Until there is
- * one, the oldest version, which will be complete first.
+ * one, the oldest version, which will be complete first. While the engine may
+ * still execute an order, the version of that order.
  */
-static QRTarget *stage_target(const QRSidecar *s)
+static QRTarget *stage_target(const QRSidecar *s, uint64_t now_ms)
 {
     QRTarget *chosen = NULL;
 
+    if (qr_stage_order_is_open(s, now_ms)) {
+        chosen = qr_target_find(s, s->model, s->ordered_version);
+        if (chosen && chosen->pieces && !qr_sidecar_serves(s, chosen->version))
+            return chosen;
+        chosen = NULL;
+    }
     for (unsigned i = 0; i < s->targets->len; i++) {
         QRTarget *t = s->targets->pdata[i];
 
@@ -356,7 +374,7 @@
 
     if (t->found_whole && t->version == qr_sidecar_newest_version(s))
         return 0;
-    return s->started_ms + QR_ENGINE_SETTLE_MS;
+    return s->started_ms + QR_PREDECESSOR_SETTLE_MS;
 }
 
 /* Marks pieces whose check is too old to be read back again. Returns true if
@@ -378,12 +396,6 @@
     return all_valid;
 }
 
-/* Whether the engine may still execute an order. */
-static bool is_order_open(const QRSidecar *s, uint64_t now_ms)
-{
-    return s->order_call || now_ms < s->order_settled_ms;
-}
-
 void qr_stage_note_report(QRSidecar *s, const QREngineReport *report)
 {
     /* the engine then denies the order, by the sequence named in it */
@@ -425,7 +437,7 @@
     if (!s->model || !s->reachable)
         return;
     scan_served(s);
-    t = stage_target(s);
+    t = stage_target(s, now_ms);
     if (!t)
         return;
     if (s->staged_version && s->staged_version != t->version && t->scanned &&
@@ -436,6 +448,6 @@
         return;
     /* an open order takes what is staged when the engine executes it */
     if (stage_pieces(t, t->version == s->ordered_version ||
-                            !is_order_open(s, now_ms)))
+                            !qr_stage_order_is_open(s, now_ms)))
         order_tick(s, t, now_ms);
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -72,6 +72,11 @@
 
         if (!is_replaced(s, 0) && older->version >= due)
             return;
+        /* its order is sent again: once the engine has taken one of the two, it
+           refuses the other */
+        if (older->version == s->ordered_version &&
+            qr_stage_order_is_open(s, qr_sidecar_now(s)))
+            return;
         target_drop(s, older);
     }
 }
--- a/tests/test_staged_pieces.py
+++ b/tests/test_staged_pieces.py
@@ -31,6 +31,7 @@
 READ_S = 1.8            # in which an engine reads one request
 SETTLE_S = 2.5          # after which the engine executes no request that was sent
 SLOW_READ_S = 2.4       # the same for one whose connection was closed
+LONG_READ_S = 6.0       # in which a slow engine reads one request
 
 
 def whole(version):
@@ -42,13 +43,16 @@
 
     def __init__(self, ident):
         self.damaged = {}  # index of a piece -> when it was damaged
+        self.put_at = {}   # index of a piece -> bodies of its puts
         self.orders = []   # (version, indexes of wrong pieces) of each order
+        self.dropped = False  # a held request was lost with the process
         self.on_read = self.on_put = self.on_order = None  # see each test
         super().__init__(ident, "engines", MODEL)
 
     def staged(self, conn, request):
         index = int(request.query["sample-size"])
         if request.method == "PUT":
+            self.put_at.setdefault(index, []).append(request.body)
             if self.on_put:
                 self.on_put(index, request.body)
             self.damaged.pop(index, None)
@@ -164,6 +168,8 @@
         if i != index or body != chunk_of(version, i) or held.begun.is_set():
             return
         held.wait()
+        if victim.dropped:
+            raise OSError
         victim.stage[i] = body
         held.taken.set()
 
@@ -204,10 +210,59 @@
     check_orders(victim, 3)
 
 
+# Guards against taking a put for executed or lost after a fixed time: the engine had
+# received all of it, read it in 6 s, and stored it behind the newer version's check.
+def test_put_that_the_engine_reads_slowly_is_waited_for(fleet):
+    victim, held = fleet.victim, Held(LONG_READ_S)
+    hold_put(victim, held, 2, 3)
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the put", held.begun.is_set, 10)
+    name_version(fleet, 3)
+    check_orders(victim, 3)
+    assert held.taken.is_set()
+    puts = [b for b in victim.put_at.get(3, []) if b == chunk_of(2, 3)]
+    assert len(puts) == 1, "the put was repeated while it was executed"
+
+
+# As above, with a connection that breaks: the put has no answer, but the engine has
+# read all of it.
+def test_put_read_slowly_on_a_broken_connection_is_waited_for(fleet):
+    victim, held = fleet.victim, Held(LONG_READ_S)
+    hold_put(victim, held, 2, 3)
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the put", held.begun.is_set, 10)
+    name_version(fleet, 3)
+    received(fleet, 3, "s9")
+    victim.reset_open()
+    check_orders(victim, 3)
+
+
+# Guards against waiting for a put that ended with the engine's process.
+def test_put_lost_with_the_process_of_the_engine_is_not_waited_for(fleet):
+    victim, held = fleet.victim, Held(LONG_READ_S)
+    victim.born = 1
+    hold_put(victim, held, 2, 3)
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the put", held.begun.is_set, 10)
+    name_version(fleet, 3)
+    received(fleet, 3, "s9")
+    victim.dropped = True
+    victim.restart()
+    victim.born = 2
+    victim.reset_open()
+    begun = time.monotonic()
+    check_orders(victim, 3)
+    assert time.monotonic() - begun < LONG_READ_S - 1
+
+
 # As above; the sidecar that sent the put was killed, and its successor knows nothing
 # of it. The put held up the newer version's piece.
-def test_put_of_a_killed_sidecar_is_waited_for(fleet):
-    victim, held = fleet.victim, Held(SLOW_READ_S)
+@pytest.mark.parametrize("read_s", [SLOW_READ_S, LONG_READ_S])
+def test_put_of_a_killed_sidecar_is_waited_for(fleet, read_s):
+    victim, held = fleet.victim, Held(read_s)
     name_version(fleet, 2)
     received(fleet, 2, "s0", "s1")
     victim.stage = whole(2)
@@ -242,8 +297,9 @@
 
 # Guards against staging a newer version while the engine may still execute an order
 # that it has not answered: it would start a mix of both.
-def test_nothing_is_staged_over_an_order_without_an_answer(fleet):
-    victim, held = fleet.victim, Held()
+@pytest.mark.parametrize("read_s", [READ_S, LONG_READ_S])
+def test_nothing_is_staged_over_an_order_without_an_answer(fleet, read_s):
+    victim, held = fleet.victim, Held(read_s)
 
     def order(_):
         if not held.begun.is_set():
