An end of an answer is proved, and a head is one by the grammar

What callers saw: a part of an answer without a length as a whole answer, when the engine had answered an upload at once and reset the connection; an answer with a line that is no field, or with a body other than the engine's (field name with a blank); and a call that waited for its deadline behind a status of 000.

Causes, one for each: - A write takes the error of a reset (ECONNRESET), and the read that follows gets an end of file, as after FIN. The status of a write that had been queued was dropped ("the read callback reports a broken connection"): it doesn't. - Debian's http-parser is built without its strict mode. It takes blanks for parts of a name, any number of digits for a status, any byte behind CR for LF, any two bytes for the end of a chunk, and continued lines. A Transfer-Encoding other than "chunked" counted as no length.

Fix, in the one client and the one reader of messages that all paths use (engines to gateways and sidecars, store, origin; requests on all ports): - An answer without a length ends with its connection only if no write failed, the peer's kernel has the whole request, FIN came and no error behind it. So an engine that closes before it has received the request has answered nothing. - src/net/qr_grammar.c checks the bytes of heads, chunks and trailers before the parser gets them; the fields that frame a body have exactly one meaning.

--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -184,11 +184,14 @@
     QRClientCall *call = l->call;
 
     /* without a Content-Length, an orderly close ends the answer */
-    if (call && call->answered && qr_socket_closed_by_peer(&l->tcp) &&
-        l->message.head_done && qr_message_end_of_file(&l->message))
+    if (call && call->answered && !l->write_error &&
+        qr_socket_closed_by_peer(&l->tcp) && l->message.head_done &&
+        qr_message_end_of_file(&l->message))
         return;
     if (!l->closing)
-        link_break(l, QR_CALL_FAULT_BROKEN, "connection closed");
+        link_break(l, QR_CALL_FAULT_BROKEN,
+                   l->write_error ? uv_strerror(l->write_error)
+                                  : "connection closed");
 }
 
 /* Moves the time limit of a request that makes progress: a timeout and a retry
@@ -259,7 +262,7 @@
     if (l->call->probe_peer)
         qr_socket_keep_alive(&l->tcp);
     return qr_socket_write_request(&l->tcp, data->data, data->len,
-                                   l->call->body);
+                                   l->call->body, &l->write_error);
 }
 
 static void link_opened(uv_connect_t *req, int status)
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -47,6 +47,7 @@
     void *probe_owner;
     unsigned skipped;        /* answers to earlier requests, ignored */
     size_t unanswered_bytes; /* received before the answer to 'call' began */
+    int write_error;         /* of a write that failed; 0: none */
     bool open, closing, skipping;
     bool reading; /* link_read() is still parsing received bytes */
 };
--- a/src/net/qr_message.c
+++ b/src/net/qr_message.c
@@ -17,25 +17,10 @@
     return -1;
 }
 
-static bool is_valid_value(const char *s)
-{
-    for (; *s; s++) {
-        if ((unsigned char)*s < 0x20 && *s != '\t')
-            return false;
-        if (*s == 0x7f)
-            return false;
-    }
-    return true;
-}
-
-static int finish_field(QRMessage *m)
+static void finish_field(QRMessage *m)
 {
     if (!m->in_value)
-        return 0;
-    /* a NUL would hide the rest of the value */
-    if (strlen(m->value->str) != m->value->len ||
-        !is_valid_value(m->value->str))
-        return set_fault(m, QR_MESSAGE_MALFORMED);
+        return;
     while (m->value->len > 0 &&
            g_ascii_isspace(m->value->str[m->value->len - 1]))
         g_string_truncate(m->value, m->value->len - 1);
@@ -43,7 +28,6 @@
     g_string_truncate(m->name, 0);
     g_string_truncate(m->value, 0);
     m->in_value = false;
-    return 0;
 }
 
 static int count_head_bytes(QRMessage *m, size_t len)
@@ -68,8 +52,7 @@
 
     if (m->head_done) /* trailer fields are ignored */
         return count_head_bytes(m, len);
-    if (finish_field(m))
-        return -1;
+    finish_field(m);
     g_string_append_len(m->name, at, (gssize)len);
     return count_head_bytes(m, len);
 }
@@ -90,9 +73,12 @@
     QRMessage *m = p->data;
     bool no_body;
 
-    if (finish_field(m))
-        return -1;
+    finish_field(m);
     m->head_done = true;
+    if (!qr_grammar_framing_ok(&m->headers, p->http_minor) ||
+        (p->type == HTTP_RESPONSE &&
+         p->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS))
+        return set_fault(m, QR_MESSAGE_MALFORMED);
     if (p->type == HTTP_REQUEST && p->method != HTTP_CONNECT)
         p->upgrade = 0; /* protocol upgrades are not supported */
     if (m->body_max && p->content_length != NO_LENGTH &&
@@ -139,6 +125,7 @@
     memset(m, 0, sizeof(*m));
     http_parser_init(&m->parser, type);
     m->parser.data = m;
+    qr_grammar_init(&m->grammar, type == HTTP_RESPONSE);
     m->handlers = handlers;
     m->owner = owner;
     qr_headers_init(&m->headers);
@@ -176,6 +163,7 @@
 
     http_parser_init(&m->parser, type);
     m->parser.data = m;
+    qr_grammar_init(&m->grammar, type == HTTP_RESPONSE);
     if (m->headers.text->allocated_len > KEPT_MAX) {
         qr_headers_clear(&m->headers);
         qr_headers_init(&m->headers);
@@ -189,11 +177,35 @@
     m->fault = QR_MESSAGE_OK;
 }
 
+/* Parses a part of the message that ends at the latest with its head. */
+static size_t read_part(QRMessage *m, const char *data, size_t len)
+{
+    bool valid;
+    size_t n = qr_grammar_check(&m->grammar, data, len, &valid), used = 0;
+
+    if (n > 0) /* no bytes would mean the end of the connection */
+        used = http_parser_execute(&m->parser, &parser_settings, data, n);
+    if (m->done || HTTP_PARSER_ERRNO(&m->parser) != HPE_OK)
+        return used;
+    if (m->grammar.state == QR_GRAMMAR_HEAD_END) {
+        valid = valid && m->head_done;
+        qr_grammar_begin_body(&m->grammar, m->parser.flags & F_CHUNKED);
+    }
+    if (!valid)
+        set_fault(m, QR_MESSAGE_MALFORMED);
+    return used;
+}
+
 size_t qr_message_read(QRMessage *m, const char *data, size_t len)
 {
-    size_t used = http_parser_execute(&m->parser, &parser_settings, data, len);
-    enum http_errno err = HTTP_PARSER_ERRNO(&m->parser);
+    enum http_errno err = HPE_OK;
+    size_t used = 0;
 
+    while (used < len && !m->done && err == HPE_OK &&
+           m->fault == QR_MESSAGE_OK) {
+        used += read_part(m, data + used, len - used);
+        err = HTTP_PARSER_ERRNO(&m->parser);
+    }
     if (m->done && err == HPE_PAUSED)
         http_parser_pause(&m->parser, 0);
     else if (err == HPE_HEADER_OVERFLOW)
--- a/src/net/qr_message.h
+++ b/src/net/qr_message.h
@@ -4,7 +4,7 @@
 #ifndef QR_MESSAGE_H
 #define QR_MESSAGE_H
 
-#include "qr_headers.h"
+#include "qr_grammar.h"
 
 #include <http_parser.h>
 
@@ -29,6 +29,7 @@
 
 struct QRMessage {
     http_parser parser;
+    QRGrammar grammar;
     const QRMessageHandlers *handlers;
     void *owner;
     QRHeaders headers;
--- a/src/net/qr_socket.c
+++ b/src/net/qr_socket.c
@@ -14,16 +14,20 @@
 
 typedef struct PendingWrite {
     uv_write_t req;
+    int *error; /* or NULL */
     char data[];
 } PendingWrite;
 
 static void write_done(uv_write_t *req, int status)
 {
-    (void)status; /* the read callback reports a broken connection */
-    g_free(req);
+    PendingWrite *p = (PendingWrite *)req;
+
+    if (status < 0 && p->error)
+        *p->error = status;
+    g_free(p);
 }
 
-int qr_socket_write(uv_tcp_t *tcp, const void *data, size_t len)
+static int socket_write(uv_tcp_t *tcp, const void *data, size_t len, int *error)
 {
     uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
     PendingWrite *p;
@@ -40,6 +44,7 @@
     if ((size_t)sent == len)
         return 0;
     p = g_malloc(sizeof(*p) + len - (size_t)sent);
+    p->error = error;
     memcpy(p->data, (const char *)data + sent, len - (size_t)sent);
     buf = uv_buf_init(p->data, (unsigned)(len - (size_t)sent));
     sent = uv_write(&p->req, (uv_stream_t *)tcp, &buf, 1, write_done);
@@ -48,10 +53,17 @@
     return sent;
 }
 
+/* The read callback reports a broken connection. */
+int qr_socket_write(uv_tcp_t *tcp, const void *data, size_t len)
+{
+    return socket_write(tcp, data, len, NULL);
+}
+
 /* The rest of a request: a copy of its first bytes, and a reference to the
    body. */
 typedef struct PendingRequest {
     uv_write_t req;
+    int *error;
     QRBody *body;
     char data[];
 } PendingRequest;
@@ -60,7 +72,8 @@
 {
     PendingRequest *p = (PendingRequest *)req;
 
-    (void)status; /* as write_done() */
+    if (status < 0)
+        *p->error = status;
     qr_body_unref(p->body);
     g_free(p);
 }
@@ -78,7 +91,7 @@
 }
 
 int qr_socket_write_request(uv_tcp_t *tcp, const void *data, size_t len,
-                            QRBody *body)
+                            QRBody *body, int *error)
 {
     unsigned n = body ? qr_body_segments(body) + 1 : 1, first = 0;
     g_autofree uv_buf_t *bufs = g_new(uv_buf_t, n);
@@ -87,7 +100,7 @@
     int rc = 0;
 
     if (!body)
-        return qr_socket_write(tcp, data, len);
+        return socket_write(tcp, data, len, error);
     request_buffers(bufs, data, len, body);
     if (uv_stream_get_write_queue_size((uv_stream_t *)tcp) == 0)
         rc = uv_try_write((uv_stream_t *)tcp, bufs, n);
@@ -102,6 +115,7 @@
     bufs[first].len -= sent;
     rest = first == 0 ? bufs[0].len : 0;
     p = g_malloc(sizeof(*p) + rest);
+    p->error = error;
     p->body = qr_body_ref(body);
     if (rest > 0) {
         memcpy(p->data, bufs[0].base, rest);
@@ -136,15 +150,6 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
 }
 
-bool qr_socket_closed_by_peer(const uv_tcp_t *tcp)
-{
-    uv_os_fd_t fd;
-    char byte;
-
-    return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
-           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* A number of bytes that the kernel tells of a socket; 0 if unknown. */
 static size_t socket_bytes(const uv_tcp_t *tcp, unsigned long request)
 {
@@ -176,6 +181,21 @@
     return socket_bytes(tcp, SIOCOUTQ);
 }
 
+bool qr_socket_closed_by_peer(const uv_tcp_t *tcp)
+{
+    int error = 0;
+    socklen_t len = sizeof(error);
+    uv_os_fd_t fd;
+    char byte;
+
+    return uv_stream_get_write_queue_size((const uv_stream_t *)tcp) == 0 &&
+           qr_socket_unacked(tcp) == 0 &&
+           uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0 &&
+           getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+           error == 0;
+}
+
 void qr_socket_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
     static __thread char data[READ_BUFFER_BYTES];
--- a/src/net/qr_socket.h
+++ b/src/net/qr_socket.h
@@ -13,10 +13,14 @@
  * 0, or a negative libuv error if the connection is broken.
  */
 int qr_socket_write(uv_tcp_t *tcp, const void *data, size_t len);
-/* The same for 'data' and a body behind it. What is queued of the body refers
-   to it and is not copied. 'body' may be NULL. */
+/*
+ * The same for 'data' and a body behind it. What is queued of the body refers
+ * to it and is not copied. 'body' may be NULL. If writing what was queued
+ * fails,
+ * '*error' is set to the libuv error; it must live until 'tcp' is closed.
+ */
 int qr_socket_write_request(uv_tcp_t *tcp, const void *data, size_t len,
-                            QRBody *body);
+                            QRBody *body, int *error);
 /* Disables Nagle's algorithm. The connection breaks if sent bytes remain
    unacknowledged for 'timeout_ms'. */
 void qr_socket_tune(uv_tcp_t *tcp, unsigned timeout_ms);
@@ -24,8 +28,10 @@
    breaks if the probes stay unanswered for the time set by qr_socket_tune(). */
 void qr_socket_keep_alive(uv_tcp_t *tcp);
 /*
- * Whether the peer closed the connection with FIN rather than a reset. libuv
- * reports a reset that directly follows data as an end of file.
+ * Whether the peer closed the connection with FIN, no reset has followed, and
+ * its kernel has received all that was written. libuv reports a reset that
+ * directly follows data as an end of file, and so does the kernel once a failed
+ * write has reported the reset.
  */
 bool qr_socket_closed_by_peer(const uv_tcp_t *tcp);
 /* Sets the receive buffer, in bytes of payload: the kernel may hold half as
--- a/tests/unit_client.c
+++ b/tests/unit_client.c
@@ -6,23 +6,37 @@
 #include "net/qr_client.h"
 
 #include <arpa/inet.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define SEND_WITHIN_MS 40
+#define UPLOAD_BYTES (32u << 20) /* more than the kernel buffers */
 
 typedef struct Outcome {
-    bool failed;
+    bool ended, failed;
     QRCallFault fault;
+    int reset_peer; /* reset once the head has been read; 0: none */
 } Outcome;
 
+static void reset_connection(int fd)
+{
+    struct linger now = {.l_onoff = 1};
+
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(fd);
+}
+
 static void on_head(void *owner, QRClientCall *call, unsigned status,
                     const QRHeaders *headers)
 {
-    (void)owner;
+    const Outcome *o = owner;
+
     (void)call;
     (void)status;
     (void)headers;
+    if (o->reset_peer)
+        reset_connection(o->reset_peer);
 }
 
 static void on_body(void *owner, QRClientCall *call, const char *data,
@@ -36,8 +50,10 @@
 
 static void on_end(void *owner, QRClientCall *call)
 {
-    (void)owner;
+    Outcome *o = owner;
+
     (void)call;
+    o->ended = true;
 }
 
 static void on_failed(void *owner, QRClientCall *call, QRCallFault fault,
@@ -121,11 +137,97 @@
 }
 END_TEST
 
+/* Reads what has arrived, so that the client can write more. */
+static void drain(int fd)
+{
+    char bytes[65536];
+
+    while (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+        ;
+}
+
+/* An upload is being written; the peer answers with 'answer' and, if 'reset',
+   resets the connection as soon as the client has read the head. Else it sends
+   FIN and does not read the rest. */
+static Outcome answer_during_upload(const char *answer, bool reset)
+{
+    char address[32];
+    int fd = listen_on_loopback(address), peer;
+    g_autofree char *upload = g_malloc0(UPLOAD_BYTES);
+    QRClientRequest request = {.address = address,
+                               .data = upload,
+                               .len = UPLOAD_BYTES,
+                               .connect_ms = 1000};
+    Outcome o = {0};
+    uv_loop_t loop;
+    QRClient *client;
+
+    uv_loop_init(&loop);
+    client = qr_client_new(&loop, "X-Id");
+    (void)qr_client_send(client, &request, &handlers, &o);
+    uv_run(&loop, UV_RUN_ONCE);
+    peer = accept(fd, NULL, NULL);
+    ck_assert_int_ge(peer, 0);
+    if (reset) {
+        o.reset_peer = peer;
+        drain(peer);
+    }
+    ck_assert_int_gt(send(peer, answer, strlen(answer), 0), 0);
+    if (!reset)
+        shutdown(peer, SHUT_WR);
+    for (unsigned i = 0; i < 10 && !o.ended && !o.failed; i++)
+        uv_run(&loop, UV_RUN_ONCE);
+    qr_client_close(client);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+    if (!reset)
+        close(peer);
+    close(fd);
+    return o;
+}
+
+/* Guards against taking a reset for the end of an answer without a length: the
+   write of the upload gets the error, and the read then gets an end of file. */
+START_TEST(reset_that_a_write_reports_is_no_end)
+{
+    Outcome o = answer_during_upload(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", true);
+
+    ck_assert(o.failed && !o.ended);
+    ck_assert_int_eq(o.fault, QR_CALL_FAULT_BROKEN);
+}
+END_TEST
+
+/* As above, for a peer that closes without having received the upload: nothing
+   tells whether it meant to end the answer. */
+START_TEST(close_before_the_upload_is_received_is_no_end)
+{
+    Outcome o = answer_during_upload(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", false);
+
+    ck_assert(o.failed && !o.ended);
+    ck_assert_int_eq(o.fault, QR_CALL_FAULT_BROKEN);
+}
+END_TEST
+
+/* An answer with a length is whole though its upload was not read. */
+START_TEST(answer_with_a_length_needs_no_end)
+{
+    Outcome o = answer_during_upload(
+        "HTTP/1.1 413 Large\r\nContent-Length: 4\r\n\r\npart", false);
+
+    ck_assert(o.ended && !o.failed);
+}
+END_TEST
+
 TCase *unit_client_case(void)
 {
     TCase *t = tcase_create("client");
 
     tcase_add_test(t, request_is_sent_within_its_limit);
     tcase_add_test(t, request_is_not_sent_after_its_limit);
+    tcase_add_test(t, reset_that_a_write_reports_is_no_end);
+    tcase_add_test(t, close_before_the_upload_is_received_is_no_end);
+    tcase_add_test(t, answer_with_a_length_needs_no_end);
     return t;
 }
