The held reads of several readers don't end together

Cause: all readers get a record at once, so they all ask again in the same moment, with the same wait. A record that comes one wait later meets the end of all these reads, and such an answer proves nothing of its record's age: every gateway gave the version an age that was a whole wait too high.

Fix: the reads of each reader end at their own phase of the wait (halves for two, quarters for more), counted from the last records, which all of them get at the same time. An answer at the end of a read still proves nothing; another reader's question covers that moment.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -53,6 +53,8 @@
     uint64_t caught_up_ms;      /* all records written before are known */
     uint64_t listing_ms;        /* the store gave the first page since */
     QROutage outage;
+    uint64_t records_ms;   /* when the last records came */
+    unsigned phase_ms;     /* see qr_follower_set_phase() */
     uint64_t sent_ms;      /* when the request under way was sent */
     unsigned wait_ms;      /* how long the request lets the store hold it */
     bool new_connection;   /* the request opened its connection */
@@ -250,6 +252,8 @@
         return;
     }
     f->last_read_expired = false;
+    if (page->records->len > 0)
+        f->records_ms = f->now_ms;
     deliver_records(f, page->records);
     f->next = qr_position_max(
         f->next, (QRPosition){epoch, f->requested.offset + page->records->len});
@@ -374,6 +378,16 @@
     qr_store_page_clear(&page);
 }
 
+/* How long the store may hold a read that is sent now. */
+static unsigned held_read_ms(const QRFollower *f)
+{
+    unsigned most = f->options.wait_ms;
+
+    if (most == 0)
+        return 0;
+    return most - (unsigned)((f->now_ms - f->records_ms + f->phase_ms) % most);
+}
+
 static void send_request(QRFollower *f)
 {
     g_autofree char *path = NULL;
@@ -382,7 +396,7 @@
        after a delay, the age of its records would be unknown */
     bool is_current = f->reachable && f->caught_up_ms > 0 &&
                       f->now_ms <= f->caught_up_ms + HELD_GAP_MAX_MS;
-    unsigned wait_ms = is_current ? f->options.wait_ms : 0;
+    unsigned wait_ms = is_current ? held_read_ms(f) : 0;
     uint64_t opened = qr_client_connections_opened(f->client);
 
     f->listing = !f->listed;
@@ -513,6 +527,11 @@
     f->next_ms = MIN(f->next_ms, f->now_ms + interval_ms);
 }
 
+void qr_follower_set_phase(QRFollower *f, unsigned phase_ms)
+{
+    f->phase_ms = phase_ms;
+}
+
 void qr_follower_pause(QRFollower *f, bool paused)
 {
     f->paused = paused;
--- a/src/fleet/qr_follower.h
+++ b/src/fleet/qr_follower.h
@@ -72,6 +72,12 @@
 void qr_follower_pause(QRFollower *f, bool paused);
 /* Sets the interval between two reads; shortens a wait that has begun. */
 void qr_follower_set_interval(QRFollower *f, unsigned interval_ms);
+/*
+ * Held reads end 'phase_ms' before each whole wait since the last records came.
+ * Several readers of one topic get the same records at the same time; with
+ * other phases their reads never end together.
+ */
+void qr_follower_set_phase(QRFollower *f, unsigned phase_ms);
 /* Lists the whole topic anew, at once. */
 void qr_follower_relist(QRFollower *f);
 /* Number of requests sent to the store so far. */
--- a/src/gateway/qr_gateway_readers.c
+++ b/src/gateway/qr_gateway_readers.c
@@ -190,6 +190,18 @@
     qr_share_set_reading(g, false);
 }
 
+/*
+ * How long before those of the first reader the held reads of the n-th one end.
+ * A record that comes as a read ends has an unknown age there: at any moment
+ * the read of another gateway is well before its end.
+ */
+static unsigned held_read_phase_ms(const QRGateway *g, unsigned n)
+{
+    static const unsigned quarters[] = {0, 2, 1, 3};
+
+    return qr_gateway_held_read_ms(g) / 4 * quarters[n % 4];
+}
+
 /*
  * Whether enough other gateways read: those before us in the order, or any
  * gateways while the store does not answer us.
@@ -197,8 +209,11 @@
 static bool others_read_for_us(const QRGateway *g, uint64_t now_ms)
 {
     bool all = !qr_share_own_reads_are_fresh(g, now_ms);
+    unsigned n = count_gateways(g, qr_share_is_fresh_reader, all, now_ms);
 
-    return count_gateways(g, qr_share_is_fresh_reader, all, now_ms) >= READERS;
+    if (!all)
+        qr_follower_set_phase(g->follow_operator, held_read_phase_ms(g, n));
+    return n >= READERS;
 }
 
 /* Starts the wait for gateways before us to read in place of missing readers.
--- a/tests/test_versions_age.py
+++ b/tests/test_versions_age.py
@@ -239,6 +239,44 @@
     return named_behind_an_empty_read(3)
 
 
+# Guards against an age that is a whole wait too high at all readers: they got a
+# record at once, asked again in step, and the next record came just as their held
+# reads ended. Sidecars then took a new version for one whose bound is close.
+def test_version_named_as_held_reads_end_is_new():
+    with Fleet(gateways=2, plain=0) as f:
+        f.wait_ready()
+        held = []  # (sent, wait in s, offset) of the held reads
+        read = f.store.read
+
+        def note(conn, topic, source, wait_ms):
+            if topic == "keyed.op" and wait_ms:
+                held.append((time.monotonic(), wait_ms / 1000, source))
+            read(conn, topic, source, wait_ms)
+
+        f.store.read = note
+        time.sleep(5)  # both know by now which gateways read
+        for version in (10, 20, 30):
+            name_version(f, version)
+            end = end_offset(f)
+            wait_for("both to read on", lambda e=end: sum(
+                h[2] == e for h in held) >= 2, 5)
+            reads_end = max(h[0] + h[1] for h in held if h[2] == end)
+            time.sleep(max(0, reads_end - 0.03 - time.monotonic()))
+            put = name_version(f, version + 1)
+            ages = [least_age(f, n, version + 1, put) for n in ("g0", "g1")]
+            assert max(ages) < 600, ages
+
+
+def least_age(f, name, version, put):
+    """The age in ms that a process takes a version for after it has heard from
+    the others."""
+    first, _ = assigned_and_true_age(f, name, version, put)
+    time.sleep(0.3)
+    log = f.log(name).split("named model=m1 version=%d " % version)[-1]
+    return min([first] + [int(age) for age in re.findall(
+        r"named later than assumed .* age_ms=(\d+)", log)])
+
+
 def test_empty_read_handled_after_suspension_is_as_old_as_its_answer():
     """A version named while the process was suspended got age 0 if a read had
     ended without it before: the empty answer was handled at the wake, and
