Held reads are shortened to their phase only behind records

test_a_joining_sidecar_is_not_sent_routes failed 1 of 1 on: a gateway that had stood still sent a short read to come back to its phase, 3 reads where 2 are allowed. The others are now corrected by an eighth of a wait at most.

--- a/src/fleet/qr_follower.c
+++ b/src/fleet/qr_follower.c
@@ -26,6 +26,8 @@
 #define HELD_BEGIN_MS 200
 /* An answer so shortly before the end of its wait may be due to that end. */
 #define HELD_END_MS 100
+/* Share of a wait by which the end of a read is corrected to its phase. */
+#define DRIFT_DIVISOR 8
 
 struct QRFollower {
     QRClient *client;
@@ -54,6 +56,7 @@
     uint64_t listing_ms;        /* the store gave the first page since */
     QROutage outage;
     uint64_t records_ms;   /* when the last records came */
+    bool after_records;    /* no read was held since */
     unsigned phase_ms;     /* see qr_follower_set_phase() */
     uint64_t sent_ms;      /* when the request under way was sent */
     unsigned wait_ms;      /* how long the request lets the store hold it */
@@ -252,8 +255,10 @@
         return;
     }
     f->last_read_expired = false;
-    if (page->records->len > 0)
+    if (page->records->len > 0) {
         f->records_ms = f->now_ms;
+        f->after_records = true;
+    }
     deliver_records(f, page->records);
     f->next = qr_position_max(
         f->next, (QRPosition){epoch, f->requested.offset + page->records->len});
@@ -378,14 +383,17 @@
     qr_store_page_clear(&page);
 }
 
-/* How long the store may hold a read that is sent now. */
+/* How long the store may hold a read that is sent now. Only the first read
+   behind records is shortened to its phase; the others are corrected by the
+   time that a read takes beside its wait. */
 static unsigned held_read_ms(const QRFollower *f)
 {
-    unsigned most = f->options.wait_ms;
+    unsigned most = f->options.wait_ms, left;
 
     if (most == 0)
         return 0;
-    return most - (unsigned)((f->now_ms - f->records_ms + f->phase_ms) % most);
+    left = most - (unsigned)((f->now_ms - f->records_ms + f->phase_ms) % most);
+    return f->after_records || left > most - most / DRIFT_DIVISOR ? left : most;
 }
 
 static void send_request(QRFollower *f)
@@ -399,6 +407,7 @@
     unsigned wait_ms = is_current ? held_read_ms(f) : 0;
     uint64_t opened = qr_client_connections_opened(f->client);
 
+    f->after_records = f->after_records && wait_ms == 0;
     f->listing = !f->listed;
     path = f->listing ? f->platform->list_path(f->options.topic, f->after_key)
                       : f->platform->read_path(f->options.topic, f->next.offset,
