A manifest that is passed on is not forgotten, and comes round

Causes (postmortem of 2026-12-07): C1, a request for a version that isn't known yet lost its role and counts; C2, one that met a request to the origin lost its counts; C3, the wait for a root that says PENDING had no end; C4, a root that alone can't reach the origin waited for a report that nobody had to make.

Fix: - A waiting request keeps what it says until its piece is known. A peer that asks again waits once. - The manifest goes from root to root with a mark of its own (Want.passed_on), a term of 0.7 s each, from the last one to the owner again. So a root that can't reach the origin holds it up for a term, and nobody is the last. - A root to which it doesn't come back after a term of each root and 2 s asks the origin again: the wait has an end, whatever happened to the mark. - A root whose origin fails passes one piece on: if another root gets it, that one reports that the origin answers.

No test shows the end of the wait by itself.

--- a/src/sidecar/qr_pieces.c
+++ b/src/sidecar/qr_pieces.c
@@ -20,6 +20,12 @@
    them could wait for each other. */
 #define RELAY_TIMEOUT_MS 9000
 #define ROOT_TIMEOUT_MS 3000
+/* A root to which the manifest was passed on asks the origin for so long before
+   it passes the manifest on. */
+#define MANIFEST_TERM_MS 700
+/* On top of a term of each root, until a manifest that was passed on counts as
+   forgotten by those that have it. */
+#define MANIFEST_MARGIN_MS 2000
 #define MEMBER_VIEWS_SETTLE_MS 1500 /* until sidecars see the same members */
 #define PENDING_NOTICE_MS 400 /* between PENDING messages to a waiting peer */
 /* The manifest is small: its peer timeouts are divided by this number. */
@@ -142,6 +148,8 @@
     want.attempt = p->attempts.relays;
     want.root_attempt = p->attempts.roots;
     want.role = want_roles[source->role];
+    want.passed_on = index == QR_MANIFEST_INDEX && p->yielded &&
+                     source->role == QR_PIECE_ROLE_ROOT;
     want.model = s->model;
     want.version = t->version;
     want.index = index;
@@ -220,6 +228,9 @@
 
     if (!p->asked)
         return false;
+    if (p->pending && p->yielded && index != QR_MANIFEST_INDEX &&
+        now > p->first_asked_ms + ROOT_TIMEOUT_MS)
+        return true;
     if (p->pending)
         return now > p->asked_ms + PENDING_TIMEOUT_MS ||
                ((!p->from_root || p->attempts.roots > 0) &&
@@ -270,8 +281,10 @@
 
 /*
  * Whether another root has to fetch the piece. Nobody reports that the origin
- * answers before the manifest has come: it is passed on, once by each root, to
- * find one whose host reaches the origin.
+ * answers before the manifest has come: it is passed on from root to root,
+ * round and round, to find one whose host reaches the origin. Later one piece
+ * is passed on to learn whether the origin answers others: those that have all
+ * their pieces no longer ask it, and report nothing.
  */
 static bool must_yield(QRTarget *t, uint32_t index, const QRSourcePlan *plan,
                        uint64_t now)
@@ -281,9 +294,14 @@
     if (plan->roots->len < 2)
         return false;
     if (index == QR_MANIFEST_INDEX)
-        return !qr_piece(t, index)->yielded &&
-               qr_origin_is_failing(origin, now);
-    return qr_origin_must_yield(origin, now);
+        return qr_origin_is_failing(origin, now) &&
+               now >= qr_piece(t, index)->probe_since_ms + MANIFEST_TERM_MS;
+    if (qr_origin_must_yield(origin, now))
+        return true;
+    if (t->scouted || !qr_origin_is_failing(origin, now))
+        return false;
+    t->scouted = true;
+    return true;
 }
 
 /* Fetches the piece from the origin, or lets another root do so if the origin
@@ -294,6 +312,8 @@
     QRSidecar *s = t->sidecar;
     QRPiece *p = qr_piece(t, index);
 
+    if (p->probe_since_ms == 0)
+        p->probe_since_ms = now;
     if (!must_yield(t, index, plan, now)) {
         qr_piece_request_from_origin(t, index, plan, now);
         return;
@@ -301,10 +321,38 @@
     s->origin_yields++;
     p->attempts.roots++;
     p->yielded = true;
+    p->yielded_ms = now;
     qr_logf(QR_LEVEL_INFO, "weights",
             "origin unreachable from here, another root fetches index=%d "
             "version=%" G_GUINT64_FORMAT " roots_tried=%u",
             (int)index, t->version, p->attempts.roots);
+    if (index == QR_MANIFEST_INDEX) /* the last root passes it to the owner */
+        p->attempts.roots %= plan->roots->len;
+}
+
+/*
+ * A manifest that this root has passed on comes back to it after a term of each
+ * root, or is fetched. If neither happens, those that have it have forgotten
+ * it, or wait for one another: this root asks the origin again.
+ */
+static void reclaim_manifest(QRTarget *t, const QRSourcePlan *plan,
+                             uint64_t now)
+{
+    QRPiece *p = t->manifest_piece;
+    uint64_t round_ms =
+        plan->roots->len * (uint64_t)MANIFEST_TERM_MS + MANIFEST_MARGIN_MS;
+
+    if (!p->yielded || now < p->yielded_ms + round_ms)
+        return;
+    qr_logf(QR_LEVEL_WARN, "weights",
+            "manifest did not come back, this root fetches "
+            "version=%" G_GUINT64_FORMAT " roots_tried=%u after_ms="
+            "%" G_GUINT64_FORMAT,
+            t->version, p->attempts.roots, now - p->yielded_ms);
+    p->role = QR_PIECE_ROLE_ROOT;
+    p->uses_role = true;
+    p->yielded = p->asked = p->pending = false;
+    p->probe_since_ms = 0;
 }
 
 /* Notes whether this sidecar owned the piece when it heard of it, soon after
@@ -337,6 +385,8 @@
         return;
     if (p->asked_ms == 0)
         note_first_owner(t, index, plan, now_ms);
+    if (index == QR_MANIFEST_INDEX)
+        reclaim_manifest(t, plan, now_ms);
     if (is_overdue(t, index, now_ms)) {
         p->asked_ms = now_ms;
         advance_source(p);
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -51,6 +51,8 @@
     QRPieceRole role;          /* role in which peers ask this sidecar for it */
     bool uses_role;            /* its source follows 'role': waiting failed */
     bool yielded;              /* another root fetches it for this sidecar */
+    uint64_t yielded_ms;       /* since when */
+    uint64_t probe_since_ms;   /* manifest: asks the origin since; 0: not yet */
     bool owned_at_first;       /* this sidecar owned it when it was named */
     uint64_t holders_asked_ms; /* when relays were asked whether they hold it,
                                   before it is fetched again; 0: never */
@@ -110,6 +112,8 @@
     bool scanning;
     bool scanned;     /* pieces stored at the engine have been listed */
     bool found_whole; /* that scan found all pieces intact */
+    bool scouted;     /* a piece was passed on, to learn whether the origin
+                         answers another root */
 } QRTarget;
 
 /* A peer's request for a piece. */
@@ -119,6 +123,11 @@
     uint64_t version;
     uint32_t index;
     unsigned upload_priority; /* lowest is sent first */
+    /* what the request said; adopted once the piece is known */
+    QRPieceRole role;
+    QRSourceAttempts tried;
+    bool passed_on;
+    bool adopted;
 } QRWaiter;
 
 struct QRSidecar {
@@ -276,6 +285,8 @@
                          uint64_t version);
 /* Assigns a new target to peers that already wait for its version. */
 void qr_upload_bind_target(QRSidecar *s, QRTarget *t);
+/* Takes over what the waiting peers said of pieces that are known by now. */
+void qr_upload_adopt_requests(QRTarget *t);
 /* Sends a peer the state of the piece that it asked for. */
 void qr_upload_send_state(const QRWaiter *w, Qr__Fleet__Piece__State state);
 /*
--- a/src/sidecar/qr_uploads.c
+++ b/src/sidecar/qr_uploads.c
@@ -294,28 +294,59 @@
  * attempt this sidecar is the next source in the order for the piece. The
  * earlier sources did not deliver, so this sidecar skips them too.
  */
-static void adopt_attempts(QRPiece *p, const Qr__Fleet__Want *want)
+static void adopt_attempts(QRPiece *p, const QRWaiter *w)
 {
-    QRPieceRole role = role_wanted(want);
-    QRSourceAttempts tried = {MAX(p->attempts.relays, want->attempt),
+    QRSourceAttempts tried = {MAX(p->attempts.relays, w->tried.relays),
                               p->attempts.roots};
 
     /* A relay finds out by itself which root does not deliver: the asker may
        only have a bad link to that root, and the next root would fetch the
        piece a second time. */
-    if (role == QR_PIECE_ROLE_ROOT)
-        tried.roots = MAX(tried.roots, want->root_attempt);
-    p->role = MAX(p->role, role);
+    if (w->role == QR_PIECE_ROLE_ROOT)
+        tried.roots = MAX(tried.roots, w->tried.roots);
+    p->role = MAX(p->role, w->role);
     /* no version begins without its manifest, which is small: a second copy
        from the origin costs less than the time until views agree */
-    if (role == QR_PIECE_ROLE_ROOT && want->root_attempt > 0 &&
-        want->index == QR_MANIFEST_INDEX)
+    if (w->role == QR_PIECE_ROLE_ROOT && w->tried.roots > 0 &&
+        w->index == QR_MANIFEST_INDEX)
         p->uses_role = true;
-    if (p->fetch || (tried.relays == p->attempts.relays &&
-                     tried.roots == p->attempts.roots))
+    if (tried.relays == p->attempts.relays && tried.roots == p->attempts.roots)
         return;
     p->attempts = tried;
-    p->asked = p->pending = false;
+    if (!p->fetch)
+        p->asked = p->pending = false;
+}
+
+/* The manifest was passed on to this sidecar, which now asks the origin, even
+   if it has passed the manifest on before. */
+static void take_over_manifest(QRTarget *t, QRPiece *p, const QRWaiter *w)
+{
+    qr_logf(QR_LEVEL_INFO, "weights",
+            "manifest passed on to this root version=%" G_GUINT64_FORMAT
+            " roots_tried=%u yielded=%d",
+            t->version, w->tried.roots, p->yielded);
+    p->role = QR_PIECE_ROLE_ROOT;
+    p->uses_role = true;
+    p->attempts.roots = w->tried.roots;
+    if (p->yielded)
+        p->asked = p->pending = false;
+    p->yielded = false;
+    p->probe_since_ms = 0;
+}
+
+/* Adopts what the request of a waiting peer says, once the piece is known. */
+static void adopt_request(QRWaiter *w)
+{
+    QRPiece *p;
+
+    if (w->adopted || !w->target || !qr_target_has_index(w->target, w->index))
+        return;
+    w->adopted = true;
+    p = qr_piece(w->target, w->index);
+    if (w->passed_on && w->index == QR_MANIFEST_INDEX)
+        take_over_manifest(w->target, p, w);
+    else
+        adopt_attempts(p, w);
 }
 
 /* Whether the wanted version is newer than any known here, or none is known
@@ -334,18 +365,54 @@
         if (!w->target && w->version == t->version)
             w->target = t;
     }
+    qr_upload_adopt_requests(t);
+}
+
+void qr_upload_adopt_requests(QRTarget *t)
+{
+    GArray *waiters = t->sidecar->waiters;
+
+    for (unsigned i = 0; i < waiters->len; i++) {
+        QRWaiter *w = &g_array_index(waiters, QRWaiter, i);
+
+        if (w->target == t)
+            adopt_request(w);
+    }
+}
+
+/* A peer that asks again, because it was told to wait for another, waits once.
+ */
+static void add_waiter(QRSidecar *s, const QRWaiter *waiter)
+{
+    for (unsigned i = 0; i < s->waiters->len; i++) {
+        QRWaiter *w = &g_array_index(s->waiters, QRWaiter, i);
+
+        if (w->peer == waiter->peer && w->version == waiter->version &&
+            w->index == waiter->index) {
+            *w = *waiter;
+            return;
+        }
+    }
+    g_array_append_vals(s->waiters, waiter, 1);
 }
 
 void qr_weights_handle_want(QRSidecar *s, QRPeerConn *peer,
                             const Qr__Fleet__Want *want)
 {
-    QRWaiter w = {peer, qr_target_find(s, want->model, want->version),
-                  want->version, want->index, 0};
+    QRWaiter w = {
+        .peer = peer,
+        .target = qr_target_find(s, want->model, want->version),
+        .version = want->version,
+        .index = want->index,
+        .role = role_wanted(want),
+        .tried = {want->attempt, want->root_attempt},
+        .passed_on = want->passed_on,
+    };
     QRPiece *p;
 
     if (is_unknown_version(s, want) &&
         want->role != QR__FLEET__WANT__ROLE__HOLDER) {
-        g_array_append_val(s->waiters, w);
+        add_waiter(s, &w);
         send_piece(peer, want->model, want->version, want->index,
                    QR__FLEET__PIECE__STATE__PENDING, NULL);
         return;
@@ -380,8 +447,7 @@
         qr_upload_send_state(&w, QR__FLEET__PIECE__STATE__ABSENT);
         return;
     }
-    if (p)
-        adopt_attempts(p, want);
-    g_array_append_val(s->waiters, w);
+    adopt_request(&w);
+    add_waiter(s, &w);
     qr_upload_send_state(&w, QR__FLEET__PIECE__STATE__PENDING);
 }
--- a/src/sidecar/qr_weights.c
+++ b/src/sidecar/qr_weights.c
@@ -151,6 +151,7 @@
     t->pieces = g_array_new(FALSE, TRUE, sizeof(QRPiece));
     g_array_set_clear_func(t->pieces, piece_clear);
     g_array_set_size(t->pieces, t->manifest->digests->len);
+    qr_upload_adopt_requests(t);
     qr_logf(QR_LEVEL_INFO, "weights",
             "manifest version=%" G_GUINT64_FORMAT " pieces=%u", t->version,
             t->pieces->len);
--- a/src/wire/fleet.pb-c.c
+++ b/src/wire/fleet.pb-c.c
@@ -2333,7 +2333,7 @@
   qr__fleet__want__role__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[6] =
+static const ProtobufCFieldDescriptor qr__fleet__want__field_descriptors[7] =
 {
   {
     "model",
@@ -2407,11 +2407,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "passed_on",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qr__Fleet__Want, passed_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qr__fleet__want__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
   2,   /* field[2] = index */
   0,   /* field[0] = model */
+  6,   /* field[6] = passed_on */
   5,   /* field[5] = role */
   4,   /* field[4] = root_attempt */
   1,   /* field[1] = version */
@@ -2419,7 +2432,7 @@
 static const ProtobufCIntRange qr__fleet__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qr__fleet__want__descriptor =
 {
@@ -2429,7 +2442,7 @@
   "Qr__Fleet__Want",
   "qr.fleet",
   sizeof(Qr__Fleet__Want),
-  6,
+  7,
   qr__fleet__want__field_descriptors,
   qr__fleet__want__field_indices_by_name,
   1,  qr__fleet__want__number_ranges,
--- a/src/wire/fleet.pb-c.h
+++ b/src/wire/fleet.pb-c.h
@@ -493,10 +493,15 @@
    */
   uint32_t root_attempt;
   Qr__Fleet__Want__Role role;
+  /*
+   * Manifest, as ROOT: the sender asked the origin in vain, the receiver is to
+   * ask it now.
+   */
+  protobuf_c_boolean passed_on;
 };
 #define QR__FLEET__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qr__fleet__want__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, QR__FLEET__WANT__ROLE__RELAY }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, QR__FLEET__WANT__ROLE__RELAY, 0 }
 
 
 struct  Qr__Fleet__Piece
