An answer without a length ends once its engine still listens

Cause: the kernel of a process that ends closes its connections in order, so FIN proves nothing. The gateway opened a connection to the engine right then, but used the result for its suspects only, after it had answered.

Fix: such an answer ends when the engine accepts a connection behind it that isn't reset within a tick; that connection is kept for the next request. Refused, reset or not answered: the attempt has broken, and a resumable stream goes on elsewhere. It isn't asked of engines that have announced their end or switch versions, which may refuse as planned; their answers count as before.

--- a/src/fleet/qr_engines.c
+++ b/src/fleet/qr_engines.c
@@ -376,6 +376,12 @@
     return e->record->draining || e->notices.leaving;
 }
 
+bool qr_engine_should_listen(const QREngine *e)
+{
+    return !e->gone && !qr_engine_is_leaving(e) &&
+           !(e->has_sidecar_report && e->sidecar_switching);
+}
+
 uint64_t qr_engine_deprioritized_ms(const QREngine *e, uint64_t now_ms)
 {
     uint64_t until_ms =
--- a/src/fleet/qr_engines.h
+++ b/src/fleet/qr_engines.h
@@ -191,6 +191,10 @@
 bool qr_engine_was_denied(const QREngine *e, uint32_t rank, uint32_t team);
 /* Whether its record or a response announced the engine's shutdown. */
 bool qr_engine_is_leaving(const QREngine *e);
+/* Whether it has ended unplanned if it refuses connections: it has not
+   announced its shutdown, and does not switch versions, which cuts running
+   calls. */
+bool qr_engine_should_listen(const QREngine *e);
 /* Remaining time in ms in which other engines are preferred, from this
    gateway's own calls alone. */
 uint64_t qr_engine_deprioritized_ms(const QREngine *e, uint64_t now_ms);
--- a/src/gateway/qr_relay_answer.c
+++ b/src/gateway/qr_relay_answer.c
@@ -463,5 +463,16 @@
     qr_relay_dispatch_waiting(g, service);
 }
 
-const QRClientHandlers qr_relay_answer_handlers = {answer_head, answer_body,
-                                                   answer_end, answer_failed};
+/* The connections of an engine that crashes end in order, too. One that has
+   announced its end, or switches versions, may refuse others as planned. */
+static bool answer_confirms_end(void *owner, QRClientCall *call)
+{
+    QRRelay *r = owner;
+    const QREngine *e = qr_attempt_engine(
+        r, call == r->stalled.call ? &r->stalled : &r->current);
+
+    return e && qr_engine_should_listen(e);
+}
+
+const QRClientHandlers qr_relay_answer_handlers = {
+    answer_head, answer_body, answer_end, answer_failed, answer_confirms_end};
--- a/src/gateway/qr_relay_suspect.c
+++ b/src/gateway/qr_relay_suspect.c
@@ -161,11 +161,7 @@
     g_autofree char *parts = describe_parts(r);
     QRInterruptedCall call = {.id = r->id, .answered = answered};
 
-    /* an engine that announced its shutdown, or whose record is gone, ended as
-       planned; an engine that switches versions cuts running calls */
-    if (!e || e->gone || qr_engine_is_leaving(e) ||
-        (e->has_sidecar_report && e->sidecar_switching) ||
-        !make_fingerprints(r))
+    if (!e || !qr_engine_should_listen(e) || !make_fingerprints(r))
         return;
     call.parts = parts;
     call.fingerprints = r->fingerprints;
--- a/src/net/qr_buffered_call.c
+++ b/src/net/qr_buffered_call.c
@@ -85,7 +85,7 @@
 }
 
 static const QRClientHandlers call_handlers = {on_head, on_body, on_end,
-                                               on_failed};
+                                               on_failed, NULL};
 
 static GString *request_text(const QRBufferedRequest *r)
 {
--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -13,6 +13,11 @@
 /* TCP user timeout: unacknowledged bytes break the connection. */
 #define UNACKED_TIMEOUT_MS 3000
 
+#define CONFIRM_CONNECT_MS 700 /* for a peer to accept the connection */
+/* The kernel of a process that ends closes its connections one by one: one that
+   comes meanwhile is accepted, and then reset. */
+#define CONFIRM_HOLD_MS 5
+
 /* Answers to earlier requests that are ignored. */
 #define SKIPPED_ANSWERS_MAX 4
 /* Bytes that may arrive before the answer to a request begins: interim answers,
@@ -31,10 +36,19 @@
     g_free(l);
 }
 
+/* The result of the probe is no longer wanted. */
+static void link_forget_confirmation(QRLink *l)
+{
+    if (l->confirmed_by)
+        l->confirmed_by->probe_done = NULL;
+    l->confirmed_by = NULL;
+}
+
 void qr_link_close(QRLink *l)
 {
     if (l->closing)
         return;
+    link_forget_confirmation(l);
     l->closing = true;
     g_ptr_array_remove_fast(l->client->links, l);
     uv_close((uv_handle_t *)&l->tcp, link_free);
@@ -45,6 +59,7 @@
 {
     if (l->closing)
         return;
+    link_forget_confirmation(l);
     l->closing = true;
     g_ptr_array_remove_fast(l->client->links, l);
     if (uv_tcp_close_reset(&l->tcp, link_free) != 0)
@@ -179,19 +194,28 @@
 static const QRMessageHandlers message_handlers = {message_head, message_body,
                                                    message_end};
 
+static void confirm_end(QRLink *l);
+
 static void link_end_of_file(QRLink *l)
 {
     QRClientCall *call = l->call;
 
     /* without a Content-Length, an orderly close ends the answer */
     if (call && call->answered && !l->write_error &&
-        qr_socket_closed_by_peer(&l->tcp) && l->message.head_done &&
-        qr_message_end_of_file(&l->message))
+        qr_socket_closed_by_peer(&l->tcp) && l->message.head_done) {
+        if (!qr_message_ends_with_connection(&l->message)) {
+            link_break(l, QR_CALL_FAULT_BROKEN, "connection closed");
+        } else if (call->handlers->confirms_end &&
+                   call->handlers->confirms_end(call->owner, call)) {
+            confirm_end(l);
+        } else {
+            qr_message_end_of_file(&l->message);
+        }
         return;
-    if (!l->closing)
-        link_break(l, QR_CALL_FAULT_BROKEN,
-                   l->write_error ? uv_strerror(l->write_error)
-                                  : "connection closed");
+    }
+    link_break(l, QR_CALL_FAULT_BROKEN,
+               l->write_error ? uv_strerror(l->write_error)
+                              : "connection closed");
 }
 
 /* Moves the time limit of a request that makes progress: a timeout and a retry
@@ -288,7 +312,8 @@
     } else if (l->probe_done) {
         l->idle_since_ms = l->opened_ms;
         l->idle_until_ms = l->idle_since_ms + IDLE_MS;
-        link_finish_probe(l, QR_CLIENT_PROBE_OPEN);
+        if (l->probe_hold_ms == 0)
+            link_finish_probe(l, QR_CLIENT_PROBE_OPEN);
     }
 }
 
@@ -350,6 +375,34 @@
     link_connect(l);
 }
 
+static void end_confirmed(void *owner, const char *address,
+                          QRClientProbeResult result)
+{
+    QRLink *l = owner;
+
+    (void)address;
+    l->confirmed_by = NULL;
+    if (result == QR_CLIENT_PROBE_OPEN)
+        qr_message_end_of_file(&l->message);
+    else
+        link_break(l, QR_CALL_FAULT_BROKEN,
+                   "connection closed, and the peer no longer listens");
+}
+
+/* The answer ends once the peer accepts another connection, which is kept for
+   the next request. */
+static void confirm_end(QRLink *l)
+{
+    QRLink *probe = link_new(l->client, l->address, CONFIRM_CONNECT_MS);
+
+    uv_read_stop((uv_stream_t *)&l->tcp);
+    l->confirmed_by = probe;
+    probe->probe_hold_ms = CONFIRM_HOLD_MS;
+    probe->probe_done = end_confirmed;
+    probe->probe_owner = l;
+    link_connect(probe);
+}
+
 static void call_start(QRClientCall *call, const char *address,
                        uint32_t connect_ms, bool fresh)
 {
@@ -439,6 +492,8 @@
 static void link_tick(QRLink *l, uint64_t now)
 {
     qr_link_check_unacked(l, now);
+    if (l->open && l->probe_done && now >= l->opened_ms + l->probe_hold_ms)
+        link_finish_probe(l, QR_CLIENT_PROBE_OPEN);
     if (!l->open && now >= l->connect_due_ms)
         link_break(l, QR_CALL_FAULT_UNSENT, "connect timed out");
     else if (l->call && l->call->due_ms && now >= l->call->due_ms) {
--- a/src/net/qr_client.h
+++ b/src/net/qr_client.h
@@ -29,6 +29,12 @@
     void (*end)(void *owner, QRClientCall *call);
     void (*failed)(void *owner, QRClientCall *call, QRCallFault fault,
                    const char *why);
+    /*
+     * An answer without a length has ended in order with its connection, as it
+     * also does when the peer's process crashes. Whether it counts only if the
+     * peer still listens. NULL: it counts.
+     */
+    bool (*confirms_end)(void *owner, QRClientCall *call);
 } QRClientHandlers;
 
 typedef struct QRClientRequest {
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -45,6 +45,8 @@
     uint64_t unacked_since_ms, next_check_ms;
     QRClientProbeDone probe_done; /* NULL unless opened by qr_client_probe() */
     void *probe_owner;
+    uint64_t probe_hold_ms;  /* least time for which a probe must stay open */
+    QRLink *confirmed_by;    /* the probe that confirms the end of the answer */
     unsigned skipped;        /* answers to earlier requests, ignored */
     size_t unanswered_bytes; /* received before the answer to 'call' began */
     int write_error;         /* of a write that failed; 0: none */
--- a/src/net/qr_message.c
+++ b/src/net/qr_message.c
@@ -217,6 +217,12 @@
     return used;
 }
 
+bool qr_message_ends_with_connection(const QRMessage *m)
+{
+    return m->head_done && !m->done && m->grammar.state == QR_GRAMMAR_OPAQUE &&
+           m->parser.content_length == NO_LENGTH;
+}
+
 bool qr_message_end_of_file(QRMessage *m)
 {
     if (m->done)
--- a/src/net/qr_message.h
+++ b/src/net/qr_message.h
@@ -54,6 +54,8 @@
 size_t qr_message_read(QRMessage *m, const char *data, size_t len);
 /* For handlers: the message cannot be taken, and nothing more of it is read. */
 void qr_message_fail(QRMessage *m, QRMessageFault why);
+/* Whether the body, as far as it was read, ends with the connection. */
+bool qr_message_ends_with_connection(const QRMessage *m);
 /* Called at an orderly end of the connection. Returns false if the message is
    incomplete. */
 bool qr_message_end_of_file(QRMessage *m);
--- a/tests/test_staged_pieces.py
+++ b/tests/test_staged_pieces.py
@@ -319,3 +319,23 @@
     fleet.start_sidecar(9, victim)
     wait_for("the order", held.begun.is_set, 10)
     check_orders(victim, 3)
+
+
+# Guards against an engine that waits for half a minute, because an order to start an
+# older version was lost on its way and the newer one may not be staged under it.
+def test_lost_order_is_sent_again(fleet):
+    victim, lost = fleet.victim, []
+
+    def lose(order):
+        if not lost:
+            lost.append(order["version"])
+            name_version(fleet, 3)
+            received(fleet, 3, "s9")
+            raise OSError
+
+    victim.on_order = lose
+    name_version(fleet, 2)
+    fleet.start_sidecar(9, victim)
+    wait_for("the order", lambda: lost, 10)
+    check_orders(victim, 3)
+    assert lost == [2]
--- a/tests/unit_client.c
+++ b/tests/unit_client.c
@@ -6,6 +6,7 @@
 #include "net/qr_client.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
     bool ended, failed;
     QRCallFault fault;
     int reset_peer; /* reset once the head has been read; 0: none */
+    bool confirms_end;
 } Outcome;
 
 static void reset_connection(int fd)
@@ -67,7 +69,16 @@
     o->fault = fault;
 }
 
-static const QRClientHandlers handlers = {on_head, on_body, on_end, on_failed};
+static bool confirms_end(void *owner, QRClientCall *call)
+{
+    const Outcome *o = owner;
+
+    (void)call;
+    return o->confirms_end;
+}
+
+static const QRClientHandlers handlers = {on_head, on_body, on_end, on_failed,
+                                          confirms_end};
 
 static int listen_on_loopback(char address[32])
 {
@@ -210,6 +221,70 @@
 }
 END_TEST
 
+/* An answer without a length, FIN behind it, and a peer that listens or not. */
+static Outcome answer_and_end(bool listens, bool confirms, bool reset)
+{
+    char address[32];
+    int fd = listen_on_loopback(address), peer;
+    QRClientRequest request = {.address = address,
+                               .data = "GET / HTTP/1.1\r\n\r\n",
+                               .len = 18,
+                               .connect_ms = 1000};
+    Outcome o = {.confirms_end = confirms};
+    static const char answer[] = "HTTP/1.1 200 OK\r\n\r\npart";
+    char bytes[64];
+    uv_loop_t loop;
+    QRClient *client;
+
+    uv_loop_init(&loop);
+    client = qr_client_new(&loop, "X-Id");
+    (void)qr_client_send(client, &request, &handlers, &o);
+    uv_run(&loop, UV_RUN_ONCE);
+    peer = accept(fd, NULL, NULL);
+    ck_assert_int_eq(recv(peer, bytes, sizeof(bytes), 0), 18);
+    if (!listens)
+        close(fd);
+    if (reset)
+        ck_assert_int_eq(fcntl(fd, F_SETFL, O_NONBLOCK), 0);
+    ck_assert_int_gt(send(peer, answer, strlen(answer), 0), 0);
+    close(peer);
+    for (unsigned i = 0; i < 100 && !o.ended && !o.failed; i++) {
+        uv_run(&loop, UV_RUN_NOWAIT);
+        /* accepted by the kernel of a process that is just ending */
+        if (reset && (peer = accept(fd, NULL, NULL)) >= 0)
+            reset_connection(peer);
+        qr_client_tick(client, qr_client_now(client));
+        g_usleep(1000);
+    }
+    qr_client_close(client);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+    if (listens)
+        close(fd);
+    return o;
+}
+
+/* Guards against a whole answer of a process that has crashed under it: its
+   kernel ends the connection in order. */
+START_TEST(end_of_a_peer_that_no_longer_listens_is_no_end)
+{
+    Outcome o = answer_and_end(false, true, false);
+
+    ck_assert(o.failed && !o.ended);
+    ck_assert_int_eq(o.fault, QR_CALL_FAULT_BROKEN);
+    o = answer_and_end(true, true, true);
+    ck_assert(o.failed && !o.ended);
+}
+END_TEST
+
+START_TEST(end_of_a_peer_that_listens_ends_the_answer)
+{
+    ck_assert(answer_and_end(true, true, false).ended);
+    ck_assert(answer_and_end(true, false, false).ended);
+    ck_assert(answer_and_end(false, false, false).ended);
+}
+END_TEST
+
 /* An answer with a length is whole though its upload was not read. */
 START_TEST(answer_with_a_length_needs_no_end)
 {
@@ -229,5 +304,7 @@
     tcase_add_test(t, reset_that_a_write_reports_is_no_end);
     tcase_add_test(t, close_before_the_upload_is_received_is_no_end);
     tcase_add_test(t, answer_with_a_length_needs_no_end);
+    tcase_add_test(t, end_of_a_peer_that_no_longer_listens_is_no_end);
+    tcase_add_test(t, end_of_a_peer_that_listens_ends_the_answer);
     return t;
 }
