A probe that is closed fails the answer that waits for it

Each of the two now knows the other, and whichever closes first separates them. Requests don't use a connection that is still a probe. Names in qr_stage_puts.c.

--- a/src/net/qr_client.c
+++ b/src/net/qr_client.c
@@ -17,6 +17,7 @@
 /* The kernel of a process that ends closes its connections one by one: one that
    comes meanwhile is accepted, and then reset. */
 #define CONFIRM_HOLD_MS 5
+#define NOT_LISTENING "connection closed, and the peer no longer listens"
 
 /* Answers to earlier requests that are ignored. */
 #define SKIPPED_ANSWERS_MAX 4
@@ -36,19 +37,27 @@
     g_free(l);
 }
 
-/* The result of the probe is no longer wanted. */
-static void link_forget_confirmation(QRLink *l)
+/* Separates a link that closes from its probe, or from the link that waits for
+   it; that one fails with the next tick. */
+static void link_end_confirmation(QRLink *l)
 {
-    if (l->confirmed_by)
+    if (l->confirmed_by) {
+        l->confirmed_by->confirms = NULL;
         l->confirmed_by->probe_done = NULL;
-    l->confirmed_by = NULL;
+    }
+    if (l->confirms) {
+        l->confirms->confirmed_by = NULL;
+        l->confirms->unconfirmed = true;
+        l->probe_done = NULL;
+    }
+    l->confirmed_by = l->confirms = NULL;
 }
 
 void qr_link_close(QRLink *l)
 {
     if (l->closing)
         return;
-    link_forget_confirmation(l);
+    link_end_confirmation(l);
     l->closing = true;
     g_ptr_array_remove_fast(l->client->links, l);
     uv_close((uv_handle_t *)&l->tcp, link_free);
@@ -59,7 +68,7 @@
 {
     if (l->closing)
         return;
-    link_forget_confirmation(l);
+    link_end_confirmation(l);
     l->closing = true;
     g_ptr_array_remove_fast(l->client->links, l);
     if (uv_tcp_close_reset(&l->tcp, link_free) != 0)
@@ -344,8 +353,8 @@
     for (unsigned i = 0; i < c->links->len; i++) {
         QRLink *l = c->links->pdata[i];
 
-        if (!l->open || l->call || l->reading || now >= l->idle_until_ms ||
-            strcmp(l->address, address) != 0)
+        if (!l->open || l->call || l->probe_done || l->reading ||
+            now >= l->idle_until_ms || strcmp(l->address, address) != 0)
             continue;
         if (!best || l->idle_since_ms > best->idle_since_ms)
             best = l;
@@ -381,12 +390,12 @@
     QRLink *l = owner;
 
     (void)address;
+    l->confirmed_by->confirms = NULL;
     l->confirmed_by = NULL;
     if (result == QR_CLIENT_PROBE_OPEN)
         qr_message_end_of_file(&l->message);
     else
-        link_break(l, QR_CALL_FAULT_BROKEN,
-                   "connection closed, and the peer no longer listens");
+        l->unconfirmed = true;
 }
 
 /* The answer ends once the peer accepts another connection, which is kept for
@@ -397,6 +406,7 @@
 
     uv_read_stop((uv_stream_t *)&l->tcp);
     l->confirmed_by = probe;
+    probe->confirms = l;
     probe->probe_hold_ms = CONFIRM_HOLD_MS;
     probe->probe_done = end_confirmed;
     probe->probe_owner = l;
@@ -494,7 +504,9 @@
     qr_link_check_unacked(l, now);
     if (l->open && l->probe_done && now >= l->opened_ms + l->probe_hold_ms)
         link_finish_probe(l, QR_CLIENT_PROBE_OPEN);
-    if (!l->open && now >= l->connect_due_ms)
+    if (l->unconfirmed)
+        link_break(l, QR_CALL_FAULT_BROKEN, NOT_LISTENING);
+    else if (!l->open && now >= l->connect_due_ms)
         link_break(l, QR_CALL_FAULT_UNSENT, "connect timed out");
     else if (l->call && l->call->due_ms && now >= l->call->due_ms) {
         qr_link_note_silence(l);
--- a/src/net/qr_client_parts.h
+++ b/src/net/qr_client_parts.h
@@ -45,8 +45,11 @@
     uint64_t unacked_since_ms, next_check_ms;
     QRClientProbeDone probe_done; /* NULL unless opened by qr_client_probe() */
     void *probe_owner;
-    uint64_t probe_hold_ms;  /* least time for which a probe must stay open */
-    QRLink *confirmed_by;    /* the probe that confirms the end of the answer */
+    uint64_t probe_hold_ms; /* least time for which a probe must stay open */
+    /* the probe that confirms the end of the answer, and the link that waits
+       for this probe */
+    QRLink *confirmed_by, *confirms;
+    bool unconfirmed;        /* that probe has ended without a result */
     unsigned skipped;        /* answers to earlier requests, ignored */
     size_t unanswered_bytes; /* received before the answer to 'call' began */
     int write_error;         /* of a write that failed; 0: none */
--- a/src/sidecar/qr_sidecar.h
+++ b/src/sidecar/qr_sidecar.h
@@ -85,8 +85,8 @@
     uint64_t sent_ms;
     QRBufferedCall *call; /* NULL: ended without an answer */
     uint64_t settled_ms;  /* without 'call': taken for lost at this time */
-    QRBufferedCall *look; /* reads the place, or NULL */
-    uint64_t look_next_ms;
+    QRBufferedCall *place_read; /* reads the place, or NULL */
+    uint64_t read_next_ms;
 } QRStagePut;
 
 /*
--- a/src/sidecar/qr_stage_puts.c
+++ b/src/sidecar/qr_stage_puts.c
@@ -10,14 +10,14 @@
 
 /* Open requests that the engine has not answered for QR_STAGE_TIMEOUT_MS. */
 #define LATE_PUTS_MAX 16
-#define LOOK_INTERVAL_MS 250
+#define PLACE_READ_INTERVAL_MS 250
 
 static void put_free(void *p)
 {
     QRStagePut *put = p;
 
     qr_buffered_cancel(put->call);
-    qr_buffered_cancel(put->look);
+    qr_buffered_cancel(put->place_read);
     g_free(put);
 }
 
@@ -225,12 +225,13 @@
 }
 
 /* What was read at the place of a put that is not answered. */
-static void handle_look(void *owner, unsigned index, const QRBufferedAnswer *a)
+static void handle_place_read(void *owner, unsigned index,
+                              const QRBufferedAnswer *a)
 {
     QRStagePut *put = owner;
     char digest[QR_SHA_HEX];
 
-    put->look = NULL;
+    put->place_read = NULL;
     if (a->status != 200 || !put->observable)
         return;
     qr_sha256_hex(a->data, a->len, digest);
@@ -243,7 +244,7 @@
     put_end(put, 200, "seen at the engine");
 }
 
-static void look_at_place(QRStagePut *put, uint64_t now_ms)
+static void read_place(QRStagePut *put, uint64_t now_ms)
 {
     QRSidecar *s = put->sidecar;
     g_autofree char *path =
@@ -255,9 +256,9 @@
     r.path = path;
     r.connect_ms = QR_STAGE_CONNECT_MS;
     r.timeout_ms = QR_STAGE_TIMEOUT_MS;
-    put->look_next_ms = now_ms + LOOK_INTERVAL_MS;
-    put->look =
-        qr_buffered_send(s->engine_client, &r, handle_look, put, put->index);
+    put->read_next_ms = now_ms + PLACE_READ_INTERVAL_MS;
+    put->place_read = qr_buffered_send(s->engine_client, &r, handle_place_read,
+                                       put, put->index);
 }
 
 void qr_stage_puts_tick(QRSidecar *s, uint64_t now_ms)
@@ -267,9 +268,9 @@
 
         if (!put->call && now_ms >= put->settled_ms)
             put_end(put, 0, "taken for lost");
-        else if (put->observable && !put->look && s->reachable &&
-                 now_ms >= put->look_next_ms && (!put->call || is_late(put)))
-            look_at_place(put, now_ms);
+        else if (put->observable && !put->place_read && s->reachable &&
+                 now_ms >= put->read_next_ms && (!put->call || is_late(put)))
+            read_place(put, now_ms);
     }
 }
 
